--- /dev/null
+++ b/crates/protocol/src/hex_key.rs
@@ -0,0 +1,36 @@
+//! Serde helpers for record keys.
+//!
+//! Human-readable formats carry a key as 16 hexadecimal digits, because JSON numbers lose
+//! precision above 2^53 in many callers. Binary formats carry the integer.
+
+use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+/// Serialises a key.
+///
+/// # Errors
+///
+/// Returns the serializer's error.
+pub fn serialize<S: Serializer>(key: &u64, ser: S) -> Result<S::Ok, S::Error> {
+    if ser.is_human_readable() {
+        ser.collect_str(&format_args!("{key:016x}"))
+    } else {
+        ser.serialize_u64(*key)
+    }
+}
+
+/// Deserialises a key.
+///
+/// # Errors
+///
+/// Fails when the text is not 1 to 16 hexadecimal digits.
+pub fn deserialize<'de, D: Deserializer<'de>>(de: D) -> Result<u64, D::Error> {
+    if !de.is_human_readable() {
+        return u64::deserialize(de);
+    }
+    let text = compact_str::CompactString::deserialize(de)?;
+    let digits_only = text.bytes().all(|b| b.is_ascii_hexdigit());
+    if text.is_empty() || text.len() > 16 || !digits_only {
+        return Err(D::Error::custom("a key must be 1 to 16 hexadecimal digits"));
+    }
+    u64::from_str_radix(&text, 16).map_err(D::Error::custom)
+}
