query: add a working engine for searches and ledger actions

The daemon needs an engine to drive before the routing policy is complete.

Actions go to one replica at a time, and to another only when the last one provably did not run.

Splitting segments at all bounds ever reported was ruled out: it doubles the requests once a repartition has ended.

No budgets, hedges, admission or crash records yet.

--- /dev/null
+++ b/crates/query/src/attempts.rs
@@ -0,0 +1,63 @@
+//! Attempts in flight, found by a number that is never used twice.
+
+use slab::Slab;
+
+use crate::{
+    interface::{AttemptId, DispatchId},
+    replicas::ReplicaKey,
+};
+
+/// Low bits of an attempt's number that hold its place in the slab. The other 42 bits count
+/// attempts and last about 2.9 years at 48,000 attempts per second.
+const INDEX_BITS: u32 = 22;
+
+/// Whom an attempt serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Owner {
+    Query { index: u32, segment: u32 },
+    Dispatch(DispatchId),
+}
+
+/// One request to one replica that has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) owner: Owner,
+    pub(crate) replica: ReplicaKey,
+}
+
+/// All attempts in flight.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    slab: Slab<(AttemptId, Attempt)>,
+    serial: u64,
+}
+
+impl Attempts {
+    /// Adds an attempt; `None` when the number space of attempts in flight is used up.
+    pub(crate) fn insert(&mut self, attempt: Attempt) -> Option<AttemptId> {
+        let entry = self.slab.vacant_entry();
+        let index = entry.key() as u64;
+        if index >> INDEX_BITS != 0 {
+            return None;
+        }
+        self.serial += 1;
+        let id = (self.serial << INDEX_BITS) | index;
+        entry.insert((id, attempt));
+        Some(id)
+    }
+
+    /// Removes an attempt; `None` when it ended before.
+    pub(crate) fn remove(&mut self, id: AttemptId) -> Option<Attempt> {
+        let index = index_of(id);
+        let (found, _) = self.slab.get(index)?;
+        (*found == id).then(|| self.slab.remove(index).1)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.slab.len()
+    }
+}
+
+fn index_of(id: AttemptId) -> usize {
+    (id & ((1 << INDEX_BITS) - 1)) as usize
+}
--- /dev/null
+++ b/crates/query/src/engine.rs
@@ -0,0 +1,199 @@
+//! The state machine that decides the query path.
+
+use std::collections::HashMap;
+
+use fastrand::Rng;
+use rosemarybank_protocol::prelude::*;
+use slab::Slab;
+
+use crate::{
+    attempts::{Attempt, Attempts, Owner},
+    dispatch::DispatchState,
+    interface::{Action, AttemptId, AttemptOutcome, DispatchId, Event, QueryId},
+    query::Query,
+    replicas::{ReplicaKey, Replicas, ServiceIx, UpstreamIx},
+    settings::Settings,
+    timers::{Timer, Timers},
+    views::Counters,
+};
+
+/// Decides where searches and actions are sent and what callers are told.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use rosemarybank_query::{engine::Engine, interface::Event, settings::Settings};
+///
+/// let mut engine = Engine::new(Settings::builder().data_centre("ost".into()).build(), 1);
+/// let mut out = Vec::new();
+/// engine.handle(Duration::from_secs(1), Event::Tick, &mut out);
+/// assert!(out.is_empty());
+/// assert_eq!(engine.next_wakeup(), None);
+/// ```
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) settings: Settings,
+    pub(crate) rng: Rng,
+    pub(crate) replicas: Replicas,
+    pub(crate) services: HashMap<ServiceIx, ServicePlan>,
+    pub(crate) limits: Limits,
+    pub(crate) is_configured: bool,
+    pub(crate) attempts: Attempts,
+    pub(crate) queries: Slab<Query>,
+    pub(crate) query_by_id: HashMap<QueryId, u32>,
+    pub(crate) query_serial: u64,
+    pub(crate) dispatches: HashMap<DispatchId, DispatchState>,
+    pub(crate) timers: Timers,
+    pub(crate) counters: Counters,
+}
+
+/// What the bundle says about a service.
+#[derive(Clone, Debug)]
+pub(crate) struct ServicePlan {
+    pub(crate) kind: ServiceKind,
+    /// Upstream of a ledger.
+    pub(crate) ledger: Option<UpstreamIx>,
+}
+
+impl Engine {
+    /// Builds an engine that knows no replica and no bundle. The seed drives all random choices.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64) -> Engine {
+        Engine {
+            replicas: Replicas::new(settings.data_centre.clone()),
+            settings,
+            rng: Rng::with_seed(seed),
+            services: HashMap::new(),
+            limits: Limits::default(),
+            is_configured: false,
+            attempts: Attempts::default(),
+            queries: Slab::new(),
+            query_by_id: HashMap::new(),
+            query_serial: 0,
+            dispatches: HashMap::new(),
+            timers: Timers::default(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes an event at `now` and appends the resulting actions. Timers that are due at `now`
+    /// fire as well. `now` must not go backwards.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Submit(submission) => self.submit(now, submission, out),
+            Event::CallerGone { query } => self.caller_gone(now, query, out),
+            Event::Dispatch(dispatch) => self.dispatch(now, dispatch, out),
+            Event::AttemptDone { attempt, outcome } => {
+                self.attempt_done(now, attempt, outcome, out);
+            }
+            Event::ReplicaList(list) => {
+                for key in self.replicas.apply_list(now, &list) {
+                    self.schedule_first_poll(now, key);
+                }
+            }
+            Event::ReplicaStatus(status) => self.replicas.apply_status(now, &status),
+            Event::PollFailed { replica } => self.poll_failed(&replica),
+            Event::GoingAway { replica } => {
+                if let Some(key) = self.replicas.find(&replica) {
+                    self.replicas.drain(key);
+                }
+            }
+            Event::Configure(bundle) => self.configure(&bundle),
+            Event::FleetSize(_) | Event::Quarantine { .. } | Event::Tick => {}
+        }
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                Timer::Query { index, serial } => self.query_timer(now, index, serial, out),
+                Timer::Dispatch(dispatch) => self.dispatch_timer(now, dispatch, out),
+                Timer::Poll(key) => self.poll(now, key, out),
+            }
+        }
+    }
+
+    /// The earliest time at which the engine wants a [`Event::Tick`]; `None` when it waits for
+    /// events only.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    fn configure(&mut self, bundle: &Bundle) {
+        self.limits = bundle.limits.clone();
+        self.is_configured = true;
+        self.services.clear();
+        for service in &bundle.services {
+            let index = self.replicas.service(&service.name);
+            let first = service.shards.first().map(|it| self.replicas.upstream(&it.upstream));
+            let ledger = first.filter(|_| service.kind == ServiceKind::Ledger);
+            self.services.insert(index, ServicePlan { kind: service.kind, ledger });
+        }
+    }
+
+    fn attempt_done(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        outcome: AttemptOutcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(attempt) = self.end_attempt(id) else {
+            self.counters.late_outcomes += 1;
+            return;
+        };
+        match attempt.owner {
+            Owner::Query { index, segment } => {
+                self.query_outcome(now, index, segment, (id, attempt), outcome, out);
+            }
+            Owner::Dispatch(dispatch) => {
+                self.dispatch_outcome(now, dispatch, attempt, outcome, out);
+            }
+        }
+    }
+
+    /// Forgets an attempt, so that its outcome is ignored.
+    pub(crate) fn end_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
+        let attempt = self.attempts.remove(id)?;
+        if let Some(replica) = self.replicas.get_mut(attempt.replica) {
+            replica.in_flight -= 1;
+        }
+        Some(attempt)
+    }
+
+    /// Records an attempt that is about to be sent.
+    pub(crate) fn begin_attempt(&mut self, attempt: Attempt) -> Option<AttemptId> {
+        let id = self.attempts.insert(attempt)?;
+        if let Some(replica) = self.replicas.get_mut(attempt.replica) {
+            replica.in_flight += 1;
+        }
+        Some(id)
+    }
+
+    fn schedule_first_poll(&mut self, now: Time, key: ReplicaKey) {
+        // The first poll is soon, because a search replica is of no use before its first status.
+        let spread = self.rng.u32(..20);
+        self.timers.arm(now + std::time::Duration::from_millis(spread.into()), Timer::Poll(key));
+    }
+
+    fn poll(&mut self, now: Time, key: ReplicaKey, out: &mut Vec<Action>) {
+        let rate = self.settings.polls_per_second.max(1);
+        let stretched =
+            std::time::Duration::from_secs(1).mul_f64(self.replicas.len() as f64 / f64::from(rate));
+        let interval = self.settings.poll_interval.max(stretched);
+        let Some(replica) = self.replicas.get(key) else { return };
+        if replica.unlisted.is_none() {
+            out.push(Action::Poll { replica: replica.id.clone(), addr: replica.addr });
+        }
+        // A spread of 10% keeps the instances from polling a replica at the same moment.
+        let next = interval.mul_f64(0.9 + 0.2 * self.rng.f64());
+        self.timers.arm(now + next, Timer::Poll(key));
+    }
+
+    fn poll_failed(&mut self, replica: &str) {
+        if let Some(key) = self.replicas.find(replica)
+            && let Some(replica) = self.replicas.get_mut(key)
+        {
+            replica.failed_polls = replica.failed_polls.saturating_add(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/query/src/replicas.rs
@@ -0,0 +1,425 @@
+//! The replica table: what each replica holds, whether it takes work, and its load.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use rosemarybank_protocol::{
+    platform::{InstanceEntry, InstanceState},
+    prelude::*,
+    upstream::{Holding, Load, RangeCount, ReplicaState, ReplicaStatus},
+};
+use slotmap::SlotMap;
+
+use crate::layout::{Holder, Layout};
+
+slotmap::new_key_type! {
+    /// Key of a replica in the table.
+    pub(crate) struct ReplicaKey;
+}
+
+/// Index of a service in the table.
+pub(crate) type ServiceIx = u32;
+
+/// Index of an upstream in the table.
+pub(crate) type UpstreamIx = u32;
+
+/// A replica that left the list is kept this long, because a lagging list can name it again
+/// without a new incarnation.
+const UNLISTED_RETENTION: Duration = Duration::from_secs(600);
+
+/// Counts kept per snapshot; a replica that reports ever new ranges must not fill the memory.
+const MAX_KNOWN_RANGES: usize = 16_384;
+
+/// One upstream process.
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    pub(crate) id: ReplicaId,
+    pub(crate) upstream: UpstreamIx,
+    pub(crate) addr: SocketAddr,
+    pub(crate) data_centre: DataCentre,
+    pub(crate) is_local: bool,
+    pub(crate) incarnation: Option<u64>,
+    /// Last reported state; `None` before the first report.
+    pub(crate) state: Option<ReplicaState>,
+    /// When the list stopped naming it.
+    pub(crate) unlisted: Option<Time>,
+    /// Takes no new work until a new incarnation appears.
+    pub(crate) draining: bool,
+    pub(crate) in_flight: u32,
+    pub(crate) load: Load,
+    pub(crate) load_at: Time,
+    /// Polls that failed since the last success.
+    pub(crate) failed_polls: u32,
+    holdings: Vec<(ServiceIx, SnapshotId, Vec<RangeCount>)>,
+}
+
+impl Replica {
+    /// Whether new work may be sent to it.
+    pub(crate) fn takes_work(&self) -> bool {
+        self.unlisted.is_none() && !self.draining && self.state != Some(ReplicaState::Cold)
+    }
+
+    fn holding(&self, service: ServiceIx, snapshot: SnapshotId) -> Option<&[RangeCount]> {
+        let found = self.holdings.iter().find(|it| it.0 == service && it.1 == snapshot);
+        found.map(|it| it.2.as_slice())
+    }
+}
+
+/// One snapshot of one service.
+#[derive(Debug, Default)]
+struct Snapshot {
+    holders: Vec<ReplicaKey>,
+    known: BTreeMap<KeyRange, u64>,
+    /// `None` when the holders changed since it was built.
+    layout: Option<Arc<Layout>>,
+}
+
+/// A service as replicas report it.
+#[derive(Debug)]
+struct Service {
+    name: ServiceId,
+    snapshots: BTreeMap<SnapshotId, Snapshot>,
+    /// The layout for new queries; `None` when any layout changed.
+    chosen: Option<Arc<Layout>>,
+}
+
+/// All replicas, by key, by service and snapshot, and by upstream.
+#[derive(Debug)]
+pub(crate) struct Replicas {
+    data_centre: DataCentre,
+    map: SlotMap<ReplicaKey, Replica>,
+    by_id: HashMap<ReplicaId, ReplicaKey>,
+    services: Vec<Service>,
+    service_by_name: HashMap<ServiceId, ServiceIx>,
+    upstreams: Vec<Vec<ReplicaKey>>,
+    upstream_by_name: HashMap<UpstreamId, UpstreamIx>,
+}
+
+impl Replicas {
+    pub(crate) fn new(data_centre: DataCentre) -> Replicas {
+        Replicas {
+            data_centre,
+            map: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            services: Vec::new(),
+            service_by_name: HashMap::new(),
+            upstreams: Vec::new(),
+            upstream_by_name: HashMap::new(),
+        }
+    }
+
+    pub(crate) fn get(&self, key: ReplicaKey) -> Option<&Replica> {
+        self.map.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: ReplicaKey) -> Option<&mut Replica> {
+        self.map.get_mut(key)
+    }
+
+    pub(crate) fn find(&self, id: &str) -> Option<ReplicaKey> {
+        self.by_id.get(id).copied()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    pub(crate) fn service(&mut self, name: &ServiceId) -> ServiceIx {
+        if let Some(index) = self.service_by_name.get(name) {
+            return *index;
+        }
+        let index = self.services.len() as ServiceIx;
+        self.services.push(Service {
+            name: name.clone(),
+            snapshots: BTreeMap::new(),
+            chosen: None,
+        });
+        self.service_by_name.insert(name.clone(), index);
+        index
+    }
+
+    pub(crate) fn find_service(&self, name: &str) -> Option<ServiceIx> {
+        self.service_by_name.get(name).copied()
+    }
+
+    pub(crate) fn upstream(&mut self, name: &UpstreamId) -> UpstreamIx {
+        if let Some(index) = self.upstream_by_name.get(name) {
+            return *index;
+        }
+        let index = self.upstreams.len() as UpstreamIx;
+        self.upstreams.push(Vec::new());
+        self.upstream_by_name.insert(name.clone(), index);
+        index
+    }
+
+    /// Replicas of an upstream.
+    pub(crate) fn members(&self, upstream: UpstreamIx) -> &[ReplicaKey] {
+        &self.upstreams[upstream as usize]
+    }
+
+    /// Replicas that hold any snapshot of a service.
+    pub(crate) fn holders(
+        &self,
+        service: ServiceIx,
+    ) -> impl Iterator<Item = (SnapshotId, ReplicaKey)> {
+        let snapshots = self.services[service as usize].snapshots.iter();
+        snapshots.flat_map(|(id, it)| it.holders.iter().map(|key| (*id, *key)))
+    }
+
+    /// Takes over the platform's list; returns the replicas that are new in it.
+    pub(crate) fn apply_list(&mut self, now: Time, list: &[InstanceEntry]) -> Vec<ReplicaKey> {
+        let mut added = Vec::new();
+        let mut named = HashMap::with_capacity(list.len());
+        for entry in list {
+            let key = match self.find(&entry.replica) {
+                Some(key) => key,
+                None => {
+                    let key = self.insert(entry);
+                    added.push(key);
+                    key
+                }
+            };
+            named.insert(key, ());
+            self.update_entry(key, entry);
+        }
+        let gone: Vec<_> = self.map.keys().filter(|key| !named.contains_key(key)).collect();
+        for key in gone {
+            self.unlist(now, key);
+        }
+        added
+    }
+
+    /// Takes over a polled status.
+    pub(crate) fn apply_status(&mut self, now: Time, status: &ReplicaStatus) {
+        let Some(key) = self.find(&status.replica) else { return };
+        let replica = &mut self.map[key];
+        let took_work = replica.takes_work();
+        if replica.incarnation.is_some_and(|it| it != status.incarnation) {
+            replica.draining = false;
+        }
+        replica.incarnation = Some(status.incarnation);
+        replica.state = Some(status.state);
+        replica.draining |= status.state == ReplicaState::Draining;
+        replica.load = status.load;
+        replica.load_at = now;
+        replica.failed_polls = 0;
+        let takes_work = replica.takes_work();
+        self.apply_holdings(key, &status.holdings);
+        if took_work != takes_work {
+            self.invalidate(key);
+        }
+    }
+
+    /// Stops new work to a replica until a new incarnation appears.
+    pub(crate) fn drain(&mut self, key: ReplicaKey) {
+        let Some(replica) = self.map.get_mut(key) else { return };
+        if !replica.draining {
+            replica.draining = true;
+            self.invalidate(key);
+        }
+    }
+
+    /// Forgets that a replica holds a snapshot.
+    pub(crate) fn drop_snapshot(
+        &mut self,
+        key: ReplicaKey,
+        service: ServiceIx,
+        snapshot: SnapshotId,
+    ) {
+        let Some(replica) = self.map.get_mut(key) else { return };
+        let before = replica.holdings.len();
+        replica.holdings.retain(|it| (it.0, it.1) != (service, snapshot));
+        if replica.holdings.len() < before {
+            self.remove_holder(service, snapshot, key);
+        }
+    }
+
+    /// The newest snapshot whose every key is served, or else the one with the most records.
+    pub(crate) fn choose_layout(&mut self, service: ServiceIx) -> Option<Arc<Layout>> {
+        if let Some(chosen) = &self.services[service as usize].chosen {
+            return Some(chosen.clone());
+        }
+        let newest_first: Vec<_> =
+            self.services[service as usize].snapshots.keys().rev().copied().collect();
+        let mut best: Option<Arc<Layout>> = None;
+        for snapshot in newest_first {
+            let layout = self.layout(service, snapshot);
+            if layout.is_full() {
+                best = Some(layout);
+                break;
+            }
+            if best.as_ref().is_none_or(|it| it.extent() < layout.extent()) {
+                best = Some(layout);
+            }
+        }
+        self.services[service as usize].chosen.clone_from(&best);
+        best
+    }
+
+    fn layout(&mut self, service: ServiceIx, id: SnapshotId) -> Arc<Layout> {
+        let map = &self.map;
+        let Some(snapshot) = self.services[service as usize].snapshots.get_mut(&id) else {
+            return Arc::default();
+        };
+        if let Some(layout) = &snapshot.layout {
+            return layout.clone();
+        }
+        let holders = snapshot.holders.iter().filter_map(|key| {
+            let replica = map.get(*key).filter(|it| it.takes_work())?;
+            let ranges = replica.holding(service, id)?;
+            Some(Holder { replica: *key, is_local: replica.is_local, ranges })
+        });
+        let layout = Arc::new(Layout::build(id, holders, &snapshot.known));
+        snapshot.layout = Some(layout.clone());
+        layout
+    }
+
+    fn insert(&mut self, entry: &InstanceEntry) -> ReplicaKey {
+        let upstream = self.upstream(&entry.upstream);
+        let key = self.map.insert(Replica {
+            id: entry.replica.clone(),
+            upstream,
+            addr: entry.addr,
+            data_centre: entry.data_centre.clone(),
+            is_local: entry.data_centre == self.data_centre,
+            incarnation: None,
+            state: None,
+            unlisted: None,
+            draining: false,
+            in_flight: 0,
+            load: Load::default(),
+            load_at: Time::ZERO,
+            failed_polls: 0,
+            holdings: Vec::new(),
+        });
+        self.by_id.insert(entry.replica.clone(), key);
+        self.upstreams[upstream as usize].push(key);
+        key
+    }
+
+    fn update_entry(&mut self, key: ReplicaKey, entry: &InstanceEntry) {
+        let upstream = self.upstream(&entry.upstream);
+        let local = self.data_centre == entry.data_centre;
+        let replica = &mut self.map[key];
+        let took_work = replica.takes_work();
+        let moved = replica.is_local != local;
+        let old_upstream = std::mem::replace(&mut replica.upstream, upstream);
+        replica.addr = entry.addr;
+        replica.data_centre = entry.data_centre.clone();
+        replica.is_local = local;
+        replica.unlisted = None;
+        replica.draining |= entry.state == InstanceState::Leaving;
+        let changed = moved || took_work != replica.takes_work();
+        if old_upstream != upstream {
+            self.upstreams[old_upstream as usize].retain(|it| *it != key);
+            self.upstreams[upstream as usize].push(key);
+        }
+        if changed {
+            self.invalidate(key);
+        }
+    }
+
+    fn unlist(&mut self, now: Time, key: ReplicaKey) {
+        let replica = &mut self.map[key];
+        match replica.unlisted {
+            None => {
+                replica.unlisted = Some(now);
+                self.invalidate(key);
+            }
+            Some(since) if since + UNLISTED_RETENTION < now && replica.in_flight == 0 => {
+                self.remove(key);
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn remove(&mut self, key: ReplicaKey) {
+        let Some(replica) = self.map.remove(key) else { return };
+        self.by_id.remove(&replica.id);
+        self.upstreams[replica.upstream as usize].retain(|it| *it != key);
+        for (service, snapshot, _) in &replica.holdings {
+            self.remove_holder(*service, *snapshot, key);
+        }
+    }
+
+    fn apply_holdings(&mut self, key: ReplicaKey, reported: &[Holding]) {
+        if self.same_holdings(key, reported) {
+            return;
+        }
+        let old = std::mem::take(&mut self.map[key].holdings);
+        let mut new = Vec::with_capacity(reported.len());
+        for it in reported {
+            let ranges = || it.ranges.iter().map(|it| it.range);
+            // Overlapping ranges would count records twice.
+            if !it.ranges.is_empty() && KeyRange::are_disjoint(ranges()) {
+                new.push((self.service(&it.service), it.snapshot, it.ranges.clone()));
+            }
+        }
+        for (service, snapshot, _) in &old {
+            if !new.iter().any(|it| (it.0, it.1) == (*service, *snapshot)) {
+                self.remove_holder(*service, *snapshot, key);
+            }
+        }
+        for (service, snapshot, ranges) in &new {
+            self.add_holder(*service, *snapshot, key, ranges);
+        }
+        self.map[key].holdings = new;
+    }
+
+    fn same_holdings(&self, key: ReplicaKey, reported: &[Holding]) -> bool {
+        let held = &self.map[key].holdings;
+        held.len() == reported.len()
+            && held.iter().zip(reported).all(|(held, it)| {
+                held.1 == it.snapshot
+                    && held.2 == it.ranges
+                    && self.services[held.0 as usize].name == it.service
+            })
+    }
+
+    fn add_holder(
+        &mut self,
+        service: ServiceIx,
+        snapshot: SnapshotId,
+        key: ReplicaKey,
+        ranges: &[RangeCount],
+    ) {
+        let service = &mut self.services[service as usize];
+        let snapshot = service.snapshots.entry(snapshot).or_default();
+        if !snapshot.holders.contains(&key) {
+            snapshot.holders.push(key);
+        }
+        for it in ranges {
+            if snapshot.known.len() < MAX_KNOWN_RANGES {
+                snapshot.known.insert(it.range, it.records);
+            }
+        }
+        snapshot.layout = None;
+        service.chosen = None;
+    }
+
+    fn remove_holder(&mut self, service: ServiceIx, id: SnapshotId, key: ReplicaKey) {
+        let service = &mut self.services[service as usize];
+        service.chosen = None;
+        let Some(snapshot) = service.snapshots.get_mut(&id) else { return };
+        snapshot.holders.retain(|it| *it != key);
+        snapshot.layout = None;
+        if snapshot.holders.is_empty() {
+            service.snapshots.remove(&id);
+        }
+    }
+
+    /// Discards the layouts that name a replica whose usability changed.
+    fn invalidate(&mut self, key: ReplicaKey) {
+        for (service, snapshot, _) in &self.map[key].holdings {
+            let service = &mut self.services[*service as usize];
+            service.chosen = None;
+            if let Some(snapshot) = service.snapshots.get_mut(snapshot) {
+                snapshot.layout = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/query/src/segments.rs
@@ -0,0 +1,213 @@
+//! The disjoint segments of one query: which keys are covered, asked for or given up.
+
+use rosemarybank_protocol::{prelude::*, upstream::RangeCount};
+use smallvec::SmallVec;
+
+use crate::{interface::AttemptId, layout::Layout, replicas::ReplicaKey};
+
+/// Where a segment stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SegmentState {
+    /// To be sent.
+    Waiting,
+    /// At least one attempt is in flight.
+    Running,
+    /// A merged reply covers it.
+    Covered,
+    /// Its keys will be named as missing.
+    GivenUp,
+}
+
+/// Keys that are asked for together.
+#[derive(Clone, Debug)]
+pub(crate) struct Segment {
+    pub(crate) range: KeyRange,
+    pub(crate) origin: u32,
+    pub(crate) state: SegmentState,
+    pub(crate) reason: MissingReason,
+    pub(crate) attempts: SmallVec<[AttemptId; 2]>,
+    pub(crate) tried: SmallVec<[ReplicaKey; 3]>,
+}
+
+/// Counts of one layout segment, from which the segments of a query descend.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    records: Option<u64>,
+    covered: u64,
+    open: u32,
+}
+
+/// All segments of a query. They tile the key space.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Segments {
+    list: Vec<Segment>,
+    origins: Vec<Origin>,
+    covered: u32,
+    given_up: u32,
+}
+
+/// A reply that does not fit the segment that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Misfit;
+
+impl Segments {
+    pub(crate) fn new(layout: &Layout) -> Segments {
+        let list = layout.segments.iter().zip(0..).map(|(it, origin)| Segment {
+            range: it.range,
+            origin,
+            state: SegmentState::Waiting,
+            reason: MissingReason::Deadline,
+            attempts: SmallVec::new(),
+            tried: SmallVec::new(),
+        });
+        let origins =
+            layout.segments.iter().map(|it| Origin { records: it.records, covered: 0, open: 1 });
+        Segments { list: list.collect(), origins: origins.collect(), covered: 0, given_up: 0 }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    pub(crate) fn get(&self, index: usize) -> &Segment {
+        &self.list[index]
+    }
+
+    pub(crate) fn get_mut(&mut self, index: usize) -> &mut Segment {
+        &mut self.list[index]
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Segment> {
+        self.list.iter()
+    }
+
+    /// Whether every segment is covered or given up.
+    pub(crate) fn is_settled(&self) -> bool {
+        (self.covered + self.given_up) as usize == self.list.len()
+    }
+
+    pub(crate) fn covered_any(&self) -> bool {
+        self.covered > 0
+    }
+
+    pub(crate) fn given_up_any(&self) -> bool {
+        self.given_up > 0
+    }
+
+    pub(crate) fn give_up(&mut self, index: usize, reason: MissingReason) {
+        let segment = &mut self.list[index];
+        segment.state = SegmentState::GivenUp;
+        segment.reason = reason;
+        self.given_up += 1;
+    }
+
+    /// Marks the covered keys of a running segment. Keys that the reply leaves open become new
+    /// segments at the end; their number is returned.
+    ///
+    /// # Errors
+    ///
+    /// Fails, and changes nothing, when a range lies outside the segment or overlaps another, or
+    /// when the reply covers nothing.
+    pub(crate) fn cover(&mut self, index: usize, covered: &[RangeCount]) -> Result<usize, Misfit> {
+        let segment = &self.list[index];
+        let whole = segment.range;
+        let origin = segment.origin as usize;
+        let rest = match covered {
+            [] => return Err(Misfit),
+            [one] if one.range == whole => Vec::new(),
+            many => {
+                let ranges = || many.iter().map(|it| it.range);
+                if !ranges().all(|it| whole.contains_range(it)) || !KeyRange::are_disjoint(ranges())
+                {
+                    return Err(Misfit);
+                }
+                whole.subtract(ranges())
+            }
+        };
+        let tried = segment.tried.clone();
+        let segment = &mut self.list[index];
+        segment.state = SegmentState::Covered;
+        self.covered += 1;
+        let origin_counts = &mut self.origins[origin];
+        for it in covered {
+            origin_counts.covered = origin_counts.covered.saturating_add(it.records);
+        }
+        origin_counts.open = origin_counts.open + rest.len() as u32 - 1;
+        if !rest.is_empty() {
+            // The covered part keeps its place, so that the segments still tile the key space.
+            self.split(index, covered, &rest, &tried);
+        }
+        Ok(rest.len())
+    }
+
+    /// What is covered and what is not. Open segments keep their last reason.
+    pub(crate) fn coverage(&self) -> Coverage {
+        let mut records_covered = 0_u64;
+        let mut total = 0_u64;
+        let mut exact = true;
+        for origin in &self.origins {
+            records_covered = records_covered.saturating_add(origin.covered);
+            let records = match origin.records {
+                _ if origin.open == 0 => origin.covered,
+                Some(records) => records.max(origin.covered),
+                None => {
+                    exact = false;
+                    origin.covered
+                }
+            };
+            total = total.saturating_add(records);
+        }
+        Coverage {
+            records_covered,
+            records_total: if exact {
+                RecordTotal::Exact(total)
+            } else {
+                RecordTotal::AtLeast(total)
+            },
+            missing: self.missing(),
+        }
+    }
+
+    fn missing(&self) -> Vec<MissingRange> {
+        let open = self.list.iter().filter(|it| it.state != SegmentState::Covered);
+        let mut missing: Vec<_> =
+            open.map(|it| MissingRange { range: it.range, reason: it.reason }).collect();
+        missing.sort_unstable_by_key(|it| it.range);
+        missing.dedup_by(|next, last| {
+            let joined = KeyRange::new(last.range.first(), next.range.last());
+            let adjacent = last.range.last().checked_add(1) == Some(next.range.first());
+            match joined {
+                Some(joined) if adjacent && next.reason == last.reason => {
+                    last.range = joined;
+                    true
+                }
+                _ => false,
+            }
+        });
+        missing
+    }
+
+    fn split(
+        &mut self,
+        index: usize,
+        covered: &[RangeCount],
+        rest: &[KeyRange],
+        tried: &SmallVec<[ReplicaKey; 3]>,
+    ) {
+        let whole = self.list[index].clone();
+        self.list[index].range = covered[0].range;
+        let taken = covered[1..].iter().map(|it| (it.range, SegmentState::Covered));
+        let open = rest.iter().map(|it| (*it, SegmentState::Waiting));
+        for (range, state) in taken.chain(open) {
+            self.list.push(Segment {
+                range,
+                origin: whole.origin,
+                state,
+                reason: MissingReason::Deadline,
+                attempts: SmallVec::new(),
+                tried: tried.clone(),
+            });
+        }
+        self.covered += covered.len() as u32 - 1;
+    }
+}
--- /dev/null
+++ b/crates/query/src/timers.rs
@@ -0,0 +1,41 @@
+//! Timers of the engine. Outdated entries are skipped when they fire.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use rosemarybank_protocol::prelude::*;
+
+use crate::{interface::DispatchId, replicas::ReplicaKey};
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// A query's next hedge, or its deadline.
+    Query { index: u32, serial: u64 },
+    /// The deadline of an action.
+    Dispatch(DispatchId),
+    /// The next poll of a replica.
+    Poll(ReplicaKey),
+}
+
+/// A heap of timers.
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    heap: BinaryHeap<Reverse<(Time, Timer)>>,
+}
+
+impl Timers {
+    pub(crate) fn arm(&mut self, at: Time, timer: Timer) {
+        self.heap.push(Reverse((at, timer)));
+    }
+
+    pub(crate) fn next(&self) -> Option<Time> {
+        self.heap.peek().map(|Reverse((at, _))| *at)
+    }
+
+    pub(crate) fn pop_due(&mut self, now: Time) -> Option<Timer> {
+        if self.next()? > now {
+            return None;
+        }
+        self.heap.pop().map(|Reverse((_, timer))| timer)
+    }
+}
--- /dev/null
+++ b/crates/query/src/views.rs
@@ -0,0 +1,103 @@
+//! Read-only views of an engine for status pages and metrics.
+
+use std::net::SocketAddr;
+
+use rosemarybank_protocol::{prelude::*, upstream::ReplicaState};
+use serde::{Deserialize, Serialize};
+
+use crate::engine::Engine;
+
+/// Counts since the start of the engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Searches submitted.
+    pub submitted: u64,
+    /// Searches answered with a result.
+    pub answered: u64,
+    /// Results that span all records of their snapshot.
+    pub complete: u64,
+    /// Searches refused or failed.
+    pub refused: u64,
+    /// First attempts of searches.
+    pub first_sends: u64,
+    /// Retries of searches.
+    pub retries: u64,
+    /// Hedges of searches.
+    pub hedges: u64,
+    /// Attempts of actions.
+    pub action_sends: u64,
+    /// Refusals by upstreams because of load.
+    pub upstream_sheds: u64,
+    /// Outcomes of attempts that had ended before.
+    pub late_outcomes: u64,
+    /// Replies that were rejected because they do not fit what was asked.
+    pub rejected_replies: u64,
+}
+
+/// One replica as the engine sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaView {
+    /// Name of the replica.
+    pub replica: ReplicaId,
+    /// Address of its endpoint.
+    pub addr: SocketAddr,
+    /// Data centre it runs in.
+    pub data_centre: DataCentre,
+    /// Last reported state.
+    pub state: Option<ReplicaState>,
+    /// Whether it takes no new work until it restarts.
+    pub draining: bool,
+    /// Requests of this instance in flight.
+    pub in_flight: u32,
+    /// Snapshots that it holds of the service.
+    pub snapshots: Vec<SnapshotId>,
+}
+
+impl Engine {
+    /// Counts since the start.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Number of searches that are not answered yet.
+    #[must_use]
+    pub fn queries_in_flight(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Number of attempts that have not ended.
+    #[must_use]
+    pub fn attempts_in_flight(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Replicas that hold a snapshot of a search service or belong to the upstream of a ledger,
+    /// by name; empty for an unknown service.
+    #[must_use]
+    pub fn replica_table(&self, service: &str) -> Vec<ReplicaView> {
+        let Some(service) = self.replicas.find_service(service) else { return Vec::new() };
+        let ledger = self.services.get(&service).and_then(|it| it.ledger);
+        let members = ledger.map(|it| self.replicas.members(it)).unwrap_or_default();
+        let mut held: Vec<_> = self.replicas.holders(service).map(|(id, it)| (it, id)).collect();
+        held.sort_unstable();
+        let mut keys: Vec<_> = held.iter().map(|it| it.0).chain(members.iter().copied()).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        let views = keys.into_iter().filter_map(|key| {
+            let replica = self.replicas.get(key)?;
+            Some(ReplicaView {
+                replica: replica.id.clone(),
+                addr: replica.addr,
+                data_centre: replica.data_centre.clone(),
+                state: replica.state,
+                draining: replica.draining,
+                in_flight: replica.in_flight,
+                snapshots: held.iter().filter(|it| it.0 == key).map(|it| it.1).collect(),
+            })
+        });
+        let mut views: Vec<_> = views.collect();
+        views.sort_unstable_by(|a, b| a.replica.cmp(&b.replica));
+        views
+    }
+}
