--- a/crates/query/src/attempts.rs
+++ b/crates/query/src/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts in flight, found by a number that is never used twice.
 
+use rosemarybank_protocol::prelude::*;
 use slab::Slab;
 
 use crate::{
@@ -23,6 +24,7 @@
 pub(crate) struct Attempt {
     pub(crate) owner: Owner,
     pub(crate) replica: ReplicaKey,
+    pub(crate) sent: Time,
 }
 
 /// All attempts in flight.
--- a/crates/query/src/dispatch.rs
+++ b/crates/query/src/dispatch.rs
@@ -5,10 +5,12 @@
 
 use crate::{
     attempts::{Attempt, Owner},
-    choice,
+    choice::Chooser,
     engine::Engine,
-    interface::{Action, AttemptId, AttemptOutcome, Dispatch, DispatchId, SendAction},
+    interface::{Action, AttemptId, AttemptOutcome, Dispatch, DispatchId, SendAction, SendKind},
+    latency::micros,
     replicas::{ReplicaKey, UpstreamIx},
+    settings::Policy,
     timers::Timer,
 };
 
@@ -40,23 +42,39 @@
         let state =
             DispatchState { dispatch, upstream, attempt: None, tried: SmallVec::new(), reason };
         self.dispatches.insert(id, state);
-        self.send_action(now, id, out);
+        self.send_action(now, id, SendKind::First, out);
     }
 
     /// Sends an action that no replica has run, or ends it.
-    fn send_action(&mut self, now: Time, id: DispatchId, out: &mut Vec<Action>) {
+    fn send_action(&mut self, now: Time, id: DispatchId, kind: SendKind, out: &mut Vec<Action>) {
         let Some(state) = self.dispatches.get(&id) else { return };
         if state.dispatch.deadline <= now {
             self.dispatches.remove(&id);
             not_run(id, "the deadline passed before the action was sent", out);
             return;
         }
-        let candidates = self.replicas.members(state.upstream);
-        let chosen = choice::uniform(&mut self.rng, &self.replicas, candidates, &state.tried);
+        let upstream = state.upstream;
+        let pool = self.replicas.members(upstream);
+        let mut chooser = Chooser {
+            now,
+            rng: &mut self.rng,
+            replicas: &self.replicas,
+            upstreams: &self.upstreams,
+            crossing_us: micros(self.settings.crossing_penalty),
+            holds: None,
+        };
+        // A retry is chosen like a first attempt but never as the probe of an ejected replica.
+        let chosen = match self.settings.policy {
+            Policy::Adaptive => chooser.balanced(pool, &state.tried, SendKind::Retry),
+            Policy::Baseline => chooser.uniform(pool, &state.tried),
+        };
         let begun = chosen.and_then(|replica| {
-            let attempt = Attempt { owner: Owner::Dispatch(id), replica };
+            let attempt = Attempt { owner: Owner::Dispatch(id), replica, sent: now };
             Some((replica, self.begin_attempt(attempt)?))
         });
+        if kind == SendKind::First {
+            self.upstreams.get_mut(upstream).retries.earn(self.limits.retry_percent);
+        }
         let Some((key, attempt)) = begun else {
             let reason = self.dispatches.remove(&id).map_or("", |it| it.reason);
             not_run(id, reason, out);
@@ -87,23 +105,30 @@
     ) {
         let unknown = match outcome {
             AttemptOutcome::ActionReply(result) => {
+                let took = now.saturating_sub(attempt.sent);
+                self.upstreams.note_reply(now, &mut self.replicas, attempt.replica, took);
                 self.end_dispatch(id, ActionOutcome::Done { result }, out);
                 return;
             }
             AttemptOutcome::NotSent => {
-                self.resend(now, id, "no replica could be reached", out);
+                self.note_loss(now, attempt.replica);
+                self.resend(now, id, attempt.replica, "no replica could be reached", out);
                 return;
             }
             AttemptOutcome::Refused { error, .. } if error != UpstreamErrorKind::Failed => {
-                if error == UpstreamErrorKind::Draining {
-                    self.replicas.drain(attempt.replica);
-                }
-                self.resend(now, id, refusal_reason(error), out);
+                self.note_unavailable(now, attempt.replica, error);
+                self.resend(now, id, attempt.replica, refusal_reason(error), out);
                 return;
             }
             AttemptOutcome::Refused { .. } => "the replica failed while it ran the action",
-            AttemptOutcome::Disconnected => "the connection broke after the action was sent",
-            AttemptOutcome::TimedOut => "no reply came before the deadline",
+            AttemptOutcome::Disconnected => {
+                self.note_loss(now, attempt.replica);
+                "the connection broke after the action was sent"
+            }
+            AttemptOutcome::TimedOut => {
+                self.note_timeout(now, attempt);
+                "no reply came before the deadline"
+            }
             AttemptOutcome::Reply(_) => "the replica sent a reply of another kind",
         };
         self.end_dispatch(id, ActionOutcome::Unknown { reason: unknown.into() }, out);
@@ -115,17 +140,29 @@
             return;
         }
         let Some(attempt) = state.attempt else { return };
-        self.end_attempt(attempt);
-        out.push(Action::Cancel { attempt });
+        self.cancel(now, attempt, out);
         let reason = "no reply came before the deadline".into();
         self.end_dispatch(id, ActionOutcome::Unknown { reason }, out);
     }
 
-    fn resend(&mut self, now: Time, id: DispatchId, reason: &'static str, out: &mut Vec<Action>) {
+    /// Sends again after an attempt that did not run, as far as the budget allows.
+    fn resend(
+        &mut self,
+        now: Time,
+        id: DispatchId,
+        failed: ReplicaKey,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
         let Some(state) = self.dispatches.get_mut(&id) else { return };
         state.attempt = None;
         state.reason = reason;
-        self.send_action(now, id, out);
+        if self.settings.policy == Policy::Adaptive && !self.take_retry(failed) {
+            self.dispatches.remove(&id);
+            not_run(id, reason, out);
+            return;
+        }
+        self.send_action(now, id, SendKind::Retry, out);
     }
 
     fn end_dispatch(&mut self, id: DispatchId, outcome: ActionOutcome, out: &mut Vec<Action>) {
--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -3,17 +3,20 @@
 use std::collections::HashMap;
 
 use fastrand::Rng;
-use rosemarybank_protocol::prelude::*;
+use rosemarybank_protocol::{bundle::Canary, prelude::*};
 use slab::Slab;
 
 use crate::{
+    admission::Admission,
     attempts::{Attempt, Attempts, Owner},
+    crash::{Crashes, Suspect},
     dispatch::DispatchState,
     interface::{Action, AttemptId, AttemptOutcome, DispatchId, Event, QueryId},
     query::Query,
     replicas::{ReplicaKey, Replicas, ServiceIx, UpstreamIx},
     settings::Settings,
     timers::{Timer, Timers},
+    upstreams::Upstreams,
     views::Counters,
 };
 
@@ -37,6 +40,11 @@
     pub(crate) rng: Rng,
     pub(crate) replicas: Replicas,
     pub(crate) services: HashMap<ServiceIx, ServicePlan>,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) admission: Admission,
+    pub(crate) crashes: Crashes,
+    /// Suspects whose canary ended.
+    pub(crate) resumable: Vec<Suspect>,
     pub(crate) limits: Limits,
     pub(crate) is_configured: bool,
     pub(crate) attempts: Attempts,
@@ -52,6 +60,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ServicePlan {
     pub(crate) kind: ServiceKind,
+    pub(crate) canary: Canary,
     /// Upstream of a ledger.
     pub(crate) ledger: Option<UpstreamIx>,
 }
@@ -65,6 +74,10 @@
             settings,
             rng: Rng::with_seed(seed),
             services: HashMap::new(),
+            upstreams: Upstreams::default(),
+            admission: Admission::default(),
+            crashes: Crashes::default(),
+            resumable: Vec::new(),
             limits: Limits::default(),
             is_configured: false,
             attempts: Attempts::default(),
@@ -88,7 +101,9 @@
                 self.attempt_done(now, attempt, outcome, out);
             }
             Event::ReplicaList(list) => {
-                for key in self.replicas.apply_list(now, &list) {
+                let added = self.replicas.apply_list(now, &list);
+                self.upstreams.grow(&self.replicas);
+                for key in added {
                     self.schedule_first_poll(now, key);
                 }
             }
@@ -100,7 +115,11 @@
                 }
             }
             Event::Configure(bundle) => self.configure(&bundle),
-            Event::FleetSize(_) | Event::Quarantine { .. } | Event::Tick => {}
+            Event::Quarantine { service, fingerprint, until } => {
+                let suspect = (self.replicas.service(&service), fingerprint);
+                self.quarantine(now, suspect, until, out);
+            }
+            Event::FleetSize(_) | Event::Tick => {}
         }
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
@@ -109,6 +128,8 @@
                 Timer::Poll(key) => self.poll(now, key, out),
             }
         }
+        self.resume(now, out);
+        self.admit(now, out);
     }
 
     /// The earliest time at which the engine wants a [`Event::Tick`]; `None` when it waits for
@@ -121,12 +142,23 @@
     fn configure(&mut self, bundle: &Bundle) {
         self.limits = bundle.limits.clone();
         self.is_configured = true;
+        self.admission.configure(&self.limits, self.settings.policy);
+        let slots: Vec<_> = bundle
+            .upstreams
+            .iter()
+            .map(|it| (self.replicas.upstream(&it.name), it.slots))
+            .collect();
+        self.upstreams.grow(&self.replicas);
+        for (upstream, slots) in slots {
+            self.upstreams.get_mut(upstream).slots = slots;
+        }
         self.services.clear();
         for service in &bundle.services {
             let index = self.replicas.service(&service.name);
             let first = service.shards.first().map(|it| self.replicas.upstream(&it.upstream));
             let ledger = first.filter(|_| service.kind == ServiceKind::Ledger);
-            self.services.insert(index, ServicePlan { kind: service.kind, ledger });
+            self.services
+                .insert(index, ServicePlan { kind: service.kind, canary: service.canary, ledger });
         }
     }
 
@@ -143,7 +175,7 @@
         };
         match attempt.owner {
             Owner::Query { index, segment } => {
-                self.query_outcome(now, index, segment, (id, attempt), outcome, out);
+                self.query_outcome(now, (index, segment as usize), (id, attempt), outcome, out);
             }
             Owner::Dispatch(dispatch) => {
                 self.dispatch_outcome(now, dispatch, attempt, outcome, out);
@@ -155,16 +187,41 @@
     pub(crate) fn end_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.attempts.remove(id)?;
         if let Some(replica) = self.replicas.get_mut(attempt.replica) {
-            replica.in_flight -= 1;
+            replica.health.in_flight -= 1;
+        }
+        if let Owner::Query { index, .. } = attempt.owner
+            && self.crashes.has_records()
+        {
+            let suspect = self.queries[index as usize].suspect();
+            if self.crashes.end_canary(suspect, id) {
+                self.resumable.push(suspect);
+            }
         }
         Some(attempt)
     }
 
+    /// Resets the stream of an attempt that is no longer of interest.
+    pub(crate) fn cancel(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        out: &mut Vec<Action>,
+    ) -> Option<Attempt> {
+        let attempt = self.end_attempt(id)?;
+        out.push(Action::Cancel { attempt: id });
+        let took = now.saturating_sub(attempt.sent);
+        self.upstreams.note_abandoned(now, &mut self.replicas, attempt.replica, took);
+        Some(attempt)
+    }
+
     /// Records an attempt that is about to be sent.
     pub(crate) fn begin_attempt(&mut self, attempt: Attempt) -> Option<AttemptId> {
         let id = self.attempts.insert(attempt)?;
         if let Some(replica) = self.replicas.get_mut(attempt.replica) {
-            replica.in_flight += 1;
+            if replica.health.is_probe_due(attempt.sent) {
+                replica.health.start_probe(attempt.sent);
+            }
+            replica.health.in_flight += 1;
         }
         Some(id)
     }
@@ -193,7 +250,7 @@
         if let Some(key) = self.replicas.find(replica)
             && let Some(replica) = self.replicas.get_mut(key)
         {
-            replica.failed_polls = replica.failed_polls.saturating_add(1);
+            replica.health.note_poll_failure();
         }
     }
 }
--- a/crates/query/src/layout.rs
+++ b/crates/query/src/layout.rs
@@ -4,13 +4,15 @@
 
 use rosemarybank_protocol::{prelude::*, upstream::RangeCount};
 
-use crate::replicas::ReplicaKey;
+use crate::{choice::Pool, replicas::ReplicaKey};
 
 /// The partition of one snapshot at one moment. The segments tile the key space.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Layout {
     pub(crate) snapshot: SnapshotId,
     pub(crate) segments: Vec<LayoutSegment>,
+    /// Whether every key is served.
+    pub(crate) is_full: bool,
 }
 
 /// A range that every replica of it serves whole.
@@ -33,6 +35,12 @@
     pub(crate) ranges: &'a [RangeCount],
 }
 
+impl LayoutSegment {
+    pub(crate) fn pool(&self) -> Pool<'_> {
+        Pool { replicas: &self.replicas, local: self.local }
+    }
+}
+
 impl Layout {
     /// Builds the layout from what the usable replicas hold. `known` has every count reported for
     /// the snapshot, also by replicas that are gone, so that missing ranges can be counted.
@@ -64,12 +72,8 @@
                 assign(&mut segments, &starts, it.range, holder.replica, is_local);
             }
         }
-        Layout { snapshot, segments }
-    }
-
-    /// Whether every key is served.
-    pub(crate) fn is_full(&self) -> bool {
-        self.segments.iter().all(|it| !it.replicas.is_empty())
+        let is_full = segments.iter().all(|it| !it.replicas.is_empty());
+        Layout { snapshot, segments, is_full }
     }
 
     /// Records that are served, as far as they are known, then keys that are served.
--- a/crates/query/src/merge.rs
+++ b/crates/query/src/merge.rs
@@ -29,6 +29,10 @@
         std::mem::take(&mut self.hits)
     }
 
+    pub(crate) fn clear(&mut self) {
+        self.hits.clear();
+    }
+
     fn prune(&mut self) {
         if self.hits.len() > self.limit {
             if self.limit > 0 {
--- a/crates/query/src/query.rs
+++ b/crates/query/src/query.rs
@@ -1,20 +1,14 @@
 //! Searches in flight: from submission to the one answer.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use rosemarybank_protocol::{
-    prelude::*,
-    upstream::{ShardReply, UpstreamErrorKind},
-};
+use rosemarybank_protocol::{bundle::Canary, prelude::*};
 
 use crate::{
-    attempts::{Attempt, Owner},
-    choice,
+    admission::{Ended, Place},
+    crash::Suspect,
     engine::Engine,
-    interface::{
-        Action, AttemptId, AttemptOutcome, QueryId, Refusal, SearchResult, Send, SendKind,
-        Submission,
-    },
+    interface::{Action, QueryId, Refusal, SearchResult, Submission},
     layout::Layout,
     merge::Merge,
     replicas::ServiceIx,
@@ -22,29 +16,74 @@
     timers::Timer,
 };
 
+/// A query is run again on another snapshot this often at most.
+const MAX_RERUNS: u32 = 2;
+
 /// A search that is not answered yet.
 #[derive(Debug)]
 pub(crate) struct Query {
     pub(crate) serial: u64,
     pub(crate) submission: Submission,
     pub(crate) service: ServiceIx,
+    /// When it left the queue; `None` while it waits.
+    pub(crate) started: Option<Time>,
     pub(crate) layout: Arc<Layout>,
     pub(crate) segments: Segments,
     pub(crate) merge: Merge,
     /// Attempts made for it so far.
     pub(crate) sends: u32,
+    /// Sheds and replies of replicas whose queue is as long as their slots.
+    pub(crate) congestion: u32,
+    pub(crate) reruns: u32,
+    /// Whether its deadline came before its last reply.
+    pub(crate) is_timed_out: bool,
+    /// When its earliest timer fires.
+    pub(crate) armed: Time,
+}
+
+impl Query {
+    pub(crate) fn suspect(&self) -> Suspect {
+        (self.service, self.submission.fingerprint)
+    }
+
+    fn place(&self) -> Place {
+        Place {
+            service: self.service,
+            priority: self.submission.priority,
+            deadline: self.submission.deadline,
+            serial: self.serial,
+        }
+    }
+
+    /// How it ended, for the concurrency limit.
+    fn ended(&self) -> Ended {
+        let mut late = 0;
+        let mut shed = 0;
+        for segment in self.segments.iter().filter(|it| it.state != SegmentState::Covered) {
+            late += u32::from(self.is_timed_out && segment.reason == MissingReason::Deadline);
+            shed += u32::from(segment.reason == MissingReason::Shed);
+        }
+        // One slow or misleading replica among many must not shrink the limit.
+        let is_congested = shed > 0 || 4 * (late + self.congestion) > self.segments.len() as u32;
+        match is_congested {
+            true => Ended::Congested,
+            false if self.segments.is_covered() => Ended::Well,
+            false => Ended::Otherwise,
+        }
+    }
 }
 
 impl Engine {
     pub(crate) fn submit(&mut self, now: Time, submission: Submission, out: &mut Vec<Action>) {
-        if self.query_by_id.contains_key(&submission.query) {
+        let id = submission.query;
+        if self.query_by_id.contains_key(&id) {
             return;
         }
         self.counters.submitted += 1;
         let service = match self.check(now, &submission) {
             Ok(service) => service,
-            Err(kind) => {
-                self.refuse(submission.query, kind, out);
+            Err((kind, retry_after)) => {
+                self.refuse(id, kind, retry_after, out);
                 return;
             }
         };
@@ -52,234 +91,211 @@
         let query = Query {
             serial: self.query_serial,
             service,
+            started: None,
             layout: Arc::default(),
             segments: Segments::default(),
             merge: Merge::new(submission.limit),
             sends: 0,
+            congestion: 0,
+            reruns: 0,
+            is_timed_out: false,
+            armed: Time::MAX,
             submission,
         };
-        let id = query.submission.query;
+        let place = query.place();
         let index = self.queries.insert(query) as u32;
         self.query_by_id.insert(id, index);
-        self.start(now, index, out);
+        self.admission.enqueue(place, index);
+        self.admit(now, out);
+        self.shed(now, out);
+        if let Some(query) = self.queries.get(index as usize)
+            && query.serial == place.serial
+            && query.started.is_none()
+        {
+            self.arm_query(index, place.deadline.saturating_sub(self.settings.answer_margin));
+        }
     }
 
-    fn check(&mut self, now: Time, submission: &Submission) -> Result<ServiceIx, ErrorKind> {
+    /// Whether a search may be queued, or why it is refused.
+    fn check(
+        &mut self,
+        now: Time,
+        submission: &Submission,
+    ) -> Result<ServiceIx, (ErrorKind, Option<Duration>)> {
         if !self.is_configured {
-            return Err(ErrorKind::NotReady);
+            return Err((ErrorKind::NotReady, None));
         }
         let service = self.replicas.find_service(&submission.service);
         let plan = service.and_then(|it| Some((it, self.services.get(&it)?)));
-        let Some((service, plan)) = plan else { return Err(ErrorKind::UnknownService) };
+        let Some((service, plan)) = plan else { return Err((ErrorKind::UnknownService, None)) };
         if plan.kind != ServiceKind::Search {
-            return Err(ErrorKind::InvalidArgument);
+            return Err((ErrorKind::InvalidArgument, None));
+        }
+        let canary = plan.canary;
+        let suspect = (service, submission.fingerprint);
+        if let Some(until) = self.crashes.quarantined_until(suspect, now) {
+            return Err((ErrorKind::Quarantined, Some(until - now)));
         }
-        if submission.deadline <= now + self.settings.answer_margin {
-            return Err(ErrorKind::DeadlineUnreachable);
+        let answer_at = submission.deadline.saturating_sub(self.settings.answer_margin);
+        let gate = self.admission.gate(service);
+        let wait = gate.wait(submission.priority);
+        if answer_at <= now || gate.is_unreachable(now, now, answer_at) {
+            return Err((ErrorKind::DeadlineUnreachable, Some(wait)));
+        }
+        if gate.is_unreachable(now, now + wait, answer_at) {
+            return Err((ErrorKind::Overloaded, Some(wait)));
+        }
+        if canary == Canary::Unseen {
+            self.crashes.suspect_unseen(suspect, now);
         }
         Ok(service)
     }
 
-    fn refuse(&mut self, query: QueryId, kind: ErrorKind, out: &mut Vec<Action>) {
+    /// Refuses a search of which nothing was sent.
+    fn refuse(
+        &mut self,
+        query: QueryId,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+        out: &mut Vec<Action>,
+    ) {
         self.counters.refused += 1;
-        let refusal =
-            Refusal { kind, execution: Execution::NotRun, retry_after: None, coverage: None };
+        self.counters.sheds +=
+            u64::from(matches!(kind, ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable));
+        let execution = Execution::NotRun;
+        let refusal = Refusal { kind, execution, retry_after, coverage: None };
         out.push(Action::Answer { query, answer: Err(refusal) });
     }
 
-    pub(crate) fn caller_gone(&mut self, _now: Time, id: QueryId, out: &mut Vec<Action>) {
+    pub(crate) fn caller_gone(&mut self, now: Time, id: QueryId, out: &mut Vec<Action>) {
         let Some(index) = self.query_by_id.get(&id).copied() else { return };
-        self.drop_query(index, out);
+        self.drop_query(now, index, out);
     }
 
-    fn start(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
-        let query = &mut self.queries[index as usize];
-        let serial = query.serial;
-        let answer_at = query.submission.deadline - self.settings.answer_margin;
-        if let Some(layout) = self.replicas.choose_layout(query.service) {
-            query.segments = Segments::new(&layout);
-            query.layout = layout;
+    /// Starts queries as long as the concurrency limits allow.
+    pub(crate) fn admit(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some(index) = self.admission.next(&self.limits) {
+            let query = &mut self.queries[index as usize];
+            query.started = Some(now);
+            let answer_at = query.submission.deadline.saturating_sub(self.settings.answer_margin);
+            let gate = self.admission.gate(query.service);
+            if answer_at <= now || gate.is_unreachable(now, now, answer_at) {
+                self.refuse_waiting(now, index, ErrorKind::DeadlineUnreachable, out);
+            } else {
+                self.start(now, index, out);
+            }
         }
-        self.timers.arm(answer_at, Timer::Query { index, serial });
-        let count = query.segments.len();
-        for segment in 0..count {
-            self.send_segment(now, index, segment, SendKind::First, out);
+    }
+
+    /// Sheds queries that the queue has no room for.
+    fn shed(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some(index) = self.admission.shed(&self.limits) {
+            self.refuse_waiting(now, index, ErrorKind::Overloaded, out);
         }
-        self.settle(now, index, out);
     }
 
-    /// Sends a segment to another replica, or gives it up.
-    fn send_segment(
+    /// Refuses a query before its first attempt.
+    pub(crate) fn refuse_waiting(
         &mut self,
-        _now: Time,
+        now: Time,
         index: u32,
-        segment: usize,
-        kind: SendKind,
+        kind: ErrorKind,
         out: &mut Vec<Action>,
     ) {
+        let query = &self.queries[index as usize];
+        let submission = &query.submission;
+        let id = submission.query;
+        let retry_after = match kind {
+            ErrorKind::Quarantined => {
+                self.crashes.quarantined_until(query.suspect(), now).map(|it| it - now)
+            }
+            _ => Some(self.admission.gate(query.service).wait(submission.priority)),
+        };
+        self.drop_query(now, index, out);
+        self.refuse(id, kind, retry_after, out);
+    }
+
+    fn start(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
         let query = &mut self.queries[index as usize];
-        let wanted = query.segments.get_mut(segment);
-        let candidates = &query.layout.segments[wanted.origin as usize].replicas;
-        let chosen = choice::uniform(&mut self.rng, &self.replicas, candidates, &wanted.tried);
-        let owner = Owner::Query { index, segment: segment as u32 };
-        let begun = chosen.and_then(|replica| {
-            let id = self.begin_attempt(Attempt { owner, replica })?;
-            Some((replica, id))
-        });
-        let query = &mut self.queries[index as usize];
-        let Some((key, attempt)) = begun else {
-            let wanted = query.segments.get(segment);
-            let never_sent = wanted.tried.is_empty();
-            let reason = if never_sent { MissingReason::NoReplica } else { wanted.reason };
-            query.segments.give_up(segment, reason);
+        let layout = self.replicas.choose_layout(query.service);
+        query.layout = layout.unwrap_or_default();
+        query.segments = Segments::new(&query.layout);
+        if query.submission.coverage == CoverageMode::Complete && !query.layout.is_full {
+            query.segments.give_up_unserved(&query.layout);
+            self.finish(now, index, None, out);
             return;
-        };
-        let wanted = query.segments.get_mut(segment);
-        wanted.state = SegmentState::Running;
-        wanted.tried.push(key);
-        wanted.attempts.push(attempt);
-        let range = wanted.range;
-        query.sends += 1;
-        match kind {
-            SendKind::First => self.counters.first_sends += 1,
-            SendKind::Retry => self.counters.retries += 1,
-            SendKind::Hedge => self.counters.hedges += 1,
-        }
-        if let Some(replica) = self.replicas.get(key) {
-            out.push(Action::Send(Send {
-                attempt,
-                query: query.submission.query,
-                replica: replica.id.clone(),
-                addr: replica.addr,
-                snapshot: query.layout.snapshot,
-                range,
-                deadline: query.submission.deadline - self.settings.answer_margin,
-                kind,
-            }));
         }
+        self.send_all(now, index, out);
     }
 
-    pub(crate) fn query_outcome(
-        &mut self,
-        now: Time,
-        index: u32,
-        segment: u32,
-        (id, attempt): (AttemptId, Attempt),
-        outcome: AttemptOutcome,
-        out: &mut Vec<Action>,
-    ) {
-        let segment = segment as usize;
-        let wanted = self.queries[index as usize].segments.get_mut(segment);
-        wanted.attempts.retain(|it| *it != id);
-        let reason = match outcome {
-            AttemptOutcome::Reply(reply) => {
-                if self.take_reply(now, index, segment, reply, out) {
-                    self.settle(now, index, out);
-                    return;
-                }
-                self.counters.rejected_replies += 1;
-                MissingReason::Failed
+    /// Sends every segment that waits, and answers when nothing can be sent.
+    pub(crate) fn send_all(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
+        let query = &self.queries[index as usize];
+        let answer_at = query.submission.deadline.saturating_sub(self.settings.answer_margin);
+        let suspect = query.suspect();
+        let sign = self.crashes.sign_range(suspect);
+        let proof = sign.and_then(|sign| {
+            query.segments.iter().position(|it| {
+                it.state == SegmentState::Waiting && it.range.intersect(sign).is_some()
+            })
+        });
+        for segment in proof.into_iter().chain(0..query.segments.len()) {
+            let query = &self.queries[index as usize];
+            if query.segments.get(segment).state == SegmentState::Waiting {
+                self.send_segment(now, index, segment, out);
             }
-            AttemptOutcome::Refused { error, .. } => self.note_refusal(index, attempt, error),
-            AttemptOutcome::ActionReply(_)
-            | AttemptOutcome::NotSent
-            | AttemptOutcome::Disconnected => MissingReason::Failed,
-            AttemptOutcome::TimedOut => MissingReason::Deadline,
-        };
-        let wanted = self.queries[index as usize].segments.get_mut(segment);
-        wanted.reason = reason;
-        if wanted.attempts.is_empty() {
-            self.send_segment(now, index, segment, SendKind::Retry, out);
         }
+        let late_at = self.queries[index as usize].segments.next_late();
+        self.arm_query(index, late_at.min(answer_at));
         self.settle(now, index, out);
     }
 
-    fn note_refusal(
-        &mut self,
-        index: u32,
-        attempt: Attempt,
-        error: UpstreamErrorKind,
-    ) -> MissingReason {
+    /// Answers the query once nothing more can be gained.
+    pub(crate) fn settle(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
         let query = &self.queries[index as usize];
-        match error {
-            UpstreamErrorKind::Shed => {
-                self.counters.upstream_sheds += 1;
-                MissingReason::Shed
-            }
-            UpstreamErrorKind::Draining => {
-                self.replicas.drain(attempt.replica);
-                MissingReason::NoReplica
-            }
-            UpstreamErrorKind::SnapshotRetired => {
-                let snapshot = query.layout.snapshot;
-                self.replicas.drop_snapshot(attempt.replica, query.service, snapshot);
-                MissingReason::SnapshotRetired
-            }
-            UpstreamErrorKind::Cold | UpstreamErrorKind::WrongRange => MissingReason::NoReplica,
-            UpstreamErrorKind::Expired => MissingReason::Deadline,
-            UpstreamErrorKind::BadRequest | UpstreamErrorKind::Failed => MissingReason::Failed,
+        let is_lost =
+            query.submission.coverage == CoverageMode::Complete && query.segments.given_up_any();
+        if is_lost || query.segments.is_settled() {
+            self.finish(now, index, None, out);
         }
     }
 
-    /// Merges a reply; `false` when it does not fit what was asked.
-    fn take_reply(
-        &mut self,
-        now: Time,
-        index: u32,
-        segment: usize,
-        reply: ShardReply,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let query = &mut self.queries[index as usize];
-        let lies_covered = |key| reply.covered.iter().any(|it| it.range.contains(key));
-        let is_foreign = reply.snapshot != query.layout.snapshot
-            || !reply.hits.iter().all(|hit| lies_covered(hit.key));
-        if is_foreign {
+    /// Runs the whole query on another snapshot, when its snapshot was retired and time is left.
+    pub(crate) fn rerun(&mut self, now: Time, index: u32, out: &mut Vec<Action>) -> bool {
+        let query = &self.queries[index as usize];
+        let answer_at = query.submission.deadline.saturating_sub(self.settings.answer_margin);
+        let is_late = self.admission.gate(query.service).is_unreachable(now, now, answer_at);
+        if query.reruns >= MAX_RERUNS || is_late || answer_at <= now {
             return false;
         }
-        let Ok(rest) = query.segments.cover(segment, &reply.covered) else { return false };
-        query.merge.add(reply.hits);
-        let losers = std::mem::take(&mut query.segments.get_mut(segment).attempts);
-        let count = query.segments.len();
-        for loser in losers {
-            self.end_attempt(loser);
-            out.push(Action::Cancel { attempt: loser });
-        }
-        for rest in count - rest..count {
-            self.send_segment(now, index, rest, SendKind::First, out);
+        let Some(layout) = self.replicas.choose_layout(query.service) else { return false };
+        let needs_all = query.submission.coverage == CoverageMode::Complete;
+        if layout.snapshot == query.layout.snapshot || (needs_all && !layout.is_full) {
+            return false;
         }
+        self.cancel_attempts(now, index, out);
+        let query = &mut self.queries[index as usize];
+        query.reruns += 1;
+        query.merge.clear();
+        query.segments = Segments::new(&layout);
+        query.layout = layout;
+        self.counters.reruns += 1;
+        self.send_all(now, index, out);
         true
     }
 
-    pub(crate) fn query_timer(
+    /// Gives the answer. `cause` is the error when there is no result to give.
+    pub(crate) fn finish(
         &mut self,
         now: Time,
         index: u32,
-        serial: u64,
+        cause: Option<ErrorKind>,
         out: &mut Vec<Action>,
     ) {
-        let Some(query) = self.queries.get(index as usize) else { return };
-        if query.serial == serial && query.submission.deadline <= now + self.settings.answer_margin
-        {
-            self.finish(index, out);
-        }
-    }
-
-    /// Answers the query once nothing more can be gained.
-    fn settle(&mut self, _now: Time, index: u32, out: &mut Vec<Action>) {
-        let query = &self.queries[index as usize];
-        let is_lost =
-            query.submission.coverage == CoverageMode::Complete && query.segments.given_up_any();
-        if is_lost || query.segments.is_settled() {
-            self.finish(index, out);
-        }
-    }
-
-    fn finish(&mut self, index: u32, out: &mut Vec<Action>) {
         let query = &mut self.queries[index as usize];
         let coverage = query.segments.coverage();
         let has_result = match query.submission.coverage {
-            CoverageMode::Complete => query.segments.covered_any() && coverage.is_complete(),
+            CoverageMode::Complete => query.segments.is_covered(),
             CoverageMode::Partial => query.segments.covered_any(),
         };
         let answer = if has_result {
@@ -289,23 +305,56 @@
             Ok(SearchResult { snapshot: query.layout.snapshot, coverage, hits })
         } else {
             self.counters.refused += 1;
-            let (kind, execution) = match query.sends {
-                0 => (ErrorKind::NoReplica, Execution::NotRun),
-                _ => (ErrorKind::Incomplete, Execution::Partial),
+            let was_sent = query.sends > 0;
+            let kind = match cause {
+                Some(kind) => kind,
+                None if was_sent => ErrorKind::Incomplete,
+                None => ErrorKind::NoReplica,
+            };
+            let execution = if was_sent { Execution::Partial } else { Execution::NotRun };
+            let retry_after = match kind {
+                // By then every replica has been polled again.
+                ErrorKind::NoReplica => Some(self.settings.poll_interval),
+                ErrorKind::Quarantined => {
+                    self.crashes.quarantined_until(query.suspect(), now).map(|it| it - now)
+                }
+                _ => None,
             };
-            Err(Refusal { kind, execution, retry_after: None, coverage: Some(coverage) })
+            Err(Refusal { kind, execution, retry_after, coverage: Some(coverage) })
         };
-        out.push(Action::Answer { query: query.submission.query, answer });
-        self.drop_query(index, out);
+        let id = query.submission.query;
+        self.drop_query(now, index, out);
+        out.push(Action::Answer { query: id, answer });
     }
 
     /// Forgets a query and cancels its attempts.
-    fn drop_query(&mut self, index: u32, out: &mut Vec<Action>) {
+    pub(crate) fn drop_query(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
+        self.cancel_attempts(now, index, out);
         let query = self.queries.remove(index as usize);
         self.query_by_id.remove(&query.submission.query);
-        for attempt in query.segments.iter().flat_map(|it| &it.attempts) {
-            self.end_attempt(*attempt);
-            out.push(Action::Cancel { attempt: *attempt });
+        match query.started {
+            Some(started) => {
+                let ended = query.ended();
+                self.admission.end(now, query.service, started, ended, &self.limits);
+            }
+            None => self.admission.withdraw(query.place()),
+        }
+    }
+
+    pub(crate) fn arm_query(&mut self, index: u32, at: Time) {
+        let query = &mut self.queries[index as usize];
+        if at < query.armed {
+            query.armed = at;
+            let serial = query.serial;
+            self.timers.arm(at, Timer::Query { index, serial });
+        }
+    }
+
+    fn cancel_attempts(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
+        let query = &mut self.queries[index as usize];
+        let open = query.segments.take_attempts();
+        for attempt in open {
+            self.cancel(now, attempt, out);
         }
     }
 }
--- a/crates/query/src/replicas.rs
+++ b/crates/query/src/replicas.rs
@@ -10,11 +10,15 @@
 use rosemarybank_protocol::{
     platform::{InstanceEntry, InstanceState},
     prelude::*,
-    upstream::{Holding, Load, RangeCount, ReplicaState, ReplicaStatus},
+    upstream::{Holding, RangeCount, ReplicaState, ReplicaStatus},
 };
 use slotmap::SlotMap;
 
-use crate::layout::{Holder, Layout};
+use crate::{
+    choice::Pool,
+    health::Health,
+    layout::{Holder, Layout},
+};
 
 slotmap::new_key_type! {
     /// Key of a replica in the table.
@@ -27,6 +31,12 @@
 /// Index of an upstream in the table.
 pub(crate) type UpstreamIx = u32;
 
+/// Index of a data centre in the table.
+pub(crate) type DataCentreIx = u32;
+
+/// The data centre of this instance.
+pub(crate) const LOCAL: DataCentreIx = 0;
+
 /// A replica that left the list is kept this long, because a lagging list can name it again
 /// without a new incarnation.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(600);
@@ -40,8 +50,7 @@
     pub(crate) id: ReplicaId,
     pub(crate) upstream: UpstreamIx,
     pub(crate) addr: SocketAddr,
-    pub(crate) data_centre: DataCentre,
-    pub(crate) is_local: bool,
+    pub(crate) data_centre: DataCentreIx,
     pub(crate) incarnation: Option<u64>,
     /// Last reported state; `None` before the first report.
     pub(crate) state: Option<ReplicaState>,
@@ -49,11 +58,7 @@
     pub(crate) unlisted: Option<Time>,
     /// Takes no new work until a new incarnation appears.
     pub(crate) draining: bool,
-    pub(crate) in_flight: u32,
-    pub(crate) load: Load,
-    pub(crate) load_at: Time,
-    /// Polls that failed since the last success.
-    pub(crate) failed_polls: u32,
+    pub(crate) health: Health,
     holdings: Vec<(ServiceIx, SnapshotId, Vec<RangeCount>)>,
 }
 
@@ -63,6 +68,11 @@
         self.unlisted.is_none() && !self.draining && self.state != Some(ReplicaState::Cold)
     }
 
+    /// Whether it reported to hold the snapshot.
+    pub(crate) fn holds(&self, service: ServiceIx, snapshot: SnapshotId) -> bool {
+        self.holding(service, snapshot).is_some()
+    }
+
     fn holding(&self, service: ServiceIx, snapshot: SnapshotId) -> Option<&[RangeCount]> {
         let found = self.holdings.iter().find(|it| it.0 == service && it.1 == snapshot);
         found.map(|it| it.2.as_slice())
@@ -87,22 +97,46 @@
     chosen: Option<Arc<Layout>>,
 }
 
+/// Replicas of an upstream, those of the local data centre first.
+#[derive(Debug, Default)]
+struct Members {
+    replicas: Vec<ReplicaKey>,
+    local: usize,
+}
+
 /// All replicas, by key, by service and snapshot, and by upstream.
 #[derive(Debug)]
 pub(crate) struct Replicas {
-    data_centre: DataCentre,
+    data_centres: Vec<DataCentre>,
     map: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<ReplicaId, ReplicaKey>,
     services: Vec<Service>,
     service_by_name: HashMap<ServiceId, ServiceIx>,
-    upstreams: Vec<Vec<ReplicaKey>>,
+    upstreams: Vec<Members>,
     upstream_by_name: HashMap<UpstreamId, UpstreamIx>,
 }
 
+impl Members {
+    fn insert(&mut self, key: ReplicaKey, data_centre: DataCentreIx) {
+        if data_centre == LOCAL {
+            self.replicas.insert(self.local, key);
+            self.local += 1;
+        } else {
+            self.replicas.push(key);
+        }
+    }
+
+    fn remove(&mut self, key: ReplicaKey) {
+        let Some(at) = self.replicas.iter().position(|it| *it == key) else { return };
+        self.replicas.remove(at);
+        self.local -= usize::from(at < self.local);
+    }
+}
+
 impl Replicas {
     pub(crate) fn new(data_centre: DataCentre) -> Replicas {
         Replicas {
-            data_centre,
+            data_centres: vec![data_centre],
             map: SlotMap::with_key(),
             by_id: HashMap::new(),
             services: Vec::new(),
@@ -151,14 +185,31 @@
             return *index;
         }
         let index = self.upstreams.len() as UpstreamIx;
-        self.upstreams.push(Vec::new());
+        self.upstreams.push(Members::default());
         self.upstream_by_name.insert(name.clone(), index);
         index
     }
 
+    pub(crate) fn upstream_count(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    pub(crate) fn data_centre_count(&self) -> usize {
+        self.data_centres.len()
+    }
+
+    pub(crate) fn data_centre_name(&self, index: DataCentreIx) -> &DataCentre {
+        &self.data_centres[index as usize]
+    }
+
+    pub(crate) fn service_name(&self, service: ServiceIx) -> &ServiceId {
+        &self.services[service as usize].name
+    }
+
     /// Replicas of an upstream.
-    pub(crate) fn members(&self, upstream: UpstreamIx) -> &[ReplicaKey] {
-        &self.upstreams[upstream as usize]
+    pub(crate) fn members(&self, upstream: UpstreamIx) -> Pool<'_> {
+        let members = &self.upstreams[upstream as usize];
+        Pool { replicas: &members.replicas, local: members.local }
     }
 
     /// Replicas that hold any snapshot of a service.
@@ -200,13 +251,13 @@
         let took_work = replica.takes_work();
         if replica.incarnation.is_some_and(|it| it != status.incarnation) {
             replica.draining = false;
+            replica.health.reset();
         }
         replica.incarnation = Some(status.incarnation);
         replica.state = Some(status.state);
         replica.draining |= status.state == ReplicaState::Draining;
-        replica.load = status.load;
-        replica.load_at = now;
-        replica.failed_polls = 0;
+        replica.health.note_load(now, status.load);
+        replica.health.note_poll();
         let takes_work = replica.takes_work();
         self.apply_holdings(key, &status.holdings);
         if took_work != takes_work {
@@ -248,7 +299,7 @@
         let mut best: Option<Arc<Layout>> = None;
         for snapshot in newest_first {
             let layout = self.layout(service, snapshot);
-            if layout.is_full() {
+            if layout.is_full {
                 best = Some(layout);
                 break;
             }
@@ -271,7 +322,7 @@
         let holders = snapshot.holders.iter().filter_map(|key| {
             let replica = map.get(*key).filter(|it| it.takes_work())?;
             let ranges = replica.holding(service, id)?;
-            Some(Holder { replica: *key, is_local: replica.is_local, ranges })
+            Some(Holder { replica: *key, is_local: replica.data_centre == LOCAL, ranges })
         });
         let layout = Arc::new(Layout::build(id, holders, &snapshot.known));
         snapshot.layout = Some(layout.clone());
@@ -280,45 +331,49 @@
 
     fn insert(&mut self, entry: &InstanceEntry) -> ReplicaKey {
         let upstream = self.upstream(&entry.upstream);
+        let data_centre = self.data_centre(&entry.data_centre);
         let key = self.map.insert(Replica {
             id: entry.replica.clone(),
             upstream,
             addr: entry.addr,
-            data_centre: entry.data_centre.clone(),
-            is_local: entry.data_centre == self.data_centre,
+            data_centre,
             incarnation: None,
             state: None,
             unlisted: None,
             draining: false,
-            in_flight: 0,
-            load: Load::default(),
-            load_at: Time::ZERO,
-            failed_polls: 0,
+            health: Health::default(),
             holdings: Vec::new(),
         });
         self.by_id.insert(entry.replica.clone(), key);
-        self.upstreams[upstream as usize].push(key);
+        self.upstreams[upstream as usize].insert(key, data_centre);
         key
     }
 
+    fn data_centre(&mut self, name: &DataCentre) -> DataCentreIx {
+        let found = self.data_centres.iter().position(|it| it == name);
+        let index = found.unwrap_or_else(|| {
+            self.data_centres.push(name.clone());
+            self.data_centres.len() - 1
+        });
+        index as DataCentreIx
+    }
+
     fn update_entry(&mut self, key: ReplicaKey, entry: &InstanceEntry) {
         let upstream = self.upstream(&entry.upstream);
-        let local = self.data_centre == entry.data_centre;
+        let data_centre = self.data_centre(&entry.data_centre);
         let replica = &mut self.map[key];
         let took_work = replica.takes_work();
-        let moved = replica.is_local != local;
-        let old_upstream = std::mem::replace(&mut replica.upstream, upstream);
+        let old = (replica.upstream, replica.data_centre);
+        (replica.upstream, replica.data_centre) = (upstream, data_centre);
         replica.addr = entry.addr;
-        replica.data_centre = entry.data_centre.clone();
-        replica.is_local = local;
         replica.unlisted = None;
         replica.draining |= entry.state == InstanceState::Leaving;
-        let changed = moved || took_work != replica.takes_work();
-        if old_upstream != upstream {
-            self.upstreams[old_upstream as usize].retain(|it| *it != key);
-            self.upstreams[upstream as usize].push(key);
+        let takes_work = replica.takes_work();
+        if old != (upstream, data_centre) {
+            self.upstreams[old.0 as usize].remove(key);
+            self.upstreams[upstream as usize].insert(key, data_centre);
         }
-        if changed {
+        if old != (upstream, data_centre) || took_work != takes_work {
             self.invalidate(key);
         }
     }
@@ -330,7 +385,7 @@
                 replica.unlisted = Some(now);
                 self.invalidate(key);
             }
-            Some(since) if since + UNLISTED_RETENTION < now && replica.in_flight == 0 => {
+            Some(since) if since + UNLISTED_RETENTION < now && replica.health.in_flight == 0 => {
                 self.remove(key);
             }
             Some(_) => {}
@@ -340,7 +395,7 @@
     fn remove(&mut self, key: ReplicaKey) {
         let Some(replica) = self.map.remove(key) else { return };
         self.by_id.remove(&replica.id);
-        self.upstreams[replica.upstream as usize].retain(|it| *it != key);
+        self.upstreams[replica.upstream as usize].remove(key);
         for (service, snapshot, _) in &replica.holdings {
             self.remove_holder(*service, *snapshot, key);
         }
--- a/crates/query/src/segments.rs
+++ b/crates/query/src/segments.rs
@@ -3,7 +3,11 @@
 use rosemarybank_protocol::{prelude::*, upstream::RangeCount};
 use smallvec::SmallVec;
 
-use crate::{interface::AttemptId, layout::Layout, replicas::ReplicaKey};
+use crate::{
+    interface::{AttemptId, SendKind},
+    layout::Layout,
+    replicas::ReplicaKey,
+};
 
 /// Where a segment stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,8 +29,12 @@
     pub(crate) origin: u32,
     pub(crate) state: SegmentState,
     pub(crate) reason: MissingReason,
+    /// Kind of the next attempt, hedges apart.
+    pub(crate) kind: SendKind,
     pub(crate) attempts: SmallVec<[AttemptId; 2]>,
     pub(crate) tried: SmallVec<[ReplicaKey; 3]>,
+    /// When the running attempt is late.
+    pub(crate) late_at: Time,
 }
 
 /// Counts of one layout segment, from which the segments of a query descend.
@@ -57,8 +65,10 @@
             origin,
             state: SegmentState::Waiting,
             reason: MissingReason::Deadline,
+            kind: SendKind::First,
             attempts: SmallVec::new(),
             tried: SmallVec::new(),
+            late_at: Time::MAX,
         });
         let origins =
             layout.segments.iter().map(|it| Origin { records: it.records, covered: 0, open: 1 });
@@ -94,6 +104,46 @@
         self.given_up > 0
     }
 
+    /// Whether every key is covered.
+    pub(crate) fn is_covered(&self) -> bool {
+        !self.list.is_empty() && self.covered as usize == self.list.len()
+    }
+
+    /// The earliest time at which a running attempt is late.
+    pub(crate) fn next_late(&self) -> Time {
+        let running = self.list.iter().filter(|it| it.state == SegmentState::Running);
+        running.map(|it| it.late_at).min().unwrap_or(Time::MAX)
+    }
+
+    /// Takes the attempts that are in flight.
+    pub(crate) fn take_attempts(&mut self) -> Vec<AttemptId> {
+        let mut taken = Vec::new();
+        for segment in &mut self.list {
+            taken.extend(segment.attempts.drain(..));
+        }
+        taken
+    }
+
+    /// Gives up everything that is not covered.
+    pub(crate) fn give_up_open(&mut self, reason: MissingReason) {
+        for index in 0..self.list.len() {
+            match self.list[index].state {
+                SegmentState::Waiting | SegmentState::Running => self.give_up(index, reason),
+                SegmentState::GivenUp => self.list[index].reason = reason,
+                SegmentState::Covered => {}
+            }
+        }
+    }
+
+    /// Gives up the segments that no replica serves.
+    pub(crate) fn give_up_unserved(&mut self, layout: &Layout) {
+        for (index, segment) in layout.segments.iter().enumerate() {
+            if segment.replicas.is_empty() {
+                self.give_up(index, MissingReason::NoReplica);
+            }
+        }
+    }
+
     pub(crate) fn give_up(&mut self, index: usize, reason: MissingReason) {
         let segment = &mut self.list[index];
         segment.state = SegmentState::GivenUp;
@@ -124,7 +174,6 @@
                 whole.subtract(ranges())
             }
         };
-        let tried = segment.tried.clone();
         let segment = &mut self.list[index];
         segment.state = SegmentState::Covered;
         self.covered += 1;
@@ -135,7 +184,7 @@
         origin_counts.open = origin_counts.open + rest.len() as u32 - 1;
         if !rest.is_empty() {
             // The covered part keeps its place, so that the segments still tile the key space.
-            self.split(index, covered, &rest, &tried);
+            self.split(index, covered, &rest);
         }
         Ok(rest.len())
     }
@@ -187,13 +236,7 @@
         missing
     }
 
-    fn split(
-        &mut self,
-        index: usize,
-        covered: &[RangeCount],
-        rest: &[KeyRange],
-        tried: &SmallVec<[ReplicaKey; 3]>,
-    ) {
+    fn split(&mut self, index: usize, covered: &[RangeCount], rest: &[KeyRange]) {
         let whole = self.list[index].clone();
         self.list[index].range = covered[0].range;
         let taken = covered[1..].iter().map(|it| (it.range, SegmentState::Covered));
@@ -204,8 +247,10 @@
                 origin: whole.origin,
                 state,
                 reason: MissingReason::Deadline,
+                kind: SendKind::First,
                 attempts: SmallVec::new(),
-                tried: tried.clone(),
+                tried: whole.tried.clone(),
+                late_at: Time::MAX,
             });
         }
         self.covered += covered.len() as u32 - 1;
--- a/crates/query/src/settings.rs
+++ b/crates/query/src/settings.rs
@@ -43,6 +43,12 @@
     /// An answer is given this long before the caller's deadline.
     #[builder(default = Duration::from_millis(2))]
     pub answer_margin: Duration,
+    /// Price of sending to another data centre, on top of the time that it takes.
+    #[builder(default = Duration::from_millis(2))]
+    pub crossing_penalty: Duration,
+    /// How long a request that crashed two replicas is refused.
+    #[builder(default = Duration::from_secs(600))]
+    pub quarantine: Duration,
     /// Time after which the baseline policy abandons an attempt.
     #[builder(default = Duration::from_millis(100))]
     pub baseline_timeout: Duration,
--- /dev/null
+++ b/crates/query/src/suspects.rs
@@ -0,0 +1,83 @@
+//! Crash signs, canaries and quarantine as they act on queries in flight.
+
+use rosemarybank_protocol::prelude::*;
+
+use crate::{
+    attempts::Attempt,
+    crash::{Suspect, Verdict},
+    engine::Engine,
+    interface::Action,
+    segments::SegmentState,
+};
+
+/// Replicas that a condemned fingerprint crashed for certain.
+const CRASHES: u32 = 2;
+
+impl Engine {
+    /// Notes a connection that broke under a search. Returns whether the query was ended by it.
+    pub(crate) fn crash_sign(
+        &mut self,
+        now: Time,
+        (index, segment): (u32, usize),
+        attempt: Attempt,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        self.counters.crash_signs += 1;
+        let query = &self.queries[index as usize];
+        let suspect = query.suspect();
+        let range = query.segments.get(segment).range;
+        match self.crashes.sign(suspect, attempt.replica, range, attempt.sent, now) {
+            Verdict::Suspected => false,
+            Verdict::Condemned => {
+                self.counters.condemned += 1;
+                let service = self.replicas.service_name(suspect.0).clone();
+                out.push(Action::Condemn { service, fingerprint: suspect.1, crashes: CRASHES });
+                self.quarantine(now, suspect, now + self.settings.quarantine, out);
+                true
+            }
+        }
+    }
+
+    /// Quarantines a fingerprint until a time, or releases it when the time has passed.
+    pub(crate) fn quarantine(
+        &mut self,
+        now: Time,
+        suspect: Suspect,
+        until: Time,
+        out: &mut Vec<Action>,
+    ) {
+        self.crashes.set_quarantine(suspect, until, now);
+        self.resumable.push(suspect);
+        if until <= now {
+            return;
+        }
+        for index in self.queries_of(suspect) {
+            let query = &mut self.queries[index as usize];
+            if query.started.is_some() {
+                query.segments.give_up_open(MissingReason::Quarantined);
+                self.finish(now, index, Some(ErrorKind::Quarantined), out);
+            } else {
+                self.refuse_waiting(now, index, ErrorKind::Quarantined, out);
+            }
+        }
+    }
+
+    /// Sends what was held for canaries that ended.
+    pub(crate) fn resume(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some(suspect) = self.resumable.pop() {
+            for index in self.queries_of(suspect) {
+                let query = &self.queries[index as usize];
+                let holds_some = query.segments.iter().any(|it| it.state == SegmentState::Waiting);
+                if query.started.is_some() && holds_some {
+                    self.send_all(now, index, out);
+                }
+            }
+        }
+    }
+
+    /// Crash signs are rare, so no index of fingerprints is kept for the queries in flight.
+    fn queries_of(&self, suspect: Suspect) -> Vec<u32> {
+        let found = self.queries.iter().filter(|(_, it)| it.suspect() == suspect);
+        found.map(|(index, _)| index as u32).collect()
+    }
+}
--- a/crates/query/src/views.rs
+++ b/crates/query/src/views.rs
@@ -1,11 +1,11 @@
 //! Read-only views of an engine for status pages and metrics.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use rosemarybank_protocol::{prelude::*, upstream::ReplicaState};
 use serde::{Deserialize, Serialize};
 
-use crate::engine::Engine;
+use crate::{engine::Engine, latency::from_micros};
 
 /// Counts since the start of the engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,14 @@
     pub hedges: u64,
     /// Attempts of actions.
     pub action_sends: u64,
+    /// Searches refused before they were sent because of load or time.
+    pub sheds: u64,
+    /// Queries that were run again on another snapshot.
+    pub reruns: u64,
+    /// Connections that broke under a search.
+    pub crash_signs: u64,
+    /// Fingerprints condemned by this engine.
+    pub condemned: u64,
     /// Refusals by upstreams because of load.
     pub upstream_sheds: u64,
     /// Outcomes of attempts that had ended before.
@@ -47,12 +55,29 @@
     pub state: Option<ReplicaState>,
     /// Whether it takes no new work until it restarts.
     pub draining: bool,
+    /// Whether it is ejected as an outlier.
+    pub ejected: bool,
+    /// Whether its polls fail.
+    pub unreachable: bool,
+    /// Estimated service time; the upstream's median when it has served nothing.
+    pub service_time: Duration,
     /// Requests of this instance in flight.
     pub in_flight: u32,
     /// Snapshots that it holds of the service.
     pub snapshots: Vec<SnapshotId>,
 }
 
+/// A fingerprint in quarantine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineView {
+    /// Service that was asked.
+    pub service: ServiceId,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// End of the quarantine.
+    pub until: Time,
+}
+
 impl Engine {
     /// Counts since the start.
     #[must_use]
@@ -72,13 +97,32 @@
         self.attempts.len()
     }
 
+    /// Number of searches that wait for execution.
+    #[must_use]
+    pub fn queries_queued(&self) -> usize {
+        self.admission.queued() as usize
+    }
+
+    /// Fingerprints in quarantine at `now`, by service and fingerprint.
+    #[must_use]
+    pub fn quarantined(&self, now: Time) -> Vec<QuarantineView> {
+        let views = self.crashes.quarantined(now).map(|((service, fingerprint), until)| {
+            let service = self.replicas.service_name(service).clone();
+            QuarantineView { service, fingerprint, until }
+        });
+        let mut views: Vec<_> = views.collect();
+        views
+            .sort_unstable_by(|a, b| (&a.service, a.fingerprint).cmp(&(&b.service, b.fingerprint)));
+        views
+    }
+
     /// Replicas that hold a snapshot of a search service or belong to the upstream of a ledger,
     /// by name; empty for an unknown service.
     #[must_use]
     pub fn replica_table(&self, service: &str) -> Vec<ReplicaView> {
         let Some(service) = self.replicas.find_service(service) else { return Vec::new() };
         let ledger = self.services.get(&service).and_then(|it| it.ledger);
-        let members = ledger.map(|it| self.replicas.members(it)).unwrap_or_default();
+        let members = ledger.map(|it| self.replicas.members(it).replicas).unwrap_or_default();
         let mut held: Vec<_> = self.replicas.holders(service).map(|(id, it)| (it, id)).collect();
         held.sort_unstable();
         let mut keys: Vec<_> = held.iter().map(|it| it.0).chain(members.iter().copied()).collect();
@@ -86,13 +130,17 @@
         keys.dedup();
         let views = keys.into_iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
+            let median = self.upstreams.median_us(replica.upstream);
             Some(ReplicaView {
                 replica: replica.id.clone(),
                 addr: replica.addr,
-                data_centre: replica.data_centre.clone(),
+                data_centre: self.replicas.data_centre_name(replica.data_centre).clone(),
                 state: replica.state,
                 draining: replica.draining,
-                in_flight: replica.in_flight,
+                ejected: replica.health.is_ejected(),
+                unreachable: replica.health.is_unreachable(),
+                service_time: from_micros(replica.health.last_estimate_us(median)),
+                in_flight: replica.health.in_flight,
                 snapshots: held.iter().filter(|it| it.0 == key).map(|it| it.1).collect(),
             })
         });
