--- /dev/null
+++ b/crates/query/tests/health.rs
@@ -0,0 +1,180 @@
+//! Drain, ejection and the choice of replicas.
+
+mod common;
+
+use std::collections::HashSet;
+
+use common::*;
+use rosemarybank_protocol::{
+    platform::InstanceState,
+    prelude::*,
+    upstream::{ReplicaState, UpstreamErrorKind},
+};
+use rosemarybank_query::{
+    engine::Engine,
+    interface::{Action, AttemptOutcome, Event, Send},
+    settings::Policy,
+};
+
+/// Runs `count` queries of one shard to the end; `took` gives the reply time of each attempt.
+fn run(engine: &mut Engine, from: Time, count: u64, took: impl Fn(&Send) -> Time) -> Vec<Send> {
+    let mut all = Vec::new();
+    for query in 0..count {
+        let now = from + ms(query * 1_000);
+        let id = from.as_millis() as u64 + query;
+        let out = feed(engine, now, Event::Submit(submission(id, now + ms(900))));
+        for send in sends(&out) {
+            feed(engine, now + took(&send), done(send.attempt, reply(&send)));
+            all.push(send);
+        }
+    }
+    all
+}
+
+fn names(sends: &[Send]) -> HashSet<ReplicaId> {
+    sends.iter().map(|it| it.replica.clone()).collect()
+}
+
+/// Guards against new work for a leaving upstream, by every way of learning that it leaves, also
+/// when the lagging list and a late status call it live.
+#[test]
+fn drain_is_sticky_until_a_new_incarnation() {
+    let leaving = |engine: &mut Engine, how: u32| match how {
+        0 => {
+            let mut entries = vec![entry(0, 0), entry(0, 1)];
+            entries[0].state = InstanceState::Leaving;
+            feed(engine, ms(1), Event::ReplicaList(entries));
+        }
+        1 => {
+            feed(engine, ms(1), Event::GoingAway { replica: name(0, 0) });
+        }
+        2 => {
+            let mut status = status(name(0, 0), KeyRange::ALL, &[7]);
+            status.state = ReplicaState::Draining;
+            feed(engine, ms(1), Event::ReplicaStatus(status));
+        }
+        _ => loop {
+            let out = feed(engine, ms(1), Event::Submit(submission(900, ms(900))));
+            let send = sends(&out).remove(0);
+            if send.replica == name(0, 0) {
+                let error = UpstreamErrorKind::Draining;
+                let refused = AttemptOutcome::Refused { error, snapshots: Vec::new() };
+                feed(engine, ms(1), done(send.attempt, refused));
+                feed(engine, ms(1), Event::CallerGone { query: 900 });
+                return;
+            }
+            feed(engine, ms(1), done(send.attempt, reply(&send)));
+        },
+    };
+    for how in 0..4 {
+        let mut engine = engine(settings(), 1, 2);
+        leaving(&mut engine, how);
+        feed(&mut engine, ms(2), Event::ReplicaList(vec![entry(0, 0), entry(0, 1)]));
+        let stale = status(name(0, 0), KeyRange::ALL, &[7]);
+        feed(&mut engine, ms(3), Event::ReplicaStatus(stale.clone()));
+        let sent = run(&mut engine, ms(1_000), 20, |_| ms(5));
+        assert_eq!(names(&sent), HashSet::from([name(0, 1)]), "way {how}");
+
+        let mut fresh = stale;
+        fresh.incarnation = 2;
+        feed(&mut engine, ms(40_000), Event::ReplicaStatus(fresh));
+        let sent = run(&mut engine, ms(41_000), 5, |_| ms(5));
+        assert!(names(&sent).contains(&name(0, 0)), "way {how}");
+    }
+}
+
+/// Guards against queries that wait for a replica that can't be reached.
+#[test]
+fn an_unreachable_replica_is_avoided_until_a_poll_succeeds() {
+    let mut engine = engine(settings(), 1, 2);
+    for _ in 0..2 {
+        feed(&mut engine, ms(1), Event::PollFailed { replica: name(0, 0) });
+    }
+    let sent = run(&mut engine, ms(1_000), 20, |_| ms(5));
+    assert_eq!(names(&sent), HashSet::from([name(0, 1)]));
+    feed(&mut engine, ms(40_000), Event::ReplicaStatus(status(name(0, 0), KeyRange::ALL, &[7])));
+    let sent = run(&mut engine, ms(41_000), 5, |_| ms(5));
+    assert!(names(&sent).contains(&name(0, 0)));
+}
+
+/// Guards against a straggler that keeps its share of the work, and against ejecting more than
+/// half of a shard's replicas when all of them become slow.
+#[test]
+fn stragglers_are_ejected_up_to_half() {
+    let mut engine = engine(settings(), 1, 4);
+    run(&mut engine, ms(1_000), 200, |_| ms(5));
+    run(&mut engine, ms(300_000), 100, |send| ms(if send.replica == name(0, 0) { 100 } else { 5 }));
+    let ejected =
+        |engine: &Engine| engine.replica_table("records").iter().filter(|it| it.ejected).count();
+    assert_eq!(ejected(&engine), 1);
+    assert!(engine.replica_table("records")[0].ejected);
+    run(&mut engine, ms(500_000), 300, |send| ms(if send.replica == name(0, 3) { 5 } else { 200 }));
+    assert!(ejected(&engine) <= 2);
+}
+
+/// Guards against an ejected replica that never returns.
+#[test]
+fn a_recovered_replica_returns_by_a_probe() {
+    let mut engine = engine(settings(), 1, 2);
+    run(&mut engine, ms(1_000), 100, |_| ms(5));
+    run(&mut engine, ms(200_000), 40, |send| ms(if send.replica == name(0, 0) { 200 } else { 5 }));
+    assert!(engine.replica_table("records")[0].ejected);
+    run(&mut engine, ms(300_000), 100, |_| ms(5));
+    assert!(!engine.replica_table("records")[0].ejected);
+}
+
+/// Guards against links to other data centres being used without need, and against staying local
+/// when the local replica is gone.
+#[test]
+fn other_data_centres_are_used_when_local_replicas_are_unusable() {
+    let mut engine = engine(settings(), 1, 3);
+    let sent =
+        run(&mut engine, ms(1_000), 30, |send| ms(if send.replica == name(0, 0) { 1 } else { 9 }));
+    let local = sent.iter().filter(|it| it.replica == name(0, 0)).count();
+    assert!(local >= 28, "{local} of 30 local");
+    feed(&mut engine, ms(50_000), Event::GoingAway { replica: name(0, 0) });
+    let sent = run(&mut engine, ms(60_000), 30, |_| ms(9));
+    assert_eq!(names(&sent), HashSet::from([name(0, 1), name(0, 2)]));
+}
+
+/// Guards against polls that stop, bunch up or miss the two seconds for a leaving upstream.
+#[test]
+fn every_replica_is_polled_about_once_a_second() {
+    let mut engine = engine(settings(), 1, 30);
+    let mut polls = Vec::new();
+    while let Some(at) = engine.next_wakeup().filter(|it| *it < ms(60_000)) {
+        let mut out = Vec::new();
+        engine.handle(at, Event::Tick, &mut out);
+        let polled = |it| match it {
+            Action::Poll { replica, .. } => Some((replica, at)),
+            _ => None,
+        };
+        polls.extend(out.into_iter().filter_map(polled));
+    }
+    for replica in (0..30).map(|it| name(0, it)) {
+        let times: Vec<_> = polls.iter().filter(|it| it.0 == replica).map(|it| it.1).collect();
+        let longest = times.windows(2).map(|it| it[1] - it[0]).max().unwrap();
+        assert!(times[0] < ms(100) && longest <= ms(1_100), "{longest:?}");
+        assert!((54..=66).contains(&times.len()), "{} polls", times.len());
+    }
+}
+
+/// Guards against the baseline growing features that would blur the comparison.
+#[test]
+fn the_baseline_times_out_and_retries_three_times() {
+    let mut settings = settings();
+    settings.policy = Policy::Baseline;
+    let mut engine = engine(settings, 1, 6);
+    let mut sent = sends(&feed(&mut engine, ms(0), Event::Submit(submission(1, ms(2_000)))));
+    let mut now = ms(0);
+    while let Some(at) = engine.next_wakeup().filter(|it| *it < ms(2_100)) {
+        now = at;
+        sent.extend(sends(&feed(&mut engine, now, Event::Tick)));
+        if engine.queries_in_flight() == 0 {
+            break;
+        }
+    }
+    assert_eq!((sent.len(), now), (4, ms(400)));
+    assert_eq!(names(&sent).len(), 4);
+    assert_eq!(engine.counters().hedges, 0);
+}
