--- /dev/null
+++ b/crates/query/tests/properties.rs
@@ -0,0 +1,155 @@
+//! Invariants of the engine under arbitrary order of events.
+
+mod common;
+mod world;
+
+use common::{ms, settings};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use rosemarybank_protocol::{prelude::*, upstream::UpstreamErrorKind};
+use rosemarybank_query::{interface::Submission, settings::Policy};
+use world::{Outcome, REPLICAS, SHARDS, World};
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Submit { fingerprint: u64, priority: u8, is_complete: bool, allowed: u64 },
+    End(usize, Outcome),
+    Repeat(usize, Outcome),
+    HangUp(usize),
+    Dispatch(u64),
+    EndAction(usize, Outcome),
+    Advance(u64),
+    Report { replica: u64, snapshots: u8, restarted: bool },
+    Drain(u64),
+    Quarantine(u64, u64),
+}
+
+fn refusal() -> impl Strategy<Value = UpstreamErrorKind> {
+    use UpstreamErrorKind as Kind;
+    prop::sample::select(vec![
+        Kind::Shed,
+        Kind::Draining,
+        Kind::Cold,
+        Kind::SnapshotRetired,
+        Kind::WrongRange,
+        Kind::Expired,
+        Kind::BadRequest,
+        Kind::Failed,
+    ])
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        12 => Just(Outcome::Whole),
+        4 => any::<u8>().prop_map(Outcome::Part),
+        1 => Just(Outcome::Overclaim),
+        1 => Just(Outcome::WrongSnapshot),
+        1 => Just(Outcome::StrayHit),
+        4 => refusal().prop_map(Outcome::Refused),
+        1 => Just(Outcome::NotSent),
+        1 => Just(Outcome::Disconnected),
+        1 => Just(Outcome::TimedOut),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let replica = 0..SHARDS * REPLICAS;
+    prop_oneof![
+        6 => (0..6_u64, 0..3_u8, any::<bool>(), 1..300_u64).prop_map(
+            |(fingerprint, priority, is_complete, allowed)| Step::Submit {
+                fingerprint, priority, is_complete, allowed
+            }
+        ),
+        24 => (any::<usize>(), outcome()).prop_map(|(which, it)| Step::End(which, it)),
+        3 => (any::<usize>(), outcome()).prop_map(|(which, it)| Step::Repeat(which, it)),
+        1 => any::<usize>().prop_map(Step::HangUp),
+        2 => (1..200_u64).prop_map(Step::Dispatch),
+        4 => (any::<usize>(), outcome()).prop_map(|(which, it)| Step::EndAction(which, it)),
+        6 => (1..40_u64).prop_map(Step::Advance),
+        3 => (replica.clone(), 1..32_u8, any::<bool>()).prop_map(
+            |(replica, snapshots, restarted)| Step::Report { replica, snapshots, restarted }
+        ),
+        1 => replica.prop_map(Step::Drain),
+        1 => (0..6_u64, 0..300_u64).prop_map(|(it, until)| Step::Quarantine(it, until)),
+    ]
+}
+
+fn play(policy: Policy, seed: u64, steps: &[Step]) {
+    let mut settings = settings();
+    settings.policy = policy;
+    let mut world = World::new(settings, seed);
+    let place = |replica: u64| (replica / REPLICAS, replica % REPLICAS);
+    let mut queries = Vec::new();
+    for (number, step) in (1..).zip(steps) {
+        match *step {
+            Step::Submit { fingerprint, priority, is_complete, allowed } => {
+                queries.push(number);
+                let coverage =
+                    if is_complete { CoverageMode::Complete } else { CoverageMode::Partial };
+                world.submit(Submission {
+                    query: number,
+                    service: "records".into(),
+                    fingerprint,
+                    priority: Priority::ALL[priority as usize],
+                    coverage,
+                    limit: 1_000,
+                    deadline: world.now + ms(allowed),
+                });
+            }
+            Step::End(which, outcome) => world.end(which, outcome),
+            Step::Repeat(which, outcome) => world.repeat(which, outcome),
+            Step::HangUp(which) if !queries.is_empty() => {
+                world.hang_up(queries[which % queries.len()]);
+            }
+            Step::HangUp(_) => {}
+            Step::Dispatch(allowed) => world.dispatch(number, world.now + ms(allowed)),
+            Step::EndAction(which, outcome) => world.end_action(which, outcome),
+            Step::Advance(by) => world.advance(ms(by)),
+            Step::Report { replica, snapshots, restarted } => {
+                let (s, r) = place(replica);
+                world.report(s, r, snapshots, restarted);
+            }
+            Step::Drain(replica) => {
+                let (s, r) = place(replica);
+                world.drain(s, r);
+            }
+            Step::Quarantine(fingerprint, until) => world.quarantine(fingerprint, ms(until)),
+        }
+    }
+    world.finish(policy);
+}
+
+fn config() -> Config {
+    Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against answers that mix snapshots, miscount coverage or belong to another query,
+    /// against double or lost answers, untrue `not run`, exceeded budgets, sends to draining
+    /// replicas and repeated actions, whatever the order of late, repeated and wrong replies.
+    #[test]
+    fn invariants_hold_under_the_adaptive_policy(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..250),
+    ) {
+        play(Policy::Adaptive, seed, &steps);
+    }
+
+    /// Guards against a baseline that is compared although its answers are wrong.
+    #[test]
+    fn answers_are_exact_under_the_baseline_policy(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..250),
+    ) {
+        play(Policy::Baseline, seed, &steps);
+    }
+}
