query: learn of stragglers from late attempts and reserve hedge tokens

A trace of the slow queries showed two causes: the probe of an ejected replica was repeated every second, because a probe that lost against its hedge did not count as failed; and hedges of slightly late attempts used up the tokens that attempts on stragglers needed.

--- a/crates/query/src/attempts.rs
+++ b/crates/query/src/attempts.rs
@@ -55,6 +55,10 @@
         (*found == id).then(|| self.slab.remove(index).1)
     }
 
+    pub(crate) fn get(&self, id: AttemptId) -> Option<&Attempt> {
+        self.slab.get(index_of(id)).filter(|(found, _)| *found == id).map(|(_, it)| it)
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.slab.len()
     }
--- a/crates/query/src/budget.rs
+++ b/crates/query/src/budget.rs
@@ -20,11 +20,17 @@
         self.level = self.level.saturating_add(percent).min(self.cap);
     }
 
+    /// Takes a token.
     pub(crate) fn take(&mut self) -> bool {
-        let has_token = self.level >= TOKEN;
-        if has_token {
+        self.take_above(0)
+    }
+
+    /// Takes a token if at least `reserve` tokens stay behind.
+    pub(crate) fn take_above(&mut self, reserve: u32) -> bool {
+        let may_take = self.level >= (reserve + 1).saturating_mul(TOKEN);
+        if may_take {
             self.level -= TOKEN;
         }
-        has_token
+        may_take
     }
 }
--- a/crates/query/src/health.rs
+++ b/crates/query/src/health.rs
@@ -23,6 +23,9 @@
 /// A replica is an outlier above this multiple of its upstream's median.
 const OUTLIER_FACTOR: f32 = 4.0;
 
+/// A probe that was cut off after this multiple of the median has failed.
+const LOST_PROBE_FACTOR: f32 = 1.5;
+
 /// Failures in a row that make an outlier.
 const OUTLIER_FAILURES: u32 = 3;
 
@@ -140,19 +143,19 @@
     /// Takes the time after which an attempt was given up without a reply; the service time is
     /// at least that. Returns whether the replica is an outlier.
     pub(crate) fn note_abandoned(&mut self, now: Time, us: f32, median: Option<f32>) -> bool {
+        // A probe that lost against another attempt shows that the replica is still slow, even if
+        // it was cut off long before it would have replied.
+        if let Some(ejection) = &mut self.ejection {
+            if median.is_some_and(|it| us > LOST_PROBE_FACTOR * it) {
+                ejection.strike(now);
+            }
+            return false;
+        }
         if self.samples > 0 && us <= self.estimate_us {
             return false;
         }
         self.sample(now, us);
-        let Some(median) = median else { return false };
-        match &mut self.ejection {
-            Some(ejection) if us > OUTLIER_FACTOR * median => {
-                ejection.strike(now);
-                false
-            }
-            Some(_) => false,
-            None => self.is_slow(median),
-        }
+        median.is_some_and(|it| self.is_slow(it))
     }
 
     /// Takes a failure. Returns whether the replica is an outlier.
--- a/crates/query/src/hedge.rs
+++ b/crates/query/src/hedge.rs
@@ -5,8 +5,10 @@
 use rosemarybank_protocol::prelude::*;
 
 use crate::{
+    attempts::Attempt,
     engine::Engine,
     interface::{Action, SendKind},
+    latency::micros,
     segments::SegmentState,
     settings::Policy,
     upstreams::note_failure,
@@ -14,7 +16,14 @@
 
 /// A late segment that could not be hedged is looked at again after this time: about the time in
 /// which a slot frees up or the budget earns a token.
-const RECHECK: Duration = Duration::from_millis(4);
+const RECHECK: Duration = Duration::from_millis(2);
+
+/// Tokens that attempts which are only a little late leave to those that are very late, so that
+/// the usual tail can't use up the budget that a straggler needs.
+const RESERVE: u32 = 5;
+
+/// An attempt is very late after this multiple of the hedge delay.
+const VERY_LATE: f32 = 1.75;
 
 /// Attempts of one segment that may be in flight at once.
 const MAX_ATTEMPTS: usize = 2;
@@ -79,15 +88,31 @@
             return;
         }
         wanted.late_at = now + RECHECK;
+        let wanted_attempt = wanted.attempts.first().copied();
+        let Some(late) = wanted_attempt.and_then(|it| self.attempts.get(it)).copied() else {
+            return;
+        };
+        // Its age alone shows that the replica is slow; waiting for the reply would let more
+        // queries run into it.
+        let age = now.saturating_sub(late.sent);
+        self.upstreams.note_abandoned(now, &mut self.replicas, late.replica, age);
         if self.admission.gate(service).is_overloaded(now) {
             return;
         }
+        let reserve = if self.is_very_late(now, late) { 0 } else { RESERVE };
         let Some(key) = self.choose_for(now, index, segment, SendKind::Hedge) else { return };
-        if self.admission.gate(service).hedges.take() {
+        if self.admission.gate(service).hedges.take_above(reserve) {
             self.begin_send(now, index, segment, key, SendKind::Hedge, out);
         }
     }
 
+    fn is_very_late(&self, now: Time, attempt: Attempt) -> bool {
+        let Some(replica) = self.replicas.get(attempt.replica) else { return true };
+        let delay = self.upstreams.hedge_delay_us(replica.upstream, replica.data_centre);
+        let took = micros(now.saturating_sub(attempt.sent));
+        replica.health.is_ejected() || delay.is_none_or(|it| took >= VERY_LATE * it)
+    }
+
     fn time_out(&mut self, now: Time, index: u32, segment: usize, out: &mut Vec<Action>) {
         let wanted = self.queries[index as usize].segments.get_mut(segment);
         wanted.late_at = Time::MAX;
--- a/crates/query/src/upstreams.rs
+++ b/crates/query/src/upstreams.rs
@@ -16,6 +16,9 @@
 /// Quantile of the latency after which a hedge is considered.
 const HEDGE_QUANTILE: f32 = 0.97;
 
+/// A probe is late after this multiple of the median service time.
+const PROBE_PATIENCE: f32 = 1.25;
+
 /// Service time that is assumed before the first sample, in microseconds.
 const ASSUMED_US: f32 = 5_000.0;
 
@@ -72,6 +75,11 @@
         }
     }
 
+    /// Time after which a probe of an ejected replica is late: it is likely to be slow.
+    pub(crate) fn probe_delay_us(&self, upstream: UpstreamIx, data_centre: DataCentreIx) -> f32 {
+        PROBE_PATIENCE * self.median_us(upstream) + self.route_us(data_centre)
+    }
+
     /// Time after which an attempt is late; `None` while too little is known.
     pub(crate) fn hedge_delay_us(
         &self,
