--- a/crates/query/src/layout.rs
+++ b/crates/query/src/layout.rs
@@ -76,6 +76,11 @@
         Layout { snapshot, segments, is_full }
     }
 
+    pub(crate) fn bytes(&self) -> usize {
+        let keys = self.segments.iter().map(|it| it.replicas.capacity() * size_of::<ReplicaKey>());
+        self.segments.capacity() * size_of::<LayoutSegment>() + keys.sum::<usize>()
+    }
+
     /// Records that are served, as far as they are known, then keys that are served.
     pub(crate) fn extent(&self) -> (u64, u128) {
         let served = self.segments.iter().filter(|it| !it.replicas.is_empty());
--- a/crates/query/src/merge.rs
+++ b/crates/query/src/merge.rs
@@ -33,6 +33,10 @@
         self.hits.clear();
     }
 
+    pub(crate) fn bytes(&self) -> usize {
+        self.hits.capacity() * size_of::<Hit>()
+    }
+
     fn prune(&mut self) {
         if self.hits.len() > self.limit {
             if self.limit > 0 {
--- a/crates/query/src/query.rs
+++ b/crates/query/src/query.rs
@@ -46,6 +46,11 @@
         (self.service, self.submission.fingerprint)
     }
 
+    /// Estimated memory, without the layout that all queries of a snapshot share.
+    pub(crate) fn bytes(&self) -> usize {
+        size_of::<Query>() + self.segments.bytes() + self.merge.bytes()
+    }
+
     fn place(&self) -> Place {
         Place {
             service: self.service,
--- a/crates/query/src/replicas.rs
+++ b/crates/query/src/replicas.rs
@@ -311,6 +311,22 @@
         best
     }
 
+    /// Estimated memory of the replicas and layouts.
+    pub(crate) fn bytes(&self) -> usize {
+        let ranges = self.map.values().flat_map(|it| &it.holdings);
+        let ranges = ranges.map(|it| it.2.capacity() * size_of::<RangeCount>());
+        let snapshots = self.services.iter().flat_map(|it| it.snapshots.values());
+        let snapshots = snapshots.map(|it| {
+            it.holders.capacity() * size_of::<ReplicaKey>()
+                + it.known.len() * size_of::<(KeyRange, u64)>()
+                + it.layout.as_ref().map_or(0, |it| it.bytes())
+        });
+        self.map.capacity() * size_of::<Replica>()
+            + self.by_id.capacity() * size_of::<(ReplicaId, ReplicaKey)>()
+            + ranges.sum::<usize>()
+            + snapshots.sum::<usize>()
+    }
+
     fn layout(&mut self, service: ServiceIx, id: SnapshotId) -> Arc<Layout> {
         let map = &self.map;
         let Some(snapshot) = self.services[service as usize].snapshots.get_mut(&id) else {
--- a/crates/query/src/segments.rs
+++ b/crates/query/src/segments.rs
@@ -87,6 +87,10 @@
         &mut self.list[index]
     }
 
+    pub(crate) fn bytes(&self) -> usize {
+        self.list.capacity() * size_of::<Segment>() + self.origins.capacity() * size_of::<Origin>()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Segment> {
         self.list.iter()
     }
--- a/crates/query/src/upstreams.rs
+++ b/crates/query/src/upstreams.rs
@@ -43,6 +43,10 @@
 }
 
 impl Upstreams {
+    pub(crate) fn bytes(&self) -> usize {
+        self.list.capacity() * size_of::<Upstream>()
+    }
+
     pub(crate) fn get(&self, index: UpstreamIx) -> &Upstream {
         &self.list[index as usize]
     }
--- a/crates/query/src/views.rs
+++ b/crates/query/src/views.rs
@@ -5,7 +5,7 @@
 use rosemarybank_protocol::{prelude::*, upstream::ReplicaState};
 use serde::{Deserialize, Serialize};
 
-use crate::{engine::Engine, latency::from_micros};
+use crate::{attempts::Attempt, engine::Engine, latency::from_micros};
 
 /// Counts since the start of the engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,6 +78,15 @@
     pub until: Time,
 }
 
+/// Estimated memory, from the sizes and capacities of the main tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemoryView {
+    /// Replicas, layouts and upstreams.
+    pub table_bytes: usize,
+    /// Searches in flight with their segments, attempts and hits.
+    pub query_bytes: usize,
+}
+
 impl Engine {
     /// Counts since the start.
     #[must_use]
@@ -85,6 +94,16 @@
         self.counters
     }
 
+    /// Estimated memory. Small maps and the allocator's own overhead are not counted.
+    #[must_use]
+    pub fn memory(&self) -> MemoryView {
+        let queries = self.queries.iter().map(|(_, it)| it.bytes()).sum::<usize>();
+        MemoryView {
+            table_bytes: self.replicas.bytes() + self.upstreams.bytes(),
+            query_bytes: queries + self.attempts.len() * size_of::<(u64, Attempt)>(),
+        }
+    }
+
     /// Number of searches that are not answered yet.
     #[must_use]
     pub fn queries_in_flight(&self) -> usize {
