query: bound polls by fleet size, ignore an empty list, split the tables

A replica would get one poll a second from each instance, 680 a second in the largest fleet that is planned for. The interval now grows so that a replica gets at most 20 polls a second from all instances; replicas in use also tell of a drain in their answers. An empty list stopped all work; it is more likely a fault of the platform than the end of all upstreams, and is ignored. Treating any replica that the list drops as usable was ruled out: the platform may give its address to another process.

The table of services is a file of its own. Two tests are new in tests/health.rs.

--- a/crates/query/src/admission.rs
+++ b/crates/query/src/admission.rs
@@ -7,7 +7,7 @@
 use crate::{
     budget::Bucket,
     latency::{from_micros, micros},
-    replicas::ServiceIx,
+    services::ServiceIx,
     settings::Policy,
 };
 
--- a/crates/query/src/choice.rs
+++ b/crates/query/src/choice.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     interface::SendKind,
-    replicas::{Replica, ReplicaKey, Replicas, ServiceIx},
+    replicas::{Replica, ReplicaKey, Replicas},
+    services::ServiceIx,
     upstreams::Upstreams,
 };
 
--- a/crates/query/src/crash.rs
+++ b/crates/query/src/crash.rs
@@ -9,10 +9,7 @@
 
 use rosemarybank_protocol::prelude::*;
 
-use crate::{
-    interface::AttemptId,
-    replicas::{ReplicaKey, ServiceIx},
-};
+use crate::{interface::AttemptId, replicas::ReplicaKey, services::ServiceIx};
 
 /// A service and the fingerprint of a request to it.
 pub(crate) type Suspect = (ServiceIx, Fingerprint);
--- a/crates/query/src/dispatch.rs
+++ b/crates/query/src/dispatch.rs
@@ -31,7 +31,7 @@
         if self.dispatches.contains_key(&id) {
             return;
         }
-        let service = self.replicas.find_service(&dispatch.service);
+        let service = self.replicas.services.find(&dispatch.service);
         let plan = service.and_then(|it| self.services.get(&it));
         let Some(upstream) = plan.and_then(|it| it.ledger) else {
             not_run(id, "the bundle in force has no such ledger", out);
--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -1,6 +1,6 @@
 //! The state machine that decides the query path.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use fastrand::Rng;
 use rosemarybank_protocol::{bundle::Canary, prelude::*};
@@ -13,7 +13,8 @@
     dispatch::DispatchState,
     interface::{Action, AttemptId, AttemptOutcome, DispatchId, Event, QueryId},
     query::Query,
-    replicas::{ReplicaKey, Replicas, ServiceIx, UpstreamIx},
+    replicas::{ReplicaKey, Replicas, UpstreamIx},
+    services::ServiceIx,
     settings::Settings,
     timers::{Timer, Timers},
     upstreams::Upstreams,
@@ -47,6 +48,8 @@
     pub(crate) resumable: Vec<Suspect>,
     pub(crate) limits: Limits,
     pub(crate) is_configured: bool,
+    /// Live entry instances, this one included.
+    fleet_size: u32,
     pub(crate) attempts: Attempts,
     pub(crate) queries: Slab<Query>,
     pub(crate) query_by_id: HashMap<QueryId, u32>,
@@ -80,6 +83,7 @@
             resumable: Vec::new(),
             limits: Limits::default(),
             is_configured: false,
+            fleet_size: 1,
             attempts: Attempts::default(),
             queries: Slab::new(),
             query_by_id: HashMap::new(),
@@ -116,10 +120,11 @@
             }
             Event::Configure(bundle) => self.configure(&bundle),
             Event::Quarantine { service, fingerprint, until } => {
-                let suspect = (self.replicas.service(&service), fingerprint);
+                let suspect = (self.replicas.services.index(&service), fingerprint);
                 self.quarantine(now, suspect, until, out);
             }
-            Event::FleetSize(_) | Event::Tick => {}
+            Event::FleetSize(instances) => self.fleet_size = instances,
+            Event::Tick => {}
         }
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
@@ -154,7 +159,7 @@
         }
         self.services.clear();
         for service in &bundle.services {
-            let index = self.replicas.service(&service.name);
+            let index = self.replicas.services.index(&service.name);
             let first = service.shards.first().map(|it| self.replicas.upstream(&it.upstream));
             let ledger = first.filter(|_| service.kind == ServiceKind::Ledger);
             self.services
@@ -229,14 +234,11 @@
     fn schedule_first_poll(&mut self, now: Time, key: ReplicaKey) {
         // The first poll is soon, because a search replica is of no use before its first status.
         let spread = self.rng.u32(..20);
-        self.timers.arm(now + std::time::Duration::from_millis(spread.into()), Timer::Poll(key));
+        self.timers.arm(now + Duration::from_millis(spread.into()), Timer::Poll(key));
     }
 
     fn poll(&mut self, now: Time, key: ReplicaKey, out: &mut Vec<Action>) {
-        let rate = self.settings.polls_per_second.max(1);
-        let stretched =
-            std::time::Duration::from_secs(1).mul_f64(self.replicas.len() as f64 / f64::from(rate));
-        let interval = self.settings.poll_interval.max(stretched);
+        let interval = self.poll_interval();
         let Some(replica) = self.replicas.get(key) else { return };
         if replica.unlisted.is_none() {
             out.push(Action::Poll { replica: replica.id.clone(), addr: replica.addr });
@@ -246,6 +248,14 @@
         self.timers.arm(now + next, Timer::Poll(key));
     }
 
+    /// Time between two polls of a replica, so that neither this instance nor the replica is
+    /// burdened by a large fleet.
+    fn poll_interval(&self) -> Duration {
+        let own = self.replicas.len() as f64 / f64::from(self.settings.polls_per_second.max(1));
+        let all = f64::from(self.fleet_size) / f64::from(self.settings.polls_per_replica.max(1));
+        self.settings.poll_interval.max(Duration::from_secs_f64(own.max(all)))
+    }
+
     fn poll_failed(&mut self, replica: &str) {
         if let Some(key) = self.replicas.find(replica)
             && let Some(replica) = self.replicas.get_mut(key)
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -22,6 +22,7 @@
 mod query;
 mod replicas;
 mod segments;
+mod services;
 mod shard;
 mod suspects;
 mod timers;
--- a/crates/query/src/query.rs
+++ b/crates/query/src/query.rs
@@ -11,14 +11,18 @@
     interface::{Action, QueryId, Refusal, SearchResult, Submission},
     layout::Layout,
     merge::Merge,
-    replicas::ServiceIx,
     segments::{SegmentState, Segments},
+    services::ServiceIx,
     timers::Timer,
 };
 
 /// A query is run again on another snapshot this often at most.
 const MAX_RERUNS: u32 = 2;
 
+/// Shortest time after which a refused caller is asked to come back, so that its retry does not
+/// meet the same queue.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// A search that is not answered yet.
 #[derive(Debug)]
 pub(crate) struct Query {
@@ -130,7 +134,7 @@
         if !self.is_configured {
             return Err((ErrorKind::NotReady, None));
         }
-        let service = self.replicas.find_service(&submission.service);
+        let service = self.replicas.services.find(&submission.service);
         let plan = service.and_then(|it| Some((it, self.services.get(&it)?)));
         let Some((service, plan)) = plan else { return Err((ErrorKind::UnknownService, None)) };
         if plan.kind != ServiceKind::Search {
@@ -168,6 +172,7 @@
         self.counters.sheds +=
             u64::from(matches!(kind, ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable));
         let execution = Execution::NotRun;
+        let retry_after = retry_after.map(|it| it.max(MIN_RETRY_AFTER));
         let refusal = Refusal { kind, execution, retry_after, coverage: None };
         out.push(Action::Answer { query, answer: Err(refusal) });
     }
--- a/crates/query/src/replicas.rs
+++ b/crates/query/src/replicas.rs
@@ -1,11 +1,6 @@
 //! The replica table: what each replica holds, whether it takes work, and its load.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use rosemarybank_protocol::{
     platform::{InstanceEntry, InstanceState},
@@ -17,7 +12,8 @@
 use crate::{
     choice::Pool,
     health::Health,
-    layout::{Holder, Layout},
+    layout::Layout,
+    services::{ServiceIx, Services},
 };
 
 slotmap::new_key_type! {
@@ -25,9 +21,6 @@
     pub(crate) struct ReplicaKey;
 }
 
-/// Index of a service in the table.
-pub(crate) type ServiceIx = u32;
-
 /// Index of an upstream in the table.
 pub(crate) type UpstreamIx = u32;
 
@@ -41,9 +34,6 @@
 /// without a new incarnation.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(600);
 
-/// Counts kept per snapshot; a replica that reports ever new ranges must not fill the memory.
-const MAX_KNOWN_RANGES: usize = 16_384;
-
 /// One upstream process.
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
@@ -73,30 +63,16 @@
         self.holding(service, snapshot).is_some()
     }
 
-    fn holding(&self, service: ServiceIx, snapshot: SnapshotId) -> Option<&[RangeCount]> {
+    pub(crate) fn holding(
+        &self,
+        service: ServiceIx,
+        snapshot: SnapshotId,
+    ) -> Option<&[RangeCount]> {
         let found = self.holdings.iter().find(|it| it.0 == service && it.1 == snapshot);
         found.map(|it| it.2.as_slice())
     }
 }
 
-/// One snapshot of one service.
-#[derive(Debug, Default)]
-struct Snapshot {
-    holders: Vec<ReplicaKey>,
-    known: BTreeMap<KeyRange, u64>,
-    /// `None` when the holders changed since it was built.
-    layout: Option<Arc<Layout>>,
-}
-
-/// A service as replicas report it.
-#[derive(Debug)]
-struct Service {
-    name: ServiceId,
-    snapshots: BTreeMap<SnapshotId, Snapshot>,
-    /// The layout for new queries; `None` when any layout changed.
-    chosen: Option<Arc<Layout>>,
-}
-
 /// Replicas of an upstream, those of the local data centre first.
 #[derive(Debug, Default)]
 struct Members {
@@ -110,8 +86,7 @@
     data_centres: Vec<DataCentre>,
     map: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<ReplicaId, ReplicaKey>,
-    services: Vec<Service>,
-    service_by_name: HashMap<ServiceId, ServiceIx>,
+    pub(crate) services: Services,
     upstreams: Vec<Members>,
     upstream_by_name: HashMap<UpstreamId, UpstreamIx>,
 }
@@ -139,8 +114,7 @@
             data_centres: vec![data_centre],
             map: SlotMap::with_key(),
             by_id: HashMap::new(),
-            services: Vec::new(),
-            service_by_name: HashMap::new(),
+            services: Services::default(),
             upstreams: Vec::new(),
             upstream_by_name: HashMap::new(),
         }
@@ -162,24 +136,6 @@
         self.map.len()
     }
 
-    pub(crate) fn service(&mut self, name: &ServiceId) -> ServiceIx {
-        if let Some(index) = self.service_by_name.get(name) {
-            return *index;
-        }
-        let index = self.services.len() as ServiceIx;
-        self.services.push(Service {
-            name: name.clone(),
-            snapshots: BTreeMap::new(),
-            chosen: None,
-        });
-        self.service_by_name.insert(name.clone(), index);
-        index
-    }
-
-    pub(crate) fn find_service(&self, name: &str) -> Option<ServiceIx> {
-        self.service_by_name.get(name).copied()
-    }
-
     pub(crate) fn upstream(&mut self, name: &UpstreamId) -> UpstreamIx {
         if let Some(index) = self.upstream_by_name.get(name) {
             return *index;
@@ -202,27 +158,18 @@
         &self.data_centres[index as usize]
     }
 
-    pub(crate) fn service_name(&self, service: ServiceIx) -> &ServiceId {
-        &self.services[service as usize].name
-    }
-
     /// Replicas of an upstream.
     pub(crate) fn members(&self, upstream: UpstreamIx) -> Pool<'_> {
         let members = &self.upstreams[upstream as usize];
         Pool { replicas: &members.replicas, local: members.local }
     }
 
-    /// Replicas that hold any snapshot of a service.
-    pub(crate) fn holders(
-        &self,
-        service: ServiceIx,
-    ) -> impl Iterator<Item = (SnapshotId, ReplicaKey)> {
-        let snapshots = self.services[service as usize].snapshots.iter();
-        snapshots.flat_map(|(id, it)| it.holders.iter().map(|key| (*id, *key)))
-    }
-
     /// Takes over the platform's list; returns the replicas that are new in it.
     pub(crate) fn apply_list(&mut self, now: Time, list: &[InstanceEntry]) -> Vec<ReplicaKey> {
+        // An empty list is more likely a fault of the platform than the end of all upstreams.
+        if list.is_empty() {
+            return Vec::new();
+        }
         let mut added = Vec::new();
         let mut named = HashMap::with_capacity(list.len());
         for entry in list {
@@ -285,64 +232,23 @@
         let before = replica.holdings.len();
         replica.holdings.retain(|it| (it.0, it.1) != (service, snapshot));
         if replica.holdings.len() < before {
-            self.remove_holder(service, snapshot, key);
+            self.services.remove_holder(service, snapshot, key);
         }
     }
 
     /// The newest snapshot whose every key is served, or else the one with the most records.
     pub(crate) fn choose_layout(&mut self, service: ServiceIx) -> Option<Arc<Layout>> {
-        if let Some(chosen) = &self.services[service as usize].chosen {
-            return Some(chosen.clone());
-        }
-        let newest_first: Vec<_> =
-            self.services[service as usize].snapshots.keys().rev().copied().collect();
-        let mut best: Option<Arc<Layout>> = None;
-        for snapshot in newest_first {
-            let layout = self.layout(service, snapshot);
-            if layout.is_full {
-                best = Some(layout);
-                break;
-            }
-            if best.as_ref().is_none_or(|it| it.extent() < layout.extent()) {
-                best = Some(layout);
-            }
-        }
-        self.services[service as usize].chosen.clone_from(&best);
-        best
+        self.services.choose(service, &self.map)
     }
 
     /// Estimated memory of the replicas and layouts.
     pub(crate) fn bytes(&self) -> usize {
         let ranges = self.map.values().flat_map(|it| &it.holdings);
         let ranges = ranges.map(|it| it.2.capacity() * size_of::<RangeCount>());
-        let snapshots = self.services.iter().flat_map(|it| it.snapshots.values());
-        let snapshots = snapshots.map(|it| {
-            it.holders.capacity() * size_of::<ReplicaKey>()
-                + it.known.len() * size_of::<(KeyRange, u64)>()
-                + it.layout.as_ref().map_or(0, |it| it.bytes())
-        });
         self.map.capacity() * size_of::<Replica>()
             + self.by_id.capacity() * size_of::<(ReplicaId, ReplicaKey)>()
             + ranges.sum::<usize>()
-            + snapshots.sum::<usize>()
-    }
-
-    fn layout(&mut self, service: ServiceIx, id: SnapshotId) -> Arc<Layout> {
-        let map = &self.map;
-        let Some(snapshot) = self.services[service as usize].snapshots.get_mut(&id) else {
-            return Arc::default();
-        };
-        if let Some(layout) = &snapshot.layout {
-            return layout.clone();
-        }
-        let holders = snapshot.holders.iter().filter_map(|key| {
-            let replica = map.get(*key).filter(|it| it.takes_work())?;
-            let ranges = replica.holding(service, id)?;
-            Some(Holder { replica: *key, is_local: replica.data_centre == LOCAL, ranges })
-        });
-        let layout = Arc::new(Layout::build(id, holders, &snapshot.known));
-        snapshot.layout = Some(layout.clone());
-        layout
+            + self.services.bytes()
     }
 
     fn insert(&mut self, entry: &InstanceEntry) -> ReplicaKey {
@@ -413,7 +319,7 @@
         self.by_id.remove(&replica.id);
         self.upstreams[replica.upstream as usize].remove(key);
         for (service, snapshot, _) in &replica.holdings {
-            self.remove_holder(*service, *snapshot, key);
+            self.services.remove_holder(*service, *snapshot, key);
         }
     }
 
@@ -427,70 +333,35 @@
             let ranges = || it.ranges.iter().map(|it| it.range);
             // Overlapping ranges would count records twice.
             if !it.ranges.is_empty() && KeyRange::are_disjoint(ranges()) {
-                new.push((self.service(&it.service), it.snapshot, it.ranges.clone()));
+                new.push((self.services.index(&it.service), it.snapshot, it.ranges.clone()));
             }
         }
         for (service, snapshot, _) in &old {
             if !new.iter().any(|it| (it.0, it.1) == (*service, *snapshot)) {
-                self.remove_holder(*service, *snapshot, key);
+                self.services.remove_holder(*service, *snapshot, key);
             }
         }
         for (service, snapshot, ranges) in &new {
-            self.add_holder(*service, *snapshot, key, ranges);
+            self.services.add_holder(*service, *snapshot, key, ranges);
         }
         self.map[key].holdings = new;
     }
 
+    /// Whether a report repeats the last one, as nearly all do.
     fn same_holdings(&self, key: ReplicaKey, reported: &[Holding]) -> bool {
         let held = &self.map[key].holdings;
         held.len() == reported.len()
             && held.iter().zip(reported).all(|(held, it)| {
                 held.1 == it.snapshot
                     && held.2 == it.ranges
-                    && self.services[held.0 as usize].name == it.service
+                    && *self.services.name(held.0) == it.service
             })
     }
 
-    fn add_holder(
-        &mut self,
-        service: ServiceIx,
-        snapshot: SnapshotId,
-        key: ReplicaKey,
-        ranges: &[RangeCount],
-    ) {
-        let service = &mut self.services[service as usize];
-        let snapshot = service.snapshots.entry(snapshot).or_default();
-        if !snapshot.holders.contains(&key) {
-            snapshot.holders.push(key);
-        }
-        for it in ranges {
-            if snapshot.known.len() < MAX_KNOWN_RANGES {
-                snapshot.known.insert(it.range, it.records);
-            }
-        }
-        snapshot.layout = None;
-        service.chosen = None;
-    }
-
-    fn remove_holder(&mut self, service: ServiceIx, id: SnapshotId, key: ReplicaKey) {
-        let service = &mut self.services[service as usize];
-        service.chosen = None;
-        let Some(snapshot) = service.snapshots.get_mut(&id) else { return };
-        snapshot.holders.retain(|it| *it != key);
-        snapshot.layout = None;
-        if snapshot.holders.is_empty() {
-            service.snapshots.remove(&id);
-        }
-    }
-
     /// Discards the layouts that name a replica whose usability changed.
     fn invalidate(&mut self, key: ReplicaKey) {
         for (service, snapshot, _) in &self.map[key].holdings {
-            let service = &mut self.services[*service as usize];
-            service.chosen = None;
-            if let Some(snapshot) = service.snapshots.get_mut(snapshot) {
-                snapshot.layout = None;
-            }
+            self.services.invalidate(*service, *snapshot);
         }
     }
 }
--- /dev/null
+++ b/crates/query/src/services.rs
@@ -0,0 +1,173 @@
+//! Services and their snapshots as replicas report them.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use rosemarybank_protocol::{prelude::*, upstream::RangeCount};
+use slotmap::SlotMap;
+
+use crate::{
+    layout::{Holder, Layout},
+    replicas::{LOCAL, Replica, ReplicaKey},
+};
+
+/// Index of a service in the table.
+pub(crate) type ServiceIx = u32;
+
+/// Counts kept per snapshot; a replica that reports ever new ranges must not fill the memory.
+const MAX_KNOWN_RANGES: usize = 16_384;
+
+/// One snapshot of one service.
+#[derive(Debug, Default)]
+struct Snapshot {
+    holders: Vec<ReplicaKey>,
+    /// Every count that was reported, also by replicas that are gone.
+    known: BTreeMap<KeyRange, u64>,
+    /// `None` when the holders changed since it was built.
+    layout: Option<Arc<Layout>>,
+}
+
+#[derive(Debug)]
+struct Service {
+    name: ServiceId,
+    snapshots: BTreeMap<SnapshotId, Snapshot>,
+    /// The layout for new queries; `None` when any layout changed.
+    chosen: Option<Arc<Layout>>,
+}
+
+/// All services, by index and name.
+#[derive(Debug, Default)]
+pub(crate) struct Services {
+    list: Vec<Service>,
+    by_name: HashMap<ServiceId, ServiceIx>,
+}
+
+impl Services {
+    /// Index of a service, which is added if it is new.
+    pub(crate) fn index(&mut self, name: &ServiceId) -> ServiceIx {
+        if let Some(index) = self.find(name) {
+            return index;
+        }
+        let index = self.list.len() as ServiceIx;
+        let snapshots = BTreeMap::new();
+        self.list.push(Service { name: name.clone(), snapshots, chosen: None });
+        self.by_name.insert(name.clone(), index);
+        index
+    }
+
+    pub(crate) fn find(&self, name: &str) -> Option<ServiceIx> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(crate) fn name(&self, service: ServiceIx) -> &ServiceId {
+        &self.list[service as usize].name
+    }
+
+    /// Replicas that hold a snapshot of a service, with that snapshot.
+    pub(crate) fn holders(
+        &self,
+        service: ServiceIx,
+    ) -> impl Iterator<Item = (SnapshotId, ReplicaKey)> {
+        let snapshots = self.list[service as usize].snapshots.iter();
+        snapshots.flat_map(|(id, it)| it.holders.iter().map(|key| (*id, *key)))
+    }
+
+    /// The newest snapshot whose every key is served, or else the one with the most records.
+    pub(crate) fn choose(
+        &mut self,
+        service: ServiceIx,
+        replicas: &SlotMap<ReplicaKey, Replica>,
+    ) -> Option<Arc<Layout>> {
+        let plan = &mut self.list[service as usize];
+        if plan.chosen.is_some() {
+            return plan.chosen.clone();
+        }
+        let mut best: Option<Arc<Layout>> = None;
+        for (id, snapshot) in plan.snapshots.iter_mut().rev() {
+            let layout = snapshot.layout(service, *id, replicas);
+            if layout.is_full {
+                best = Some(layout);
+                break;
+            }
+            if best.as_ref().is_none_or(|it| it.extent() < layout.extent()) {
+                best = Some(layout);
+            }
+        }
+        plan.chosen.clone_from(&best);
+        best
+    }
+
+    pub(crate) fn add_holder(
+        &mut self,
+        service: ServiceIx,
+        snapshot: SnapshotId,
+        key: ReplicaKey,
+        ranges: &[RangeCount],
+    ) {
+        let service = &mut self.list[service as usize];
+        let snapshot = service.snapshots.entry(snapshot).or_default();
+        if !snapshot.holders.contains(&key) {
+            snapshot.holders.push(key);
+        }
+        for it in ranges {
+            if snapshot.known.len() < MAX_KNOWN_RANGES {
+                snapshot.known.insert(it.range, it.records);
+            }
+        }
+        snapshot.layout = None;
+        service.chosen = None;
+    }
+
+    pub(crate) fn remove_holder(&mut self, service: ServiceIx, id: SnapshotId, key: ReplicaKey) {
+        self.invalidate(service, id);
+        let snapshots = &mut self.list[service as usize].snapshots;
+        let Some(snapshot) = snapshots.get_mut(&id) else { return };
+        snapshot.holders.retain(|it| *it != key);
+        if snapshot.holders.is_empty() {
+            snapshots.remove(&id);
+        }
+    }
+
+    /// Discards the layout of a snapshot.
+    pub(crate) fn invalidate(&mut self, service: ServiceIx, id: SnapshotId) {
+        let service = &mut self.list[service as usize];
+        service.chosen = None;
+        if let Some(snapshot) = service.snapshots.get_mut(&id) {
+            snapshot.layout = None;
+        }
+    }
+
+    /// Estimated memory of the snapshots and layouts.
+    pub(crate) fn bytes(&self) -> usize {
+        let snapshots = self.list.iter().flat_map(|it| it.snapshots.values());
+        let bytes = snapshots.map(|it| {
+            it.holders.capacity() * size_of::<ReplicaKey>()
+                + it.known.len() * size_of::<(KeyRange, u64)>()
+                + it.layout.as_ref().map_or(0, |it| it.bytes())
+        });
+        bytes.sum()
+    }
+}
+
+impl Snapshot {
+    fn layout(
+        &mut self,
+        service: ServiceIx,
+        id: SnapshotId,
+        replicas: &SlotMap<ReplicaKey, Replica>,
+    ) -> Arc<Layout> {
+        if let Some(layout) = &self.layout {
+            return layout.clone();
+        }
+        let holders = self.holders.iter().filter_map(|key| {
+            let replica = replicas.get(*key).filter(|it| it.takes_work())?;
+            let ranges = replica.holding(service, id)?;
+            Some(Holder { replica: *key, is_local: replica.data_centre == LOCAL, ranges })
+        });
+        let layout = Arc::new(Layout::build(id, holders, &self.known));
+        self.layout = Some(layout.clone());
+        layout
+    }
+}
--- a/crates/query/src/settings.rs
+++ b/crates/query/src/settings.rs
@@ -40,6 +40,10 @@
     /// Polls per second over all replicas; more replicas stretch the interval.
     #[builder(default = 500)]
     pub polls_per_second: u32,
+    /// Polls per second that one replica gets from all instances; more instances stretch the
+    /// interval. Replicas that are in use also tell of a drain in their answers.
+    #[builder(default = 20)]
+    pub polls_per_replica: u32,
     /// An answer is given this long before the caller's deadline.
     #[builder(default = Duration::from_millis(2))]
     pub answer_margin: Duration,
--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -30,7 +30,7 @@
             Verdict::Suspected => false,
             Verdict::Condemned => {
                 self.counters.condemned += 1;
-                let service = self.replicas.service_name(suspect.0).clone();
+                let service = self.replicas.services.name(suspect.0).clone();
                 out.push(Action::Condemn { service, fingerprint: suspect.1, crashes: CRASHES });
                 self.quarantine(now, suspect, now + self.settings.quarantine, out);
                 true
--- a/crates/query/src/views.rs
+++ b/crates/query/src/views.rs
@@ -126,7 +126,7 @@
     #[must_use]
     pub fn quarantined(&self, now: Time) -> Vec<QuarantineView> {
         let views = self.crashes.quarantined(now).map(|((service, fingerprint), until)| {
-            let service = self.replicas.service_name(service).clone();
+            let service = self.replicas.services.name(service).clone();
             QuarantineView { service, fingerprint, until }
         });
         let mut views: Vec<_> = views.collect();
@@ -139,10 +139,11 @@
     /// by name; empty for an unknown service.
     #[must_use]
     pub fn replica_table(&self, service: &str) -> Vec<ReplicaView> {
-        let Some(service) = self.replicas.find_service(service) else { return Vec::new() };
+        let Some(service) = self.replicas.services.find(service) else { return Vec::new() };
         let ledger = self.services.get(&service).and_then(|it| it.ledger);
         let members = ledger.map(|it| self.replicas.members(it).replicas).unwrap_or_default();
-        let mut held: Vec<_> = self.replicas.holders(service).map(|(id, it)| (it, id)).collect();
+        let mut held: Vec<_> =
+            self.replicas.services.holders(service).map(|(id, it)| (it, id)).collect();
         held.sort_unstable();
         let mut keys: Vec<_> = held.iter().map(|it| it.0).chain(members.iter().copied()).collect();
         keys.sort_unstable();
--- a/crates/query/tests/health.rs
+++ b/crates/query/tests/health.rs
@@ -178,3 +178,27 @@
     assert_eq!(names(&sent).len(), 4);
     assert_eq!(engine.counters().hedges, 0);
 }
+
+/// Guards against a large fleet whose polls overload the replicas.
+#[test]
+fn a_large_fleet_polls_less_often() {
+    let mut engine = engine(settings(), 1, 1);
+    feed(&mut engine, ms(0), Event::FleetSize(100));
+    let mut polls = 0;
+    while let Some(at) = engine.next_wakeup().filter(|it| *it < ms(60_000)) {
+        let mut out = Vec::new();
+        engine.handle(at, Event::Tick, &mut out);
+        let of_search =
+            |it: &&Action| matches!(it, Action::Poll { replica, .. } if *replica == name(0, 0));
+        polls += out.iter().filter(of_search).count();
+    }
+    assert!((10..=16).contains(&polls), "{polls} polls in a minute, 100 instances at 20/s");
+}
+
+/// Guards against an outage when the platform gives an empty list.
+#[test]
+fn an_empty_list_is_ignored() {
+    let mut engine = engine(settings(), 1, 2);
+    feed(&mut engine, ms(1), Event::ReplicaList(Vec::new()));
+    assert_eq!(run(&mut engine, ms(2), 1, |_| ms(5)).len(), 1);
+}
