Add parsing, checking, signing and differences of bundles

Cause: instances and the operators' command need one reader of bundles that reports all faults of a text at once with their places, and one form of signature.

Ruled out: deserialising straight into the protocol types, because serde stops at the first wrong type or unknown key and the place of a value is lost before the semantic checks run. Ruled out: signing a re-serialised bundle, because a roll-back should give back the text that operators wrote, comments included.

Change: the text is read into a tree of located nodes, a reader takes typed values out of it and collects faults, and the semantic checks use the recorded places. A value that could not be read is not reported a second time. The signed message is "<version>\n" and the text with LF line ends and one final newline.

Conclusion: parse, sign, verify and diff can be used by the daemon and the command. Only a text that is not YAML, or that repeats a key of one mapping, stops at its first fault, because the YAML library gives no tree then.

--- /dev/null
+++ b/crates/bundle/src/node.rs
@@ -0,0 +1,93 @@
+use std::fmt;
+
+use serde::{
+    Deserialize, Deserializer,
+    de::{MapAccess, SeqAccess, Visitor},
+};
+use serde_saphyr::Spanned;
+
+/// A YAML value of any type, with the place of each part.
+#[derive(Debug)]
+pub(crate) enum Node {
+    /// A quoted or plain string.
+    Text(String),
+    /// A plain scalar that YAML reads as a number, Boolean or null. Its text is looked up in the
+    /// source, because the key `0000000000000010` or the name `1e3` must not become a number.
+    Plain,
+    /// A sequence.
+    List(Vec<Spanned<Node>>),
+    /// A mapping.
+    Map(Vec<(Spanned<String>, Spanned<Node>)>),
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D: Deserializer<'de>>(de: D) -> Result<Node, D::Error> {
+        de.deserialize_any(NodeVisitor)
+    }
+}
+
+struct NodeVisitor;
+
+impl<'de> Visitor<'de> for NodeVisitor {
+    type Value = Node;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a YAML value")
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Node, E> {
+        Ok(Node::Text(text.to_owned()))
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_i64<E>(self, _: i64) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_i128<E>(self, _: i128) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_u64<E>(self, _: u64) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_u128<E>(self, _: u128) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_unit<E>(self) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_none<E>(self) -> Result<Node, E> {
+        Ok(Node::Plain)
+    }
+
+    fn visit_some<D: Deserializer<'de>>(self, de: D) -> Result<Node, D::Error> {
+        Node::deserialize(de)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Node, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = seq.next_element()? {
+            items.push(item);
+        }
+        Ok(Node::List(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Node, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(entry) = map.next_entry()? {
+            entries.push(entry);
+        }
+        Ok(Node::Map(entries))
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/signature.rs
@@ -0,0 +1,79 @@
+use base64::{Engine, prelude::BASE64_STANDARD};
+use ed25519_dalek::{Signature, Signer};
+use rosemarybank_protocol::{id::Version, platform::SignedBundle};
+
+use crate::{
+    key::{KeyPair, TrustedKeys},
+    key_error::{SignError, VerifyError},
+    parse::parse,
+};
+
+/// The form of a text that is signed: line ends are `\n` and the text ends with exactly one.
+///
+/// Comments stay, so that a roll-back gives operators back the text they wrote.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(rosemarybank_bundle::canonical_text("format: 1\r\n\r\n"), "format: 1\n");
+/// ```
+#[must_use]
+pub fn canonical_text(text: &str) -> String {
+    let text = text.trim_start_matches('\u{feff}').replace("\r\n", "\n");
+    format!("{}\n", text.trim_end())
+}
+
+/// Signs a bundle's text for one version.
+///
+/// # Errors
+///
+/// Fails when the text has faults or the version is 0.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_bundle::{KeyPair, SignError, sign};
+///
+/// let key = KeyPair::generate("ops-1").unwrap();
+/// assert_eq!(sign(&key, 1, "format: 1\n"), Err(SignError::Faulty(3)));
+/// ```
+pub fn sign(key: &KeyPair, version: Version, text: &str) -> Result<SignedBundle, SignError> {
+    if version == 0 {
+        return Err(SignError::VersionZero);
+    }
+    let bundle = canonical_text(text);
+    parse(&bundle).map_err(|faults| SignError::Faulty(faults.len()))?;
+    let signature = key.signing_key().sign(&message(version, &bundle));
+    let signature = BASE64_STANDARD.encode(signature.to_bytes()).into();
+    Ok(SignedBundle { version, signer: key.name().clone(), bundle, signature })
+}
+
+/// Checks that a trusted key signed this version of this text.
+///
+/// It does not check the text itself, because an instance refuses a tampered bundle before it
+/// reads it.
+///
+/// # Errors
+///
+/// Fails when the bundle is unsigned, signed by an unknown key or changed after signing.
+pub fn verify(signed: &SignedBundle, trusted: &TrustedKeys) -> Result<(), VerifyError> {
+    let version = signed.version;
+    if signed.signature.is_empty() {
+        return Err(VerifyError::Unsigned(version));
+    }
+    let signer = signed.signer.clone();
+    let Some(key) = trusted.get(&signer) else {
+        return Err(VerifyError::Untrusted { version, signer });
+    };
+    let bytes = BASE64_STANDARD.decode(&*signed.signature).ok();
+    let signature = bytes.and_then(|bytes| Signature::from_slice(&bytes).ok());
+    let message = message(version, &signed.bundle);
+    match signature.map(|it| key.verify_strict(&message, &it)) {
+        Some(Ok(())) => Ok(()),
+        _ => Err(VerifyError::Mismatch { version, signer }),
+    }
+}
+
+fn message(version: Version, bundle: &str) -> Vec<u8> {
+    format!("{version}\n{bundle}").into_bytes()
+}
