Add the platform and upstream stand-ins

Cause: the daemon, the platform client and the process tests need something that speaks the published protocols over real sockets. Ruled out: values in base64 in list and watch replies; every object of the system is JSON, and JSON stays readable in the demo. Change: standin-platform serves objects with versions, conditional updates, lists and long-poll watches; standin-upstream serves many replicas over generated records with slots, a bounded queue, deadlines, connection caps, connect delay and cold start. An action that has begun runs to its end even when its caller resets the stream. Before: an empty package.

--- /dev/null
+++ b/crates/standins/src/bin/standin_platform/main.rs
@@ -0,0 +1,31 @@
+//! Stand-in for the platform's object API.
+
+mod flags;
+
+use eyre::Result;
+use rosemarybank_standins::{
+    logging,
+    platform::{PlatformService, Store, initial},
+    server,
+};
+use tokio::{net::TcpListener, sync::watch};
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> Result<()> {
+    let flags = flags::StandinPlatform::from_env_or_exit();
+    let log = logging::stderr_logger();
+    let mut store = Store::default();
+    if let Some(dir) = &flags.objects {
+        initial::load_dir(&mut store, dir)?;
+    }
+    if let Some(file) = &flags.instances {
+        initial::load_instances(&mut store, file)?;
+    }
+    slog::info!(log, "objects loaded"; "revision" => store.revision());
+
+    let listener = TcpListener::bind(flags.listen).await?;
+    println!("listening platform {}", listener.local_addr()?);
+    let orders = watch::Sender::default();
+    server::serve(listener, orders.subscribe(), PlatformService::new(store)).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/client.rs
@@ -0,0 +1,51 @@
+//! Plain HTTP client for tests and control calls.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+
+/// Client that keeps its connections. Clones share them.
+#[derive(Clone)]
+pub struct HttpClient(Client<HttpConnector, Full<Bytes>>);
+
+impl HttpClient {
+    /// Builds a client that speaks HTTP/1.1.
+    #[must_use]
+    pub fn http1() -> HttpClient {
+        HttpClient(Client::builder(TokioExecutor::new()).build_http())
+    }
+
+    /// Builds a client that speaks h2 with prior knowledge.
+    #[must_use]
+    pub fn h2() -> HttpClient {
+        HttpClient(Client::builder(TokioExecutor::new()).http2_only(true).build_http())
+    }
+
+    /// Sends a request and reads the whole reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection or the stream breaks before the end of the reply.
+    pub async fn send(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> eyre::Result<Response<Bytes>> {
+        let mut req = Request::builder().method(method).uri(format!("http://{addr}{path}"));
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let reply = self.0.request(req.body(Full::new(body.into()))?).await?;
+        let (head, body) = reply.into_parts();
+        Ok(Response::from_parts(head, body.collect().await?.to_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,101 @@
+//! Requests and replies in the form that all stand-ins use.
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+/// Reply with a body that is known as a whole.
+pub type Reply = Response<Full<Bytes>>;
+
+/// Ends a request without a reply: the h2 stream is reset, an HTTP/1.1 connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoReply;
+
+impl std::fmt::Display for NoReply {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the request gets no reply")
+    }
+}
+
+impl std::error::Error for NoReply {}
+
+/// Builds a JSON reply.
+pub fn json(status: StatusCode, body: &impl Serialize) -> Reply {
+    let body = serde_json::to_vec(body).expect("replies have no map with non-text keys");
+    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    *reply.status_mut() = status;
+    reply
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// Builds a reply without a body.
+#[must_use]
+pub fn empty(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Reads a whole request body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails when the body is larger or the connection breaks.
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+    match Limited::new(body, limit).collect().await {
+        Ok(it) => Ok(it.to_bytes()),
+        Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
+        Err(_) => Err(ReadError::Broken),
+    }
+}
+
+/// Why a request body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadError {
+    /// It is larger than the limit.
+    TooLarge,
+    /// The connection or the stream broke.
+    Broken,
+}
+
+/// Returns the value of `name` in a query string, with percent escapes decoded.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_standins::http::query_value;
+///
+/// assert_eq!(query_value("prefix=a%2Fb&after=3", "prefix").as_deref(), Some("a/b"));
+/// assert_eq!(query_value("prefix=a", "after"), None);
+/// ```
+#[must_use]
+pub fn query_value(query: &str, name: &str) -> Option<String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).map(|(_, value)| percent_decode(value)).next()
+}
+
+/// Decodes percent escapes; a malformed escape stays as it is.
+#[must_use]
+pub fn percent_decode(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let escape = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        match escape.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                out.push(byte);
+                at += 3;
+            }
+            None => {
+                out.push(bytes[at]);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
--- /dev/null
+++ b/crates/standins/src/upstream/run.rs
@@ -0,0 +1,43 @@
+//! Starts the replicas of a process.
+
+use eyre::{Context, Result};
+use rosemarybank_protocol::platform::{InstanceEntry, InstanceState};
+use tokio::net::TcpListener;
+
+use super::{effects::Effects, replica::Replica, service::UpstreamService, spec::ReplicaSpec};
+use crate::server;
+
+/// Binds and serves every replica in tasks of the present runtime.
+///
+/// Returns the replicas with the addresses that they got. `seed` fixes their service times.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn start_all(specs: Vec<ReplicaSpec>, seed: u64) -> Result<Vec<Replica>> {
+    let effects = Effects::default();
+    let mut replicas = Vec::with_capacity(specs.len());
+    for (number, mut spec) in specs.into_iter().enumerate() {
+        let listener = TcpListener::bind(spec.addr)
+            .await
+            .wrap_err_with(|| format!("bind {} for {}", spec.addr, spec.replica))?;
+        spec.addr = listener.local_addr()?;
+        let replica = Replica::start(spec, seed.wrapping_add(number as u64), effects.clone());
+        let orders = replica.orders.subscribe();
+        tokio::spawn(server::serve(listener, orders, UpstreamService(replica.clone())));
+        replicas.push(replica);
+    }
+    Ok(replicas)
+}
+
+/// The platform's list entry of a replica.
+#[must_use]
+pub fn instance_entry(spec: &ReplicaSpec) -> InstanceEntry {
+    InstanceEntry {
+        replica: spec.replica.clone(),
+        upstream: spec.upstream.clone(),
+        addr: spec.addr,
+        data_centre: spec.data_centre.clone(),
+        state: InstanceState::Live,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/upstream/service.rs
@@ -0,0 +1,161 @@
+//! The upstream protocol over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use compact_str::format_compact;
+use http::{HeaderMap, Method, Request, StatusCode};
+use hyper::body::Incoming;
+use rosemarybank_protocol::upstream::{
+    DEADLINE_HEADER, ReplicaState, ShardReply, ShardRequest, UpstreamAction, UpstreamActionReply,
+    UpstreamError, UpstreamErrorKind,
+};
+use serde::de::DeserializeOwned;
+use tokio::{sync::OwnedSemaphorePermit, time::Instant};
+
+use super::{effects::Effect, replica::Replica, search::search};
+use crate::{
+    http::{NoReply, Reply, empty, json, read_body},
+    server::{ConnLimits, Handler},
+};
+
+/// Largest request body in bytes.
+const MAX_BODY_LEN: usize = 64 << 10;
+
+/// Answers the upstream protocol for one [`Replica`].
+#[derive(Clone)]
+pub struct UpstreamService(pub Replica);
+
+/// Why a request has no `200` reply.
+enum Refusal {
+    Error(UpstreamError),
+    NoReply,
+}
+
+impl From<UpstreamErrorKind> for Refusal {
+    fn from(error: UpstreamErrorKind) -> Refusal {
+        Refusal::Error(UpstreamError { error, snapshots: Vec::new() })
+    }
+}
+
+impl UpstreamService {
+    async fn search(&self, headers: &HeaderMap, body: Incoming) -> Result<Reply, Refusal> {
+        let replica = &self.0;
+        let deadline = deadline(headers)?;
+        let req: ShardRequest = read(body).await?;
+        let _permit = self.admit(deadline).await?;
+        let found = search(replica, &req).map_err(Refusal::Error)?;
+        let end = Instant::now() + replica.draw_service_time();
+        if deadline.is_some_and(|it| it < end) {
+            tokio::time::sleep_until(deadline.unwrap_or(end)).await;
+            return Err(UpstreamErrorKind::Failed.into());
+        }
+        tokio::time::sleep_until(end).await;
+        let reply = ShardReply {
+            snapshot: req.snapshot,
+            covered: found.covered,
+            hits: found.hits,
+            load: replica.slots.load(),
+        };
+        Ok(json(StatusCode::OK, &reply))
+    }
+
+    async fn act(&self, headers: &HeaderMap, body: Incoming) -> Result<Reply, Refusal> {
+        let deadline = deadline(headers)?;
+        let action: UpstreamAction = read(body).await?;
+        if !self.0.spec.ledgers.contains(&action.service) {
+            return Err(UpstreamErrorKind::BadRequest.into());
+        }
+        let permit = self.admit(deadline).await?;
+        // An action that has begun runs to its end, whether or not its caller still waits.
+        let run = tokio::spawn(run_action(self.0.clone(), action, permit));
+        run.await.unwrap_or(Err(Refusal::NoReply))
+    }
+
+    /// Waits for a slot, unless the replica refuses work or the deadline passes.
+    async fn admit(&self, deadline: Option<Instant>) -> Result<OwnedSemaphorePermit, Refusal> {
+        match self.0.state() {
+            ReplicaState::Cold => return Err(UpstreamErrorKind::Cold.into()),
+            ReplicaState::Draining => return Err(UpstreamErrorKind::Draining.into()),
+            ReplicaState::Serving => {}
+        }
+        let acquire = self.0.slots.acquire();
+        let acquired = match deadline {
+            Some(at) => tokio::time::timeout_at(at, acquire).await,
+            None => Ok(acquire.await),
+        };
+        let permit = acquired.map_err(|_| UpstreamErrorKind::Expired)?;
+        let permit = permit.map_err(|_| UpstreamErrorKind::Shed)?;
+        if deadline.is_some_and(|at| at <= Instant::now()) {
+            return Err(UpstreamErrorKind::Expired.into());
+        }
+        Ok(permit)
+    }
+}
+
+impl Handler for UpstreamService {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Result<Reply, NoReply> {
+        let (head, body) = req.into_parts();
+        let result = match (head.method, head.uri.path()) {
+            (Method::POST, "/search") => self.search(&head.headers, body).await,
+            (Method::POST, "/actions") => self.act(&head.headers, body).await,
+            (Method::GET, "/status") => Ok(json(StatusCode::OK, &self.0.status())),
+            (Method::GET, "/effects") => Ok(json(StatusCode::OK, &self.0.effects.all())),
+            _ => Ok(empty(StatusCode::NOT_FOUND)),
+        };
+        match result {
+            Ok(reply) => Ok(reply),
+            Err(Refusal::Error(error)) => Ok(json(status_of(error.error), &error)),
+            Err(Refusal::NoReply) => Err(NoReply),
+        }
+    }
+
+    fn limits(&self) -> ConnLimits {
+        let spec = &self.0.spec;
+        ConnLimits { max: spec.connections, delay: Duration::from_millis(spec.connect_ms) }
+    }
+}
+
+async fn run_action(
+    replica: Replica,
+    action: UpstreamAction,
+    permit: OwnedSemaphorePermit,
+) -> Result<Reply, Refusal> {
+    let _permit = permit;
+    let half = replica.draw_service_time() / 2;
+    tokio::time::sleep(half).await;
+    // The effect lies between the two halves, so that a crash can come before or after it.
+    let number = replica.effects.record(Effect {
+        replica: replica.spec.replica.clone(),
+        service: action.service,
+        key: action.key,
+        body: action.body,
+    });
+    tokio::time::sleep(half).await;
+    let reply = UpstreamActionReply { result: format_compact!("entry {number}") };
+    Ok(json(StatusCode::OK, &reply))
+}
+
+async fn read<T: DeserializeOwned>(body: Incoming) -> Result<T, Refusal> {
+    let body = read_body(body, MAX_BODY_LEN).await.map_err(|_| UpstreamErrorKind::BadRequest)?;
+    serde_json::from_slice(&body).map_err(|_| UpstreamErrorKind::BadRequest.into())
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Instant>, Refusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(None) };
+    let millis: Option<u32> = value.to_str().ok().and_then(|it| it.parse().ok());
+    let millis = millis.ok_or(UpstreamErrorKind::BadRequest)?;
+    Ok(Some(Instant::now() + Duration::from_millis(millis.into())))
+}
+
+fn status_of(error: UpstreamErrorKind) -> StatusCode {
+    match error {
+        UpstreamErrorKind::Shed | UpstreamErrorKind::Draining | UpstreamErrorKind::Cold => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        UpstreamErrorKind::SnapshotRetired => StatusCode::CONFLICT,
+        UpstreamErrorKind::WrongRange => StatusCode::MISDIRECTED_REQUEST,
+        UpstreamErrorKind::Expired => StatusCode::GATEWAY_TIMEOUT,
+        UpstreamErrorKind::BadRequest => StatusCode::BAD_REQUEST,
+        UpstreamErrorKind::Failed => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/upstream/tests.rs
@@ -0,0 +1,77 @@
+//! Tests of the generated records, the slots and the service times.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use rosemarybank_protocol::key_range::KeyRange;
+
+use super::{
+    records::Records,
+    slots::{Full, Slots},
+    spec::{ReplicaSpec, ServiceTime},
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    /// Guards against records that are counted twice or lost at the border of two shards.
+    #[test]
+    fn counts_and_hits_add_up_over_a_split(count in 1u64..400, border in 1u64..) {
+        let records = Records { service: "order-desk", snapshot: 3, count };
+        let low = KeyRange::new(0, border - 1).unwrap();
+        let high = KeyRange::new(border, u64::MAX).unwrap();
+        prop_assert_eq!(records.count_in(KeyRange::ALL), count);
+        prop_assert_eq!(records.count_in(low) + records.count_in(high), count);
+
+        let mut parts = records.search(low, "cherry", 1_000);
+        parts.extend(records.search(high, "cherry", 1_000));
+        parts.sort_unstable_by_key(|hit| (u32::MAX - hit.score, hit.key));
+        prop_assert_eq!(parts, records.search(KeyRange::ALL, "cherry", 1_000));
+    }
+}
+
+/// Guards against a replica that executes or queues more than its bounds, or keeps the place of
+/// a request that has gone.
+#[tokio::test]
+async fn slots_and_queue_are_bounded() {
+    let slots = Slots::new(1, 1);
+    let running = slots.acquire().await.unwrap();
+    let mut waiting = Box::pin(slots.acquire());
+    let poll = tokio::time::timeout(std::time::Duration::ZERO, waiting.as_mut()).await;
+    assert!(poll.is_err(), "the second request waits");
+    assert_eq!(slots.acquire().await.unwrap_err(), Full);
+    assert_eq!((slots.load().in_flight, slots.load().queued), (1, 1));
+
+    drop(waiting);
+    assert_eq!(slots.load().queued, 0);
+    drop(running);
+    assert_eq!(slots.load().in_flight, 0);
+    drop(slots.acquire().await.unwrap());
+}
+
+/// Guards against service times whose median drifts from the described one.
+#[test]
+fn service_times_have_the_described_median() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let time = ServiceTime { median_us: 1_000, sigma: 0.5 };
+    let below = (0..4_000).filter(|_| time.draw(&mut rng).as_micros() < 1_000).count();
+    assert!((1_900..2_100).contains(&below), "{below} of 4000 lie below the median");
+}
+
+/// Guards against a change of the file form that the documented example no longer fits.
+#[test]
+fn a_replica_is_read_from_yaml() {
+    let text = "
+- replica: order-desk-00-a
+  upstream: order-desk-00
+  data_centre: dc1
+  addr: 127.0.1.1:0
+  service_time: { median_us: 3000, sigma: 0.5 }
+  holdings:
+    - service: order-desk
+      snapshot: 1
+      records: 1000
+      ranges: [{ first: '0000000000000000', last: '7fffffffffffffff' }]
+";
+    let specs: Vec<ReplicaSpec> = serde_saphyr::from_str(text).unwrap();
+    assert_eq!((specs[0].slots, specs[0].connections), (2, 25));
+    assert_eq!(specs[0].holdings[0].ranges[0].last(), u64::MAX / 2);
+}
--- /dev/null
+++ b/crates/standins/tests/upstream_api.rs
@@ -0,0 +1,181 @@
+//! The upstream stand-in over h2.
+
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use rosemarybank_protocol::{
+    key_range::KeyRange,
+    upstream::{
+        Load, ReplicaState, ReplicaStatus, ShardReply, ShardRequest, UpstreamAction, UpstreamError,
+        UpstreamErrorKind,
+    },
+};
+use rosemarybank_standins::{
+    client::HttpClient,
+    upstream::{Effect, HoldingSpec, Replica, ReplicaSpec, ServiceTime, records::Records, run},
+};
+
+fn spec(service_time_ms: u64) -> ReplicaSpec {
+    let low = KeyRange::new(0, u64::MAX / 2).unwrap();
+    ReplicaSpec {
+        replica: "r0".into(),
+        upstream: "u0".into(),
+        data_centre: "dc1".into(),
+        addr: "127.0.0.1:0".parse().unwrap(),
+        slots: 2,
+        queue: 1,
+        connections: 2,
+        connect_ms: 0,
+        cold_start_ms: 0,
+        service_time: ServiceTime { median_us: service_time_ms * 1_000, sigma: 0.0 },
+        holdings: vec![HoldingSpec {
+            service: "order-desk".into(),
+            snapshot: 4,
+            records: 1_000,
+            ranges: vec![low],
+        }],
+        ledgers: vec!["lot-ledger".into()],
+    }
+}
+
+async fn start(spec: ReplicaSpec) -> Replica {
+    run::start_all(vec![spec], 1).await.unwrap().remove(0)
+}
+
+fn shard_request(range: KeyRange) -> String {
+    let req = ShardRequest {
+        service: "order-desk".into(),
+        snapshot: 4,
+        range,
+        query: "cherry".into(),
+        limit: 5,
+    };
+    serde_json::to_string(&req).unwrap()
+}
+
+async fn search(client: &HttpClient, replica: &Replica, body: String) -> (StatusCode, Vec<u8>) {
+    let reply = client.send(Method::POST, replica.spec.addr, "/search", &[], body).await.unwrap();
+    (reply.status(), reply.body().to_vec())
+}
+
+/// Guards against a reply that claims more of the range than the replica holds.
+#[tokio::test]
+async fn a_search_covers_what_the_replica_holds() {
+    let replica = start(spec(0)).await;
+    let (status, body) = search(&HttpClient::h2(), &replica, shard_request(KeyRange::ALL)).await;
+    assert_eq!(status, StatusCode::OK);
+    let reply: ShardReply = serde_json::from_slice(&body).unwrap();
+    let held = replica.spec.holdings[0].ranges[0];
+    let records = Records { service: "order-desk", snapshot: 4, count: 1_000 };
+    assert_eq!((reply.covered[0].range, reply.covered[0].records), (held, 500));
+    assert_eq!(reply.hits, records.search(held, "cherry", 5));
+    assert!(!reply.hits.is_empty());
+
+    let other = KeyRange::new(u64::MAX - 5, u64::MAX).unwrap();
+    let (status, _) = search(&HttpClient::h2(), &replica, shard_request(other)).await;
+    assert_eq!(status, StatusCode::MISDIRECTED_REQUEST);
+}
+
+/// Guards against a replica that runs more than its slots, or drops instead of shedding.
+#[tokio::test]
+async fn a_full_replica_sheds() {
+    let replica = start(spec(50)).await;
+    let client = HttpClient::h2();
+    let requests = (0..5).map(|_| {
+        let (client, replica) = (client.clone(), replica.clone());
+        tokio::spawn(async move { search(&client, &replica, shard_request(KeyRange::ALL)).await })
+    });
+    let mut shed = 0;
+    for request in requests.collect::<Vec<_>>() {
+        let (status, body) = request.await.unwrap();
+        if status == StatusCode::OK {
+            continue;
+        }
+        let error: UpstreamError = serde_json::from_slice(&body).unwrap();
+        assert_eq!(error.error, UpstreamErrorKind::Shed);
+        shed += 1;
+    }
+    assert_eq!(shed, 2, "2 slots and 1 place in the queue take 3 of 5");
+}
+
+/// Guards against a slot that stays taken after its caller has reset the stream.
+#[tokio::test]
+async fn a_reset_stream_frees_its_slot() {
+    let replica = start(spec(60_000)).await;
+    let client = HttpClient::h2();
+    let request = {
+        let (client, replica) = (client.clone(), replica.clone());
+        tokio::spawn(async move { search(&client, &replica, shard_request(KeyRange::ALL)).await })
+    };
+    let load = |in_flight| Load { in_flight, queued: 0, slots: 2 };
+    wait_for(|| replica.slots.load() == load(1)).await;
+    request.abort();
+    wait_for(|| replica.slots.load() == load(0)).await;
+}
+
+/// Guards against a request that runs after its deadline or holds its slot beyond it.
+#[tokio::test]
+async fn a_deadline_ends_a_search() {
+    let replica = start(spec(60_000)).await;
+    let headers = [("x-deadline-ms", "20")];
+    let body = shard_request(KeyRange::ALL);
+    let client = HttpClient::h2();
+    let reply = client.send(Method::POST, replica.spec.addr, "/search", &headers, body);
+    assert_eq!(reply.await.unwrap().status(), StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(replica.slots.load().in_flight, 0);
+
+    let headers = [("x-deadline-ms", "0")];
+    let body = shard_request(KeyRange::ALL);
+    let reply = client.send(Method::POST, replica.spec.addr, "/search", &headers, body);
+    let reply = reply.await.unwrap();
+    assert_eq!(reply.status(), StatusCode::GATEWAY_TIMEOUT);
+}
+
+/// Guards against an action that leaves no effect, and against effects of refused actions.
+#[tokio::test]
+async fn an_action_is_recorded_once() {
+    let replica = start(spec(0)).await;
+    let client = HttpClient::h2();
+    for service in ["lot-ledger", "order-desk"] {
+        let action = UpstreamAction {
+            service: service.into(),
+            key: "k".into(),
+            body: "100 cherry blanks".into(),
+        };
+        let body = serde_json::to_string(&action).unwrap();
+        let reply = client.send(Method::POST, replica.spec.addr, "/actions", &[], body).await;
+        let wanted = if service == "lot-ledger" { 200 } else { 400 };
+        assert_eq!(reply.unwrap().status(), wanted);
+    }
+    let reply = client.send(Method::GET, replica.spec.addr, "/effects", &[], "").await.unwrap();
+    let effects: Vec<Effect> = serde_json::from_slice(reply.body()).unwrap();
+    assert_eq!(effects.len(), 1);
+    assert_eq!((effects[0].key.as_str(), effects[0].service.as_str()), ("k", "lot-ledger"));
+}
+
+/// Guards against a replica that takes work while it is cold, or more connections than its cap.
+#[tokio::test]
+async fn cold_start_and_connection_cap() {
+    let replica = start(ReplicaSpec { cold_start_ms: 60_000, connections: 1, ..spec(0) }).await;
+    let client = HttpClient::h2();
+    let (status, body) = search(&client, &replica, shard_request(KeyRange::ALL)).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    let error: UpstreamError = serde_json::from_slice(&body).unwrap();
+    assert_eq!(error.error, UpstreamErrorKind::Cold);
+
+    let reply = client.send(Method::GET, replica.spec.addr, "/status", &[], "").await.unwrap();
+    let status: ReplicaStatus = serde_json::from_slice(reply.body()).unwrap();
+    assert_eq!(status.state, ReplicaState::Cold);
+
+    let second = HttpClient::h2();
+    let refused = second.send(Method::GET, replica.spec.addr, "/status", &[], "").await;
+    assert!(refused.is_err(), "a connection beyond the cap is refused");
+}
+
+async fn wait_for(condition: impl Fn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(5);
+    while !condition() {
+        assert!(Instant::now() < end, "the condition did not become true within 5 s");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
