Add the operators' command with bundle, search, action and trace commands

Cause: operators need one command whose help, examples and exit codes can be relied on by scripts.

Ruled out: one xflags grammar for all commands, because each command should declare its arguments, description, examples and run in its own file. Ruled out: tokens as arguments, because other users of a machine can read them.

Change: a Command trait and a table of entries; help is made from the grammar and the examples; `--json` is taken for all commands. Nine documented exit codes; one closed error enum with a remedy and an exit code for each case. `action submit` prints the key before it sends and reports a lost answer as an unknown outcome, a failed connection as not sent.

Before: placeholder.

--- /dev/null
+++ b/crates/cli/src/commands/action/mod.rs
@@ -0,0 +1,24 @@
+//! Commands about one-time actions.
+
+pub(crate) mod show;
+pub(crate) mod submit;
+
+use rosemarybank_protocol::action::{ActionAnswer, ActionOutcome};
+
+use crate::{exit::ExitStatus, report::Report};
+
+fn answer_report(answer: &ActionAnswer) -> Report {
+    let (line, status) = outcome_line(&answer.outcome);
+    let text = format!("{line}\nkey   {}\ntrace {}\n", answer.key, answer.trace_id);
+    Report::new(text, answer).with_status(status)
+}
+
+fn outcome_line(outcome: &ActionOutcome) -> (String, ExitStatus) {
+    match outcome {
+        ActionOutcome::Done { result } => (format!("done: {result}"), ExitStatus::Done),
+        ActionOutcome::NotRun { reason } => (format!("not run: {reason}"), ExitStatus::NotRun),
+        ActionOutcome::Unknown { reason } => {
+            (format!("outcome unknown: {reason}"), ExitStatus::Unknown)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/action/submit.rs
@@ -0,0 +1,67 @@
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf};
+
+use rosemarybank_protocol::action::ActionRequest;
+use uuid::Uuid;
+
+use super::answer_report;
+use crate::{
+    command::{Command, Example, Needs},
+    context::Context,
+    entry::Entry,
+    error::CliError,
+    http::Http,
+    report::Report,
+};
+
+xflags::xflags! {
+    cmd action-submit {
+        /// Name of the ledger.
+        required service: String
+        /// The order entry or permit request, as its upstream reads it.
+        required body: String
+        /// Key of an earlier submission of the same action; a new one is made if absent.
+        optional --key key: Uuid
+        /// Milliseconds allowed; the service's own time if absent.
+        optional --timeout-ms ms: u64
+        /// Callers port of an entry instance; $ROSEMARYBANK_ENTRY if absent.
+        optional --entry addr: SocketAddr
+        /// File with the caller's token; $ROSEMARYBANK_TOKEN if absent.
+        optional --token-file file: PathBuf
+    }
+}
+
+impl Command for ActionSubmit {
+    const NAME: &'static [&'static str] = &["action", "submit"];
+    const ABOUT: &'static str = "Submits a one-time action, which takes effect at most once.";
+    const EXAMPLES: &'static [Example] = &[
+        Example {
+            about: "Submit an action; its key goes to standard error before anything is sent.",
+            args: &["lot-ledger", "reserve lot 17 for Kavango"],
+            needs: Needs::Servers,
+        },
+        Example {
+            about: "Submit it again after a lost answer; it takes effect once.",
+            args: &[
+                "lot-ledger",
+                "reserve lot 17 for Kavango",
+                "--key",
+                "0190d3a4-7c1e-7b3a-9f00-3b1f2c4d5e6f",
+            ],
+            needs: Needs::Servers,
+        },
+    ];
+
+    fn parse(args: Vec<OsString>) -> xflags::Result<ActionSubmit> {
+        ActionSubmit::from_vec(args)
+    }
+
+    fn run(self, cx: &Context) -> Result<Report, CliError> {
+        let token = cx.token(self.token_file.as_deref())?;
+        let entry = Entry::new(cx.entry(self.entry)?, &token, Http::http1());
+        let key = self.key.unwrap_or_else(Uuid::now_v7).to_string();
+        cx.note(format!("key {key}"));
+        let req = ActionRequest { body: self.body.into(), timeout_ms: self.timeout_ms };
+        let answer = cx.block_on(entry.submit(&self.service, &key, &req))??;
+        Ok(answer_report(&answer))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/bundle/check.rs
@@ -0,0 +1,54 @@
+use std::{ffi::OsString, path::PathBuf};
+
+use rosemarybank_bundle::parse;
+use serde_json::json;
+
+use crate::{
+    command::{Command, Example, Needs},
+    context::{Context, read_file},
+    error::CliError,
+    exit::ExitStatus,
+    report::Report,
+};
+
+xflags::xflags! {
+    cmd bundle-check {
+        /// Bundle files.
+        repeated files: PathBuf
+    }
+}
+
+impl Command for BundleCheck {
+    const NAME: &'static [&'static str] = &["bundle", "check"];
+    const ABOUT: &'static str = "Reports every fault of bundles with file, line, key and remedy.";
+    const EXAMPLES: &'static [Example] = &[Example {
+        about: "Check the reference bundle; exit code 1 means that there are faults.",
+        args: &["config/bundle.yaml"],
+        needs: Needs::Files,
+    }];
+
+    fn parse(args: Vec<OsString>) -> xflags::Result<BundleCheck> {
+        let flags = BundleCheck::from_vec(args)?;
+        if flags.files.is_empty() {
+            return Err(xflags::Error::new("name at least one file"));
+        }
+        Ok(flags)
+    }
+
+    fn run(self, _: &Context) -> Result<Report, CliError> {
+        let mut text = String::new();
+        let mut files = Vec::new();
+        let mut status = ExitStatus::Done;
+        for path in &self.files {
+            let shown = path.display();
+            let faults = parse(&read_file(path)?).err().unwrap_or_default();
+            for fault in &faults {
+                text.push_str(&format!("{shown}:{fault}\n"));
+                status = ExitStatus::Finding;
+            }
+            text.push_str(&format!("{shown}: {} faults\n", faults.len()));
+            files.push(json!({ "file": path, "faults": faults }));
+        }
+        Ok(Report::new(text, &files).with_status(status))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/bundle/mod.rs
@@ -0,0 +1,27 @@
+//! Commands about bundles.
+
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod keygen;
+pub(crate) mod sign;
+
+use std::path::Path;
+
+use rosemarybank_bundle::{KeyPair, parse};
+use rosemarybank_protocol::bundle::Bundle;
+
+use crate::{context::read_file, error::CliError};
+
+/// Reads a bundle file that must have no faults.
+fn read_bundle(path: &Path) -> Result<(String, Bundle), CliError> {
+    let text = read_file(path)?;
+    let bundle =
+        parse(&text).map_err(|faults| CliError::Faulty { path: path.to_owned(), faults })?;
+    Ok((text, bundle))
+}
+
+/// Reads a signing key.
+fn read_key(path: &Path) -> Result<KeyPair, CliError> {
+    let text = read_file(path)?;
+    KeyPair::from_text(&text).map_err(|source| CliError::KeyFile { path: path.to_owned(), source })
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,31 @@
+//! The commands, in the order of the help.
+
+mod action;
+mod bundle;
+pub(crate) mod search;
+mod trace;
+
+use serde::{
+    Deserialize,
+    de::{IntoDeserializer, value::Error},
+};
+
+use crate::command::Entry;
+
+/// All commands.
+pub(crate) const COMMANDS: &[Entry] = &[
+    Entry::of::<bundle::check::BundleCheck>(),
+    Entry::of::<bundle::diff::BundleDiff>(),
+    Entry::of::<bundle::keygen::BundleKeygen>(),
+    Entry::of::<bundle::sign::BundleSign>(),
+    Entry::of::<search::Search>(),
+    Entry::of::<action::submit::ActionSubmit>(),
+    Entry::of::<action::show::ActionShow>(),
+    Entry::of::<trace::show::TraceShow>(),
+];
+
+/// Reads one of the words of an enum of the protocol.
+fn parse_word<T: for<'de> Deserialize<'de>>(flag: &str, word: &str) -> xflags::Result<T> {
+    T::deserialize(word.into_deserializer())
+        .map_err(|e: Error| xflags::Error::new(format!("{flag}: {e}")))
+}
--- /dev/null
+++ b/crates/cli/src/commands/search.rs
@@ -0,0 +1,103 @@
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf};
+
+use rosemarybank_protocol::{prelude::*, search::DEFAULT_LIMIT};
+
+use super::parse_word;
+use crate::{
+    command::{Command, Example, Needs},
+    context::Context,
+    entry::Entry,
+    error::CliError,
+    exit::ExitStatus,
+    http::Http,
+    report::{Report, table},
+};
+
+xflags::xflags! {
+    cmd search {
+        /// Name of the service.
+        required service: String
+        /// Text to search for.
+        required query: String
+        /// Callers port of an entry instance; $ROSEMARYBANK_ENTRY if absent.
+        optional --entry addr: SocketAddr
+        /// File with the caller's token; $ROSEMARYBANK_TOKEN if absent.
+        optional --token-file file: PathBuf
+        /// Largest number of hits; 20 if absent.
+        optional --limit hits: u32
+        /// Milliseconds allowed; the service's own time if absent.
+        optional --timeout-ms ms: u64
+        /// `complete` or `partial`; the service's own wish if absent.
+        optional --coverage wish: String
+    }
+}
+
+impl Command for Search {
+    const NAME: &'static [&'static str] = &["search"];
+    const ABOUT: &'static str = "Searches a service and shows what the answer covered.";
+    const EXAMPLES: &'static [Example] = &[
+        Example {
+            about: "Search; exit code 1 means that the answer does not cover all records.",
+            args: &["order-desk", "oak", "--limit", "5"],
+            needs: Needs::Servers,
+        },
+        Example {
+            about: "Accept only an answer over all records, within 300 ms.",
+            args: &["order-desk", "oak", "--coverage", "complete", "--timeout-ms", "300"],
+            needs: Needs::Servers,
+        },
+    ];
+
+    fn parse(args: Vec<OsString>) -> xflags::Result<Search> {
+        let flags = Search::from_vec(args)?;
+        coverage(&flags)?;
+        Ok(flags)
+    }
+
+    fn run(self, cx: &Context) -> Result<Report, CliError> {
+        let token = cx.token(self.token_file.as_deref())?;
+        let entry = Entry::new(cx.entry(self.entry)?, &token, Http::http1());
+        let req = SearchRequest {
+            query: self.query.clone(),
+            limit: self.limit.unwrap_or(DEFAULT_LIMIT),
+            timeout_ms: self.timeout_ms,
+            coverage: coverage(&self).map_err(|e| CliError::Usage(e.to_string()))?,
+        };
+        let answer = cx.block_on(entry.search(&self.service, &req))??;
+        let status = if answer.complete { ExitStatus::Done } else { ExitStatus::Finding };
+        Ok(Report::new(text(&answer), &answer).with_status(status))
+    }
+}
+
+fn coverage(flags: &Search) -> xflags::Result<Option<CoverageMode>> {
+    flags.coverage.as_deref().map(|word| parse_word("--coverage", word)).transpose()
+}
+
+fn text(answer: &SearchAnswer) -> String {
+    let mut rows = vec![vec!["KEY".into(), "SCORE".into(), "RECORD".into()]];
+    rows.extend(answer.hits.iter().map(|hit| {
+        vec![format!("{:016x}", hit.key), hit.score.to_string(), hit.record.to_string()]
+    }));
+    let SearchAnswer { snapshot, trace_id, .. } = answer;
+    format!(
+        "{}\n{}snapshot {snapshot}\ntrace    {trace_id}\n",
+        table(&rows),
+        coverage_text(&answer.coverage)
+    )
+}
+
+/// What an answer covered, one line for each missing range.
+pub(crate) fn coverage_text(coverage: &Coverage) -> String {
+    let total = match coverage.records_total {
+        RecordTotal::Exact(total) => total.to_string(),
+        RecordTotal::AtLeast(total) => format!("at least {total}"),
+    };
+    let state = if coverage.is_complete() { "complete" } else { "partial" };
+    let mut text = format!("coverage {state}: {} of {total} records\n", coverage.records_covered);
+    for MissingRange { range, reason } in &coverage.missing {
+        let reason = serde_json::to_value(reason).unwrap_or_default();
+        let reason = reason.as_str().unwrap_or_default().replace('_', " ");
+        text.push_str(&format!("missing  {range}: {reason}\n"));
+    }
+    text
+}
--- /dev/null
+++ b/crates/cli/src/commands/trace/mod.rs
@@ -0,0 +1,3 @@
+//! Commands about traces.
+
+pub(crate) mod show;
--- /dev/null
+++ b/crates/cli/src/context.rs
@@ -0,0 +1,81 @@
+use std::{
+    env, fs,
+    future::Future,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use crate::error::CliError;
+
+/// Variable that replaces `--entry`.
+const ENTRY_VARIABLE: &str = "ROSEMARYBANK_ENTRY";
+/// Variable that replaces `--admin`.
+const ADMIN_VARIABLE: &str = "ROSEMARYBANK_ADMIN";
+/// Variable that replaces `--token-file`. A token is never an argument, because other users of a
+/// machine can read the arguments of a process.
+const TOKEN_VARIABLE: &str = "ROSEMARYBANK_TOKEN";
+
+/// What every command has around it.
+#[derive(Debug)]
+pub(crate) struct Context;
+
+impl Context {
+    /// Tells the operator something before the command ends. It goes to standard error, so that
+    /// standard output holds only the result.
+    pub(crate) fn note(&self, text: impl AsRef<str>) {
+        eprintln!("{}", text.as_ref());
+    }
+
+    /// The address of an entry instance's callers port.
+    pub(crate) fn entry(&self, flag: Option<SocketAddr>) -> Result<SocketAddr, CliError> {
+        address(flag, "--entry", ENTRY_VARIABLE)
+    }
+
+    /// The address of an entry instance's admin port.
+    pub(crate) fn admin(&self, flag: Option<SocketAddr>) -> Result<SocketAddr, CliError> {
+        address(flag, "--admin", ADMIN_VARIABLE)
+    }
+
+    /// The caller's token.
+    pub(crate) fn token(&self, file: Option<&Path>) -> Result<String, CliError> {
+        match (file, env::var(TOKEN_VARIABLE)) {
+            (Some(file), _) => Ok(read_file(file)?.trim().to_owned()),
+            (None, Ok(token)) => Ok(token),
+            (None, Err(_)) => {
+                Err(CliError::MissingSetting { flag: "--token-file", variable: TOKEN_VARIABLE })
+            }
+        }
+    }
+
+    /// Runs asynchronous work to its end on this thread.
+    pub(crate) fn block_on<T>(&self, work: impl Future<Output = T>) -> Result<T, CliError> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|source| CliError::Runtime { source })?;
+        Ok(runtime.block_on(work))
+    }
+}
+
+fn address(
+    flag: Option<SocketAddr>,
+    name: &'static str,
+    variable: &'static str,
+) -> Result<SocketAddr, CliError> {
+    if let Some(addr) = flag {
+        return Ok(addr);
+    }
+    let Ok(text) = env::var(variable) else {
+        return Err(CliError::MissingSetting { flag: name, variable });
+    };
+    text.parse().map_err(|_| CliError::Address { variable, text })
+}
+
+/// Reads a text file.
+pub(crate) fn read_file(path: &Path) -> Result<String, CliError> {
+    fs::read_to_string(path).map_err(|source| CliError::Read { path: path.to_owned(), source })
+}
+
+/// A file that could not be written.
+pub(crate) fn write_error(path: &Path) -> impl FnOnce(std::io::Error) -> CliError {
+    let path: PathBuf = path.to_owned();
+    move |source| CliError::Write { path, source }
+}
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,62 @@
+use std::process::ExitCode;
+
+/// How the command ended, as scripts see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ExitStatus {
+    Done,
+    Finding,
+    Usage,
+    Conflict,
+    NotYetAccepted,
+    NotRun,
+    Unknown,
+    Unreachable,
+    Local,
+}
+
+impl ExitStatus {
+    pub(crate) const ALL: [ExitStatus; 9] = [
+        ExitStatus::Done,
+        ExitStatus::Finding,
+        ExitStatus::Usage,
+        ExitStatus::Conflict,
+        ExitStatus::NotYetAccepted,
+        ExitStatus::NotRun,
+        ExitStatus::Unknown,
+        ExitStatus::Unreachable,
+        ExitStatus::Local,
+    ];
+
+    /// The code and what it means.
+    pub(crate) const fn row(self) -> (u8, &'static str) {
+        match self {
+            ExitStatus::Done => (0, "done"),
+            ExitStatus::Finding => {
+                (1, "done, and found faults, differences, missing coverage or instances behind")
+            }
+            ExitStatus::Usage => (2, "the command line or a setting is wrong; nothing was done"),
+            ExitStatus::Conflict => {
+                (3, "another change came first, or the key belongs to another action")
+            }
+            ExitStatus::NotYetAccepted => {
+                (4, "rolled out, but a majority of the instances has not yet reported the version")
+            }
+            ExitStatus::NotRun => (5, "refused; nothing of the request was run"),
+            ExitStatus::Unknown => (6, "the outcome is unknown; look before you repeat"),
+            ExitStatus::Unreachable => {
+                (7, "the platform or an instance did not answer as documented")
+            }
+            ExitStatus::Local => (8, "a local file or key can't be used"),
+        }
+    }
+
+    pub(crate) const fn code(self) -> u8 {
+        self.row().0
+    }
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> ExitCode {
+        ExitCode::from(status.code())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,16 @@
+//! The operators' command of rosemarybank.
+//!
+//! Each command is one file under `commands`, which declares its name, description, arguments and
+//! examples and runs it. The binary only passes its arguments to [`main`].
+
+mod app;
+mod command;
+mod commands;
+mod context;
+mod entry;
+mod error;
+mod exit;
+mod http;
+mod report;
+
+pub use crate::app::{Sample, main, samples};
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command. See [`rosemarybank_cli`].
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    rosemarybank_cli::main(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,51 @@
+//! A directory with the files that the examples name, and the command run in it.
+
+use std::{
+    fs,
+    path::Path,
+    process::{Command, Output},
+};
+
+use tempfile::TempDir;
+
+pub struct Workspace(TempDir);
+
+impl Workspace {
+    pub fn new() -> Workspace {
+        let dir = tempfile::tempdir().unwrap();
+        let config = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../config");
+        fs::create_dir(dir.path().join("config")).unwrap();
+        fs::create_dir(dir.path().join("keys")).unwrap();
+        for entry in fs::read_dir(config).unwrap() {
+            let path = entry.unwrap().path();
+            fs::copy(&path, dir.path().join("config").join(path.file_name().unwrap())).unwrap();
+        }
+        let workspace = Workspace(dir);
+        assert!(workspace.run(&["bundle", "keygen", "ops-1", "--dir", "keys"]).status.success());
+        workspace
+    }
+
+    pub fn path(&self) -> &Path {
+        self.0.path()
+    }
+
+    pub fn run(&self, args: &[&str]) -> Output {
+        // Port 1 of the loopback address refuses connections, so commands that need servers fail.
+        let nowhere = "127.0.0.1:1";
+        Command::new(env!("CARGO_BIN_EXE_rosemarybank"))
+            .args(args)
+            .current_dir(self.path())
+            .env("ROSEMARYBANK_PLATFORM", nowhere)
+            .env("ROSEMARYBANK_ENTRY", nowhere)
+            .env("ROSEMARYBANK_ADMIN", nowhere)
+            .env("ROSEMARYBANK_TOKEN", "example-buyer-token")
+            .output()
+            .unwrap()
+    }
+
+    pub fn stdout(&self, args: &[&str]) -> String {
+        let out = self.run(args);
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+        String::from_utf8(out.stdout).unwrap()
+    }
+}
