--- /dev/null
+++ b/crates/coordination/src/config/mod.rs
@@ -0,0 +1,8 @@
+//! Spread and activation of the configuration bundle.
+//!
+//! The driver makes one `Machine` from [`Settings`], verifies the signature of every bundle before
+//! it passes the bundle in, and decides between a delta and the whole bundle when it sends one.
+
+mod interface;
+
+pub use interface::{Action, Event, ReadMode, Role, Settings, StartRule};
--- /dev/null
+++ b/crates/coordination/src/membership/mod.rs
@@ -0,0 +1,8 @@
+//! Which instances are live.
+//!
+//! The driver makes one `Machine` from [`Settings`], sends the heartbeats it asks for and reports
+//! every heartbeat that arrives, whether as a message or as the answer to one.
+
+mod interface;
+
+pub use interface::{Action, Event, LocalState, Phase, Settings};
