coordination: Add the claim machine

One machine per request creates the claim, compares the nonce after a lost reply, dispatches once and records the outcome.

--- /dev/null
+++ b/crates/coordination/src/claim/machine.rs
@@ -0,0 +1,323 @@
+//! Acquires a claim, dispatches the action once and answers the caller.
+
+use rosemarybank_protocol::{
+    platform::{Claim, ClaimState},
+    prelude::*,
+};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Action, Answer, CallId, Etag, Event, NotRunCause, Spec, StoreReply,
+    step::{Basis, Goal, Step},
+};
+
+/// State machine of one request for an action.
+///
+/// It dispatches at most once, only after the store confirmed its own claim, only before the
+/// deadline and never after the caller has been answered.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_coordination::claim::{Action, Answer, Event, Machine, Spec, StoreReply};
+/// use rosemarybank_protocol::prelude::*;
+///
+/// let spec = Spec::builder()
+///     .owner("entry-1")
+///     .nonce(7)
+///     .fingerprint(1)
+///     .deadline(Time::from_millis(800))
+///     .build();
+/// let (now, mut out) = (Time::ZERO, Vec::new());
+/// let mut machine = Machine::new(spec);
+/// machine.handle(now, Event::Start, &mut out);
+/// let Some(Action::Create { call, .. }) = out.pop() else { panic!() };
+/// let reply = StoreReply::Created { etag: "1".into() };
+/// machine.handle(now, Event::Store { call, reply }, &mut out);
+/// assert_eq!(out.pop(), Some(Action::Dispatch { deadline: Time::from_millis(800) }));
+///
+/// let done = ActionOutcome::Done { result: "lot 12".into() };
+/// machine.handle(now, Event::Dispatched(done), &mut out);
+/// let Some(Action::Update { call, .. }) = out.pop() else { panic!() };
+/// let reply = StoreReply::Updated { etag: "2".into() };
+/// machine.handle(now, Event::Store { call, reply }, &mut out);
+/// assert_eq!(out.pop(), Some(Action::Answer(Answer::Done { result: "lot 12".into() })));
+/// assert!(machine.is_finished());
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Machine {
+    pub(super) spec: Spec,
+    pub(super) step: Step,
+    pub(super) next_call: CallId,
+    /// Foreground store calls without a usable reply.
+    pub(super) failures: u32,
+    /// Store calls made after the answer.
+    pub(super) background_calls: u32,
+    /// Whether the caller has its answer.
+    pub(super) answered: bool,
+    /// Whether the caller was told that the outcome is unknown.
+    pub(super) told_unknown: bool,
+    /// Whether the store may hold the claim of another request that could have been sent.
+    pub(super) other_claim_possible: bool,
+    /// What a create or update of our own that was lost depends on, while it can still apply.
+    pub(super) uncertain: Option<Basis>,
+}
+
+impl Machine {
+    /// Makes the machine of one request; it does nothing before [`Event::Start`].
+    #[must_use]
+    pub fn new(spec: Spec) -> Machine {
+        Machine {
+            spec,
+            step: Step::New,
+            next_call: 0,
+            failures: 0,
+            background_calls: 0,
+            answered: false,
+            told_unknown: false,
+            other_claim_possible: false,
+            uncertain: None,
+        }
+    }
+
+    /// Whether nothing is left to do; the driver drops the machine.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.step == Step::Finished
+    }
+
+    /// Whether the caller has been answered.
+    #[must_use]
+    pub fn is_answered(&self) -> bool {
+        self.answered
+    }
+
+    /// Time at which the machine needs a [`Event::Tick`], if any.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Time> {
+        let pause = match &self.step {
+            Step::New | Step::Finished => return None,
+            Step::Pause { until, .. } => Some(*until),
+            Step::Call { .. } | Step::Dispatched { .. } => None,
+        };
+        let answer_by = (!self.answered).then(|| self.answer_by());
+        pause.into_iter().chain(answer_by).min()
+    }
+
+    /// Takes one event and appends the resulting actions to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Start if self.step == Step::New => self.start(now, out),
+            Event::Store { call, reply } => {
+                if let Some(goal) = self.step.take_call(call) {
+                    self.on_reply(now, goal, reply, out);
+                }
+            }
+            Event::Dispatched(outcome) => self.on_dispatched(outcome, out),
+            Event::Start | Event::Tick => {}
+        }
+        if let Some(goal) = self.step.take_due(now) {
+            self.call(goal, out);
+        }
+        if !self.answered && self.step != Step::New && now >= self.answer_by() {
+            self.on_deadline(out);
+        }
+    }
+
+    /// Time at which the caller is answered at the latest.
+    fn answer_by(&self) -> Time {
+        match self.step {
+            Step::Dispatched { .. } => self.spec.deadline + self.spec.settings.dispatch_grace,
+            _ => self.spec.deadline,
+        }
+    }
+
+    fn start(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now >= self.spec.deadline {
+            self.step = Step::Finished;
+            self.answer(Answer::NotRun { cause: NotRunCause::Deadline }, out);
+            return;
+        }
+        self.call(Goal::Create, out);
+    }
+
+    fn on_reply(&mut self, now: Time, goal: Goal, reply: StoreReply, out: &mut Vec<Action>) {
+        match goal {
+            Goal::Create | Goal::Take { .. } if self.answered => self.on_late(goal, reply, out),
+            Goal::Create => self.on_acquire(now, Basis::Absent, reply, out),
+            Goal::Take { etag } => self.on_acquire(now, Basis::Tag(etag), reply, out),
+            Goal::Inspect => self.on_inspect(now, Goal::Inspect, None, reply, out),
+            Goal::Wait { after } => {
+                let goal = Goal::Wait { after: after.clone() };
+                self.on_inspect(now, goal, Some(after), reply, out);
+            }
+            Goal::Record { outcome, basis } => self.on_record(now, outcome, basis, reply, out),
+            Goal::RecordInspect { outcome, basis } => {
+                self.on_record_inspect(now, outcome, basis, reply, out);
+            }
+        }
+    }
+
+    /// Reply to the conditional create, or to the update from `NotRun` to `Sending`.
+    fn on_acquire(&mut self, now: Time, basis: Basis, reply: StoreReply, out: &mut Vec<Action>) {
+        match reply {
+            StoreReply::Created { etag } | StoreReply::Updated { etag } => {
+                self.confirmed(now, etag, out);
+            }
+            StoreReply::Lost => {
+                self.uncertain = Some(basis);
+                self.retry(now, Goal::Inspect, out);
+            }
+            StoreReply::Failed => {
+                let goal = basis.acquire();
+                self.retry(now, goal, out);
+            }
+            // Either another request holds the claim, or an own lost call was applied.
+            StoreReply::Conflict | StoreReply::Missing | StoreReply::Found { .. } => {
+                self.other_claim_possible = true;
+                self.call(Goal::Inspect, out);
+            }
+        }
+    }
+
+    /// The store holds our claim. A holder that was paused past its deadline does not send.
+    fn confirmed(&mut self, now: Time, etag: Etag, out: &mut Vec<Action>) {
+        self.uncertain = None;
+        self.other_claim_possible = false;
+        if self.answered || now >= self.spec.deadline {
+            if !self.answered {
+                self.answer(Answer::NotRun { cause: NotRunCause::Deadline }, out);
+            }
+            self.record(self.released(), Basis::Tag(etag), out);
+            return;
+        }
+        self.step = Step::Dispatched { etag };
+        out.push(Action::Dispatch { deadline: self.spec.deadline });
+    }
+
+    /// Reply to a read of a claim that is not known to be ours.
+    fn on_inspect(
+        &mut self,
+        now: Time,
+        goal: Goal,
+        known: Option<Etag>,
+        reply: StoreReply,
+        out: &mut Vec<Action>,
+    ) {
+        let (claim, etag) = match reply {
+            StoreReply::Found { claim, etag } => (claim, etag),
+            StoreReply::Missing => {
+                self.other_claim_possible = false;
+                return self.call(Goal::Create, out);
+            }
+            _ => return self.retry(now, goal, out),
+        };
+        if self.uncertain.as_ref().is_some_and(|b| *b != Basis::Tag(etag.clone()))
+            && !self.is_ours(&claim)
+        {
+            // The object has changed since, so the condition of the lost call fails for ever.
+            self.uncertain = None;
+        }
+        if claim.fingerprint != self.spec.fingerprint {
+            self.step = Step::Finished;
+            return self.answer(Answer::KeyConflict, out);
+        }
+        match claim.state {
+            ClaimState::Sending { .. } if self.is_ours(&claim) => self.confirmed(now, etag, out),
+            ClaimState::Sending { .. } => {
+                self.other_claim_possible = true;
+                let goal = Goal::Wait { after: etag.clone() };
+                if known.as_ref() == Some(&etag) {
+                    let until = now + self.spec.settings.retry_after;
+                    self.step = Step::Pause { until, goal };
+                    return;
+                }
+                self.call(goal, out);
+            }
+            ClaimState::Ended { outcome: ActionOutcome::NotRun { .. } } => {
+                self.other_claim_possible = false;
+                self.call(Goal::Take { etag }, out);
+            }
+            ClaimState::Ended { outcome } => {
+                self.step = Step::Finished;
+                self.answer(answer_of(outcome), out);
+            }
+        }
+    }
+
+    fn on_dispatched(&mut self, outcome: ActionOutcome, out: &mut Vec<Action>) {
+        let Step::Dispatched { etag } = &self.step else { return };
+        let basis = Basis::Tag(etag.clone());
+        self.failures = 0;
+        // A caller that was told "unknown" may settle the matter by other means, so a retry of
+        // its key must not run the action after that.
+        let outcome = match outcome {
+            ActionOutcome::NotRun { reason } if self.told_unknown => {
+                ActionOutcome::Unknown { reason }
+            }
+            other => other,
+        };
+        self.record(outcome, basis, out);
+    }
+
+    /// The caller can't wait any longer.
+    fn on_deadline(&mut self, out: &mut Vec<Action>) {
+        match &self.step {
+            Step::Dispatched { .. } => {
+                let reason = "no outcome arrived before the deadline".into();
+                self.answer(Answer::Unknown { reason }, out);
+            }
+            Step::Call { goal, .. } | Step::Pause { goal, .. } => match goal.outcome() {
+                Some(outcome) => {
+                    let answer = answer_of(outcome.clone());
+                    self.answer(answer, out);
+                }
+                None => self.give_up(NotRunCause::Deadline, out),
+            },
+            Step::New | Step::Finished => {}
+        }
+    }
+
+    /// Answers a request that has not been dispatched, and makes sure that its claim is released.
+    pub(super) fn give_up(&mut self, cause: NotRunCause, out: &mut Vec<Action>) {
+        let answer = if self.other_claim_possible {
+            Answer::Unknown { reason: "another request with this key may have been sent".into() }
+        } else {
+            Answer::NotRun { cause }
+        };
+        self.answer(answer, out);
+        if let Step::Call { goal: Goal::Create | Goal::Take { .. }, .. } = self.step {
+            // The reply tells whether there is something to release.
+            return;
+        }
+        match self.uncertain.clone() {
+            Some(basis) => self.record(self.released(), basis, out),
+            None => self.step = Step::Finished,
+        }
+    }
+
+    pub(super) fn answer(&mut self, answer: Answer, out: &mut Vec<Action>) {
+        self.answered = true;
+        self.told_unknown = matches!(answer, Answer::Unknown { .. });
+        out.push(Action::Answer(answer));
+    }
+
+    /// Whether the stored claim is in `Sending` under our own nonce.
+    pub(super) fn is_ours(&self, claim: &Claim) -> bool {
+        matches!(&claim.state, ClaimState::Sending { owner, nonce }
+            if *owner == self.spec.owner && *nonce == self.spec.nonce)
+    }
+
+    /// Outcome of a claim that is released without a dispatch.
+    pub(super) fn released(&self) -> ActionOutcome {
+        ActionOutcome::NotRun { reason: "the claim was confirmed too late to send".into() }
+    }
+}
+
+pub(super) fn answer_of(outcome: ActionOutcome) -> Answer {
+    match outcome {
+        ActionOutcome::Done { result } => Answer::Done { result },
+        ActionOutcome::NotRun { reason } => Answer::NotRun { cause: NotRunCause::Refused(reason) },
+        ActionOutcome::Unknown { reason } => Answer::Unknown { reason },
+    }
+}
--- a/crates/coordination/src/claim/mod.rs
+++ b/crates/coordination/src/claim/mod.rs
@@ -1,4 +1,4 @@
-//! At-most-once actions: one `Machine` for each request that carries an idempotency key.
+//! At-most-once actions: one [`Machine`] for each request that carries an idempotency key.
 //!
 //! The driver makes a machine from a [`Spec`], feeds it [`Event`]s in order and executes the
 //! [`Action`]s. Every store call has a [`CallId`]; the driver reports exactly one reply for it.
@@ -6,7 +6,11 @@
 //! answer, because the machine still records the outcome in the store.
 
 mod interface;
+mod machine;
+mod record;
+mod step;
 
 pub use interface::{
     Action, Answer, CallId, Etag, Event, NotRunCause, Settings, Spec, StoreReply, outcome_of,
 };
+pub use machine::Machine;
