transport: add the h2 client of upstreams

The engine needs to know exactly whether a request can have run: a disconnect after the send is a crash sign, and an action may be sent again only when the first attempt can't run. h2 tells neither the last stream of a GOAWAY nor whether a HEADERS frame left its buffer, and an I/O error alone was ruled out as evidence, because a buffered frame can still be flushed. The client therefore reads the 9-byte frame headers that pass through the socket.

--- /dev/null
+++ b/crates/transport/src/upstream/connection.rs
@@ -0,0 +1,60 @@
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use h2::client::{self, SendRequest};
+use tokio::{net::TcpStream, time};
+
+use super::frames::{FrameLog, Observed};
+
+/// Stream and connection windows that let a reply arrive without a round trip for flow control.
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 4 << 20;
+
+/// An open h2 connection. Clones share it; it closes when the last clone and stream are gone.
+#[derive(Clone)]
+pub(super) struct Connection {
+    /// Opens streams.
+    pub(super) requests: SendRequest<Bytes>,
+    /// Frames seen so far.
+    pub(super) log: Arc<FrameLog>,
+    /// When the connection was opened.
+    pub(super) opened_at: time::Instant,
+}
+
+impl Connection {
+    /// Connects and completes the h2 handshake.
+    pub(super) async fn open(
+        addr: SocketAddr,
+        within: Duration,
+        on_end: impl FnOnce() + Send + 'static,
+    ) -> io::Result<Connection> {
+        let opening = async {
+            let socket = TcpStream::connect(addr).await?;
+            socket.set_nodelay(true)?;
+            let log = Arc::new(FrameLog::default());
+            let observed = Observed::new(socket, Arc::clone(&log));
+            let (requests, driver) = client::Builder::new()
+                .initial_window_size(STREAM_WINDOW)
+                .initial_connection_window_size(CONNECTION_WINDOW)
+                .enable_push(false)
+                .handshake::<_, Bytes>(observed)
+                .await
+                .map_err(io::Error::other)?;
+            io::Result::Ok((requests, driver, log))
+        };
+        let (requests, driver, log) = time::timeout(within, opening).await??;
+        let ended = Arc::clone(&log);
+        tokio::spawn(async move {
+            // The streams of the connection learn of its error; the driver has nothing to add.
+            let _ = driver.await;
+            ended.finish();
+            on_end();
+        });
+        Ok(Connection { requests, log, opened_at: time::Instant::now() })
+    }
+
+    /// Whether new streams may be opened.
+    pub(super) fn is_usable(&self) -> bool {
+        !self.log.is_finished() && !self.log.is_going_away()
+    }
+}
