--- a/crates/query/src/attempts.rs
+++ b/crates/query/src/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts in flight, found by a number that is never used twice.
 
+use rosemarybank_protocol::prelude::*;
 use slab::Slab;
 
 use crate::{
@@ -23,6 +24,7 @@
 pub(crate) struct Attempt {
     pub(crate) owner: Owner,
     pub(crate) replica: ReplicaKey,
+    pub(crate) sent: Time,
 }
 
 /// All attempts in flight.
@@ -53,6 +55,10 @@
         (*found == id).then(|| self.slab.remove(index).1)
     }
 
+    pub(crate) fn get(&self, id: AttemptId) -> Option<&Attempt> {
+        self.slab.get(index_of(id)).filter(|(found, _)| *found == id).map(|(_, it)| it)
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.slab.len()
     }
