--- /dev/null
+++ b/crates/coordination/tests/support/mod.rs
@@ -0,0 +1,84 @@
+//! Breadth-first search over the states of a protocol.
+
+use std::{
+    cell::Cell,
+    hash::{Hash, Hasher},
+    time::Instant,
+};
+
+use pathfinding::directed::bfs::bfs;
+
+/// A protocol with all the choices of its environment.
+pub trait Model: Clone + Eq + Hash {
+    /// Every step that can be taken, with a label for the printed path.
+    fn steps(&self) -> Vec<(String, Self)>;
+
+    /// The property that this state violates.
+    fn violation(&self) -> Option<String>;
+}
+
+/// A state and the step that led to it. The label is no part of the state's identity.
+#[derive(Clone)]
+struct Node<M> {
+    state: M,
+    label: Box<str>,
+}
+
+impl<M: Eq> PartialEq for Node<M> {
+    fn eq(&self, other: &Node<M>) -> bool {
+        self.state == other.state
+    }
+}
+
+impl<M: Eq> Eq for Node<M> {}
+
+impl<M: Hash> Hash for Node<M> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.state.hash(state);
+    }
+}
+
+/// The steps of a shortest path to a violation, and what is violated.
+pub struct Counterexample {
+    pub steps: Vec<String>,
+    pub violation: String,
+}
+
+/// Visits every reachable state, or stops at the first violation.
+pub fn explore<M: Model>(name: &str, start: M) -> (usize, Option<Counterexample>) {
+    let begun = Instant::now();
+    let visited = Cell::new(0);
+    let successors = |node: &Node<M>| {
+        visited.set(visited.get() + 1);
+        let steps = node.state.steps();
+        steps.into_iter().map(|(label, state)| Node { state, label: label.into() })
+    };
+    let start = Node { state: start, label: "start".into() };
+    let path = bfs(&start, successors, |node| node.state.violation().is_some());
+    let found = path.map(|path| Counterexample {
+        violation: path.last().and_then(|n| n.state.violation()).expect("the goal is a violation"),
+        steps: path.iter().skip(1).map(|n| n.label.to_string()).collect(),
+    });
+    println!("{name}: {} states in {:.1?}", visited.get(), begun.elapsed());
+    if let Some(found) = &found {
+        println!("  counterexample: {}", found.violation);
+        for (i, step) in found.steps.iter().enumerate() {
+            println!("  {:2}. {step}", i + 1);
+        }
+    }
+    (visited.get(), found)
+}
+
+/// Fails if the protocol can violate a property, or if the search was smaller than stated.
+pub fn assert_holds<M: Model>(name: &str, start: M, floor: usize) {
+    let (visited, found) = explore(name, start);
+    assert!(found.is_none(), "{name}: violated");
+    assert!(visited >= floor, "{name}: only {visited} states, expected {floor}");
+}
+
+/// Fails if removing a guard goes unnoticed, which would mean that the check proves nothing.
+pub fn assert_broken<M: Model>(name: &str, start: M, violation: &str) {
+    let (_, found) = explore(name, start);
+    let found = found.unwrap_or_else(|| panic!("{name}: no counterexample"));
+    assert_eq!(found.violation, violation, "{name}: another property failed");
+}
