coordination: Add the configuration machine, deltas and the choice of watchers

The machine activates only versions above the one in force. Without memory it activates what the store confirms, or, once a store read failed, the highest version among floor(n/2)+1 other instances. StartRule::AnyPeer is kept as the unsafe variant for the model check.

Deltas use Myers' greedy search between the common prefix and suffix. A table of the whole middle was ruled out: two changes 29,000 lines apart would need 8.4e8 cells or carry the whole text.

--- /dev/null
+++ b/crates/coordination/src/config/lines.rs
@@ -0,0 +1,116 @@
+//! Longest common subsequence of lines, by the greedy algorithm of Myers (1986).
+//!
+//! Its time and memory grow with the number of differing lines and not with the length of the
+//! texts, so two small changes far apart in a bundle of 1 MB give a small delta.
+
+/// Differing lines above which the middle is replaced as a whole. The search keeps about this
+/// number squared of 4-byte cells.
+const MAX_DIFFERENCES: usize = 1_000;
+
+/// A run of equal lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Run {
+    /// Index of its first line in the old text.
+    pub(super) old: usize,
+    /// Index of its first line in the new text.
+    pub(super) new: usize,
+    /// Number of lines.
+    pub(super) len: usize,
+}
+
+/// Finds runs of equal lines, in order and disjoint in both texts.
+pub(super) fn matches(old: &[&str], new: &[&str]) -> Vec<Run> {
+    let prefix = old.iter().zip(new).take_while(|(a, b)| a == b).count();
+    let (old_rest, new_rest) = (&old[prefix..], &new[prefix..]);
+    let suffix =
+        old_rest.iter().rev().zip(new_rest.iter().rev()).take_while(|(a, b)| a == b).count();
+    let middle_old = &old_rest[..old_rest.len() - suffix];
+    let middle_new = &new_rest[..new_rest.len() - suffix];
+
+    let mut runs = vec![Run { old: 0, new: 0, len: prefix }];
+    let pairs = common(middle_old, middle_new).unwrap_or_default();
+    for (a, b) in pairs {
+        let (a, b) = (prefix + a, prefix + b);
+        match runs.last_mut() {
+            Some(run) if run.old + run.len == a && run.new + run.len == b => run.len += 1,
+            _ => runs.push(Run { old: a, new: b, len: 1 }),
+        }
+    }
+    runs.push(Run { old: old.len() - suffix, new: new.len() - suffix, len: suffix });
+    runs.retain(|run| run.len > 0);
+    runs
+}
+
+/// Index pairs of a longest common subsequence, or `None` above [`MAX_DIFFERENCES`].
+fn common(old: &[&str], new: &[&str]) -> Option<Vec<(usize, usize)>> {
+    let trace = search(old, new)?;
+    let (mut x, mut y) = (old.len(), new.len());
+    let mut pairs = Vec::new();
+    for d in (0..trace.len()).rev() {
+        let k = diagonal(x, y);
+        let previous = if d == 0 { None } else { Some(&trace[d - 1]) };
+        let (from_x, from_y) = match previous {
+            None => (0, 0),
+            Some(row) => {
+                let from_k = if goes_down(row, k, d) { k + 1 } else { k - 1 };
+                let from_x = reach(row, from_k, d - 1);
+                (from_x, offset(from_x, from_k))
+            }
+        };
+        while x > from_x && y > from_y && old[x - 1] == new[y - 1] {
+            (x, y) = (x - 1, y - 1);
+            pairs.push((x, y));
+        }
+        (x, y) = (from_x, from_y);
+    }
+    pairs.reverse();
+    Some(pairs)
+}
+
+/// For each number of differences, the furthest old line reached on each diagonal.
+fn search(old: &[&str], new: &[&str]) -> Option<Vec<Vec<u32>>> {
+    let mut trace: Vec<Vec<u32>> = Vec::new();
+    for d in 0..=MAX_DIFFERENCES.min(old.len() + new.len()) {
+        let mut row = vec![0; d + 1];
+        for (i, cell) in row.iter_mut().enumerate() {
+            let k = 2 * i as isize - d as isize;
+            let start = match trace.last() {
+                None => 0,
+                Some(before) if goes_down(before, k, d) => reach(before, k + 1, d - 1),
+                Some(before) => reach(before, k - 1, d - 1) + 1,
+            };
+            let (mut x, mut y) = (start, start as isize - k);
+            // Diagonals that leave the texts are kept for the indices but lead nowhere.
+            while x < old.len() && y >= 0 && (y as usize) < new.len() && old[x] == new[y as usize] {
+                (x, y) = (x + 1, y + 1);
+            }
+            *cell = u32::try_from(x).ok()?;
+        }
+        let k = diagonal(old.len(), new.len());
+        let done =
+            k.unsigned_abs() <= d && (k + d as isize) % 2 == 0 && reach(&row, k, d) >= old.len();
+        trace.push(row);
+        if done {
+            return Some(trace);
+        }
+    }
+    None
+}
+
+/// Whether diagonal `k` with `d` differences is best reached by an inserted line.
+fn goes_down(before: &[u32], k: isize, d: usize) -> bool {
+    let edge = d as isize;
+    k == -edge || (k != edge && reach(before, k - 1, d - 1) < reach(before, k + 1, d - 1))
+}
+
+fn reach(row: &[u32], k: isize, d: usize) -> usize {
+    row[((k + d as isize) / 2) as usize] as usize
+}
+
+fn diagonal(x: usize, y: usize) -> isize {
+    x as isize - y as isize
+}
+
+fn offset(x: usize, k: isize) -> usize {
+    (x as isize - k).max(0) as usize
+}
--- /dev/null
+++ b/crates/coordination/src/config/machine.rs
@@ -0,0 +1,250 @@
+//! Decides when a bundle comes into force and where this instance learns of it.
+
+use std::collections::BTreeMap;
+
+use rosemarybank_protocol::{platform::SignedBundle, prelude::*};
+use serde::{Deserialize, Serialize};
+
+use super::{Action, Event, ReadMode, Role, Settings, StartRule};
+
+/// Configuration state of one instance.
+///
+/// The version it activates never decreases. Without memory it activates only what the store
+/// confirms or, while the store is unreachable, the highest version that a majority reports.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_coordination::config::{Action, Event, Machine, Settings};
+/// use rosemarybank_protocol::{platform::SignedBundle, prelude::Time};
+///
+/// let mut machine = Machine::new(Settings::builder().instances(3).build());
+/// let (now, mut out) = (Time::ZERO, Vec::new());
+/// machine.handle(now, Event::Start, &mut out);
+/// assert!(matches!(out.pop(), Some(Action::ReadStore { have: None, .. })));
+///
+/// let bundle = SignedBundle {
+///     version: 4,
+///     signer: "ops".into(),
+///     bundle: "format: 1\n".into(),
+///     signature: "c2ln".into(),
+/// };
+/// machine.handle(now, Event::StoreHead(bundle.clone()), &mut out);
+/// assert_eq!(out.pop(), Some(Action::Activate(bundle)));
+/// assert_eq!(machine.version(), Some(4));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Machine {
+    settings: Settings,
+    role: Role,
+    held: Option<Version>,
+    store: Store,
+    /// Whether the last store read failed.
+    store_unreachable: bool,
+    /// Versions that peers reported since this process started.
+    peers: BTreeMap<InstanceId, Option<Version>>,
+    last_report: Time,
+    fetch: Option<Fetch>,
+}
+
+/// State of the store reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+enum Store {
+    /// A read is outstanding since the given time.
+    Reading(Time),
+    /// The next read is made at the given time, if one is needed.
+    Idle(Time),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct Fetch {
+    from: InstanceId,
+    version: Version,
+    until: Time,
+}
+
+/// Where a bundle came from.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Source {
+    Store,
+    Peer,
+}
+
+impl Machine {
+    /// Makes the machine of an instance without memory.
+    #[must_use]
+    pub fn new(settings: Settings) -> Machine {
+        Machine {
+            settings,
+            role: Role::Follower,
+            held: None,
+            store: Store::Idle(Time::ZERO),
+            store_unreachable: false,
+            peers: BTreeMap::new(),
+            last_report: Time::ZERO,
+            fetch: None,
+        }
+    }
+
+    /// Version in force; `None` before the first is confirmed, and the instance is not ready.
+    #[must_use]
+    pub fn version(&self) -> Option<Version> {
+        self.held
+    }
+
+    /// Number of other instances whose reports allow a start without the store: floor(n/2) + 1.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.settings.instances as usize / 2 + 1
+    }
+
+    /// Time at which the machine needs a [`Event::Tick`], if any.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Time> {
+        let read = match self.store {
+            Store::Reading(_) => None,
+            Store::Idle(at) if self.held.is_none() || self.role == Role::Watcher => Some(at),
+            Store::Idle(at) => Some(at.max(self.last_report + self.settings.peer_silence)),
+        };
+        let fetch = self.fetch.as_ref().map(|f| f.until);
+        read.into_iter().chain(fetch).min()
+    }
+
+    /// Takes one event and appends the resulting actions to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Start => {
+                self.last_report = now;
+                self.store = Store::Idle(now);
+            }
+            Event::StoreHead(bundle) => {
+                self.store_answered(now, now);
+                self.offer(bundle, Source::Store, out);
+            }
+            Event::StoreConfirms { .. } => {
+                // A watch that returns at once must not become a busy loop.
+                let next = match self.store {
+                    Store::Reading(since) => since + self.settings.store_retry,
+                    Store::Idle(at) => at,
+                };
+                self.store_answered(now, next);
+            }
+            Event::StoreEmpty => self.store_answered(now, now + self.settings.store_retry),
+            Event::StoreUnreachable => {
+                self.store_answered(now, now + self.settings.store_retry);
+                self.store_unreachable = true;
+            }
+            Event::PeerHolds { instance, version } => {
+                self.last_report = now;
+                self.peers.insert(instance, version);
+            }
+            Event::PeerGone { instance } => {
+                self.peers.remove(&instance);
+                if self.fetch.as_ref().is_some_and(|f| f.from == instance) {
+                    self.fetch = None;
+                }
+            }
+            Event::PeerBundle(bundle) => self.peer_bundle(bundle, out),
+            Event::FetchFailed => self.drop_fetch(),
+            Event::Watching(role) => self.role = role,
+            Event::Tick => {}
+        }
+        if self.fetch.as_ref().is_some_and(|f| f.until <= now) {
+            self.drop_fetch();
+        }
+        self.fetch_newest(now, out);
+        self.read_if_due(now, out);
+    }
+
+    fn store_answered(&mut self, now: Time, next: Time) {
+        self.store_unreachable = false;
+        self.store = Store::Idle(next.max(now));
+    }
+
+    fn peer_bundle(&mut self, bundle: SignedBundle, out: &mut Vec<Action>) {
+        if self.fetch.as_ref().is_some_and(|f| f.version <= bundle.version) {
+            self.fetch = None;
+        }
+        // A push can reach an instance without memory; it counts only under the start rule.
+        let allowed = match self.held {
+            Some(_) => true,
+            None => self.start_version().is_some_and(|highest| bundle.version >= highest),
+        };
+        if allowed {
+            self.offer(bundle, Source::Peer, out);
+        }
+    }
+
+    /// Activates a bundle that is newer than the one in force.
+    fn offer(&mut self, bundle: SignedBundle, source: Source, out: &mut Vec<Action>) {
+        if self.held.is_some_and(|held| bundle.version <= held) {
+            return;
+        }
+        self.held = Some(bundle.version);
+        let version = bundle.version;
+        out.push(Action::Activate(bundle));
+        if source != Source::Store || self.role != Role::Watcher {
+            return;
+        }
+        let behind = |held: &Option<Version>| held.is_some_and(|held| held < version);
+        let peers: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, held)| behind(held))
+            .map(|(instance, held)| (instance.clone(), *held))
+            .collect();
+        if !peers.is_empty() {
+            out.push(Action::PushTo { peers });
+        }
+    }
+
+    /// The version that an instance without memory may fetch from peers, if any.
+    fn start_version(&self) -> Option<Version> {
+        if !self.store_unreachable {
+            return None;
+        }
+        let reports = || self.peers.values().flatten();
+        let needed = match self.settings.start_rule {
+            StartRule::StoreOrMajority => self.majority(),
+            StartRule::AnyPeer => 1,
+        };
+        if reports().count() < needed { None } else { reports().max().copied() }
+    }
+
+    /// Fetches the newest version that a peer reports, one fetch at a time.
+    fn fetch_newest(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.fetch.is_some() || (self.held.is_none() && self.start_version().is_none()) {
+            return;
+        }
+        let newest = self.peers.iter().max_by_key(|(_, version)| **version);
+        let Some((from, Some(version))) = newest else { return };
+        if self.held.is_some_and(|held| held >= *version) {
+            return;
+        }
+        let until = now + self.settings.fetch_timeout;
+        self.fetch = Some(Fetch { from: from.clone(), version: *version, until });
+        out.push(Action::FetchFromPeer { instance: from.clone(), have: self.held });
+    }
+
+    /// Gives up a fetch. The peer is asked again only after its next report.
+    fn drop_fetch(&mut self) {
+        if let Some(fetch) = self.fetch.take() {
+            self.peers.remove(&fetch.from);
+        }
+    }
+
+    fn read_if_due(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Store::Idle(at) = self.store else { return };
+        let silent = self.last_report + self.settings.peer_silence <= now;
+        let needed = self.held.is_none() || self.role == Role::Watcher || silent;
+        if !needed || at > now {
+            return;
+        }
+        let mode = match (self.held, self.role) {
+            (Some(_), Role::Watcher) => ReadMode::Wait,
+            _ => ReadMode::Now,
+        };
+        self.store = Store::Reading(now);
+        out.push(Action::ReadStore { have: self.held, mode });
+    }
+}
--- a/crates/coordination/src/config/mod.rs
+++ b/crates/coordination/src/config/mod.rs
@@ -1,8 +1,15 @@
 //! Spread and activation of the configuration bundle.
 //!
-//! The driver makes one `Machine` from [`Settings`], verifies the signature of every bundle before
+//! The driver makes one [`Machine`] from [`Settings`], verifies the signature of every bundle before
 //! it passes the bundle in, and decides between a delta and the whole bundle when it sends one.
 
+mod choice;
+mod delta;
 mod interface;
+mod lines;
+mod machine;
 
+pub use choice::{WATCHERS, status_writer, watchers};
+pub use delta::{DeltaError, apply_delta, make_delta};
 pub use interface::{Action, Event, ReadMode, Role, Settings, StartRule};
+pub use machine::Machine;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod claim;
 pub mod config;
+mod hash;
 pub mod key;
 pub mod membership;
 pub mod quarantine;
