coordination: Add the membership and quarantine machines

A release takes the latest expiry that an entry made before it can have, so it also wins over an entry that another instance made at the same time. - An instance that loads the store's entries writes those that the store lacks, because their maker may have died before its write.

--- /dev/null
+++ b/crates/coordination/src/membership/machine.rs
@@ -0,0 +1,287 @@
+//! Tracks peers by their heartbeats.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use rosemarybank_protocol::{
+    peer::Heartbeat,
+    platform::{DataCentreStatus, InstanceStatus},
+    prelude::*,
+};
+use serde::{Deserialize, Serialize};
+
+use super::{Action, Event, LocalState, Phase, Settings};
+use crate::config::{self, Role};
+
+/// Membership as one instance sees it.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_coordination::membership::{Action, Event, Machine, Settings};
+/// use rosemarybank_protocol::prelude::Time;
+///
+/// let settings = Settings::builder()
+///     .instance("entry-1")
+///     .incarnation(1)
+///     .data_centre("north-1")
+///     .addr("127.0.0.1:7001".parse().unwrap())
+///     .peers(vec!["127.0.0.1:7002".parse().unwrap()])
+///     .build();
+/// let (mut machine, mut out) = (Machine::new(settings), Vec::new());
+/// machine.handle(Time::ZERO, Event::Start, &mut out);
+/// // A peer that has not been heard yet counts until it had time to report.
+/// assert_eq!(machine.fleet_size(), 2);
+/// assert!(matches!(&out[1], Action::SendHeartbeats { to, .. } if to.len() == 1));
+///
+/// machine.handle(Time::from_secs(6), Event::Tick, &mut out);
+/// assert_eq!(machine.fleet_size(), 1);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Machine {
+    settings: Settings,
+    local: LocalState,
+    leaving: bool,
+    /// One record for each configured address at most.
+    peers: BTreeMap<InstanceId, Peer>,
+    started: Option<Time>,
+    last_run: Time,
+    next_beat: Time,
+    fleet_size: u32,
+}
+
+/// What is known of a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its last heartbeat.
+    pub heartbeat: Heartbeat,
+    /// Time of the last heartbeat.
+    pub heard: Time,
+    /// Its phase.
+    pub phase: Phase,
+}
+
+impl Machine {
+    /// Makes the machine of a starting instance.
+    #[must_use]
+    pub fn new(settings: Settings) -> Machine {
+        Machine {
+            settings,
+            local: LocalState::default(),
+            leaving: false,
+            peers: BTreeMap::new(),
+            started: None,
+            last_run: Time::ZERO,
+            next_beat: Time::ZERO,
+            fleet_size: 0,
+        }
+    }
+
+    /// Number of instances that share connections and budgets, this one included.
+    #[must_use]
+    pub fn fleet_size(&self) -> u32 {
+        self.fleet_size
+    }
+
+    /// The peers heard so far, in order of their names.
+    pub fn peers(&self) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// Names of the live instances of this instance's data centre; without this one when it is
+    /// leaving.
+    #[must_use]
+    pub fn live_here(&self) -> Vec<&InstanceId> {
+        let own = (!self.leaving).then_some(&self.settings.instance);
+        let here = |peer: &Peer| {
+            peer.phase == Phase::Live && peer.heartbeat.data_centre == self.settings.data_centre
+        };
+        self.peers.iter().filter(|(_, p)| here(p)).map(|(i, _)| i).chain(own).collect()
+    }
+
+    /// Whether this instance watches the store for its data centre.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        let live = self.live_here();
+        let chosen = config::watchers(&self.settings.data_centre, live);
+        if chosen.contains(&&self.settings.instance) { Role::Watcher } else { Role::Follower }
+    }
+
+    /// The status object that this instance must keep up to date; `None` when another one does.
+    #[must_use]
+    pub fn status(&self) -> Option<DataCentreStatus> {
+        if config::status_writer(self.live_here()) != Some(&self.settings.instance) {
+            return None;
+        }
+        let own = self.heartbeat();
+        let all = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.phase != Phase::Dead)
+            .map(|(instance, peer)| (instance, &peer.heartbeat))
+            .chain([(&self.settings.instance, &own)]);
+        let mut instances: Vec<_> = all
+            .filter(|(_, beat)| beat.data_centre == self.settings.data_centre)
+            .map(|(instance, beat)| InstanceStatus {
+                instance: instance.clone(),
+                data_centre: beat.data_centre.clone(),
+                version: beat.version,
+                ready: beat.ready,
+            })
+            .collect();
+        instances.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
+        Some(DataCentreStatus { instances })
+    }
+
+    /// This instance's heartbeat, also the answer to a peer's.
+    #[must_use]
+    pub fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            incarnation: self.settings.incarnation,
+            data_centre: self.settings.data_centre.clone(),
+            addr: self.settings.addr,
+            version: self.local.version,
+            quarantine_digest: self.local.quarantine_digest,
+            ready: self.local.ready && !self.leaving,
+            leaving: self.leaving,
+        }
+    }
+
+    /// Time at which the machine needs a [`Event::Tick`], if any.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Time> {
+        // A phase changes at most half an interval late if it waits for the next heartbeat.
+        self.started.map(|_| self.next_beat)
+    }
+
+    /// Takes one event and appends the resulting actions to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        if self.started.is_some() {
+            self.forgive_own_pause(now);
+        }
+        self.last_run = now;
+        match event {
+            Event::Start if self.started.is_none() => {
+                self.started = Some(now);
+                self.next_beat = now;
+            }
+            Event::Heard { from, heartbeat } => self.heard(now, from, heartbeat, out),
+            Event::Local(local) => self.local = local,
+            Event::Leave => {
+                self.leaving = true;
+                self.next_beat = now;
+            }
+            Event::Start | Event::Tick => {}
+        }
+        self.update_phases(now, out);
+        self.update_fleet_size(now, out);
+        self.beat_if_due(now, out);
+    }
+
+    /// A process that was frozen has missed its peers' heartbeats by its own fault. Without this
+    /// it would declare all of them dead when it resumes and take their shares.
+    fn forgive_own_pause(&mut self, now: Time) {
+        let pause = now.saturating_sub(self.last_run);
+        if pause < self.settings.interval * 2 {
+            return;
+        }
+        for peer in self.peers.values_mut() {
+            peer.heard = (peer.heard + pause).min(now);
+        }
+    }
+
+    fn heard(&mut self, now: Time, from: InstanceId, beat: Heartbeat, out: &mut Vec<Action>) {
+        if from == self.settings.instance || !self.settings.peers.contains(&beat.addr) {
+            return;
+        }
+        let incarnation = beat.incarnation;
+        if !self.replace_at(beat.addr, &from, incarnation, out) {
+            return;
+        }
+        let known = self.peers.get(&from);
+        if known.is_some_and(|p| p.heartbeat.incarnation > incarnation) {
+            return;
+        }
+        let same = known.filter(|p| p.heartbeat.incarnation == incarnation);
+        // A heartbeat from before the announcement can arrive after it.
+        let leaving = beat.leaving || same.is_some_and(|p| p.heartbeat.leaving);
+        let phase = if leaving { Phase::Leaving } else { Phase::Live };
+        if same.is_none_or(|p| p.phase != phase) {
+            out.push(Action::PeerChanged { instance: from.clone(), incarnation, phase });
+        }
+        let heartbeat = Heartbeat { leaving, ..beat };
+        self.peers.insert(from, Peer { heartbeat, heard: now, phase });
+    }
+
+    /// Removes an older instance of another name at the same address. Returns whether the
+    /// heartbeat is newer than what is known of the address.
+    fn replace_at(
+        &mut self,
+        addr: SocketAddr,
+        from: &InstanceId,
+        incarnation: u64,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let other =
+            |(name, peer): &(&InstanceId, &Peer)| peer.heartbeat.addr == addr && *name != from;
+        let Some((name, peer)) = self.peers.iter().find(other) else { return true };
+        if peer.heartbeat.incarnation >= incarnation {
+            return false;
+        }
+        let (instance, incarnation) = (name.clone(), peer.heartbeat.incarnation);
+        self.peers.remove(&instance);
+        out.push(Action::PeerChanged { instance, incarnation, phase: Phase::Dead });
+        true
+    }
+
+    fn update_phases(&mut self, now: Time, out: &mut Vec<Action>) {
+        let suspect = self.allowed_silence(self.settings.suspect_after);
+        let dead = self.allowed_silence(self.settings.dead_after);
+        for (instance, peer) in &mut self.peers {
+            let silence = now.saturating_sub(peer.heard);
+            let phase = match peer.phase {
+                _ if silence >= dead => Phase::Dead,
+                Phase::Live if silence >= suspect => Phase::Suspect,
+                phase => phase,
+            };
+            if phase != peer.phase {
+                peer.phase = phase;
+                let (instance, incarnation) = (instance.clone(), peer.heartbeat.incarnation);
+                out.push(Action::PeerChanged { instance, incarnation, phase });
+            }
+        }
+    }
+
+    /// Time without a heartbeat after which `missed` of them count as missed. Half an interval is
+    /// allowed for delay.
+    fn allowed_silence(&self, missed: u32) -> Duration {
+        self.settings.interval * missed + self.settings.interval / 2
+    }
+
+    fn update_fleet_size(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(started) = self.started else { return };
+        let heard = self.peers.values().filter(|p| p.phase != Phase::Dead).count();
+        // Instances that start together would otherwise each take the share of the whole fleet.
+        let starting = now < started + self.allowed_silence(self.settings.dead_after);
+        let known = |addr: &&SocketAddr| self.peers.values().any(|p| p.heartbeat.addr == **addr);
+        let unheard = match starting {
+            true => self.settings.peers.iter().filter(|addr| !known(addr)).count(),
+            false => 0,
+        };
+        let size = u32::try_from(1 + heard + unheard).unwrap_or(u32::MAX);
+        if size != self.fleet_size {
+            self.fleet_size = size;
+            out.push(Action::FleetSize(size));
+        }
+    }
+
+    fn beat_if_due(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.started.is_none() || now < self.next_beat {
+            return;
+        }
+        self.next_beat = now + self.settings.interval;
+        if !self.settings.peers.is_empty() {
+            let (to, heartbeat) = (self.settings.peers.clone(), self.heartbeat());
+            out.push(Action::SendHeartbeats { to, heartbeat });
+        }
+    }
+}
--- a/crates/coordination/src/quarantine/interface.rs
+++ b/crates/coordination/src/quarantine/interface.rs
@@ -87,10 +87,10 @@
 pub enum Action {
     /// List all stored entries.
     LoadStore,
-    /// Read the stored entry, merge this one into it and write the
+    /// Read the stored entry, merge this one into it with [`merge`](super::merge) and write the
     /// result conditionally if it differs; report `StoreWrite`.
     WriteStore(QuarantineEntry),
-    /// Delete a stored entry that has expired.
+    /// Delete a stored entry that has expired, if it is unchanged since it was listed.
     DeleteStore {
         /// What the entry is about.
         key: EntryKey,
--- /dev/null
+++ b/crates/coordination/src/quarantine/machine.rs
@@ -0,0 +1,271 @@
+//! Spreads quarantine entries to peers and to the store.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rosemarybank_protocol::{platform::QuarantineEntry, prelude::*};
+use serde::{Deserialize, Serialize};
+
+use super::{Action, EntryKey, Event, Set, Settings, WriteResult, key_of};
+
+/// Time in milliseconds by which clocks may differ. A stored entry is deleted only when it has
+/// expired on every instance's clock.
+const CLOCK_SKEW_MS: u64 = 5 * 60 * 1000;
+
+/// Quarantine entries as one instance knows them.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_coordination::quarantine::{Action, Event, Machine, Settings};
+/// use rosemarybank_protocol::prelude::Time;
+///
+/// let settings = Settings::builder().unix_ms_at_zero(1_704_067_200_000).build();
+/// let (mut machine, mut out) = (Machine::new(settings), Vec::new());
+/// let condemned = Event::Condemned { service: "orders".into(), fingerprint: 7, crashes: 2 };
+/// machine.handle(Time::from_secs(10), condemned, &mut out);
+/// assert!(matches!(&out[0], Action::Apply { until, .. } if *until == Time::from_secs(610)));
+/// assert!(matches!(&out[1], Action::PushAll(entries) if entries.len() == 1));
+/// assert!(matches!(&out[2], Action::WriteStore(entry) if entry.fingerprint == 7));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Machine {
+    settings: Settings,
+    set: Set,
+    /// Entries that the store may not hold yet.
+    writes: BTreeMap<EntryKey, Write>,
+    load: Load,
+    started: Time,
+    /// When the whole set was last pushed to a peer.
+    pushed: BTreeMap<InstanceId, Time>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+enum Write {
+    Due(Time),
+    Outstanding(QuarantineEntry),
+}
+
+/// State of the read of all stored entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+enum Load {
+    NotStarted,
+    Outstanding,
+    Due(Time),
+    Done,
+}
+
+impl Machine {
+    /// Makes the machine of a starting instance.
+    #[must_use]
+    pub fn new(settings: Settings) -> Machine {
+        Machine {
+            settings,
+            set: Set::default(),
+            writes: BTreeMap::new(),
+            load: Load::NotStarted,
+            started: Time::ZERO,
+            pushed: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the stored entries are known, or the wait for them is over. An instance that takes
+    /// requests before that could crash upstreams that are already known to crash.
+    #[must_use]
+    pub fn is_loaded(&self, now: Time) -> bool {
+        match self.load {
+            Load::Done => true,
+            Load::NotStarted => false,
+            _ => now >= self.started + self.settings.load_timeout,
+        }
+    }
+
+    /// The entries held, with releases.
+    #[must_use]
+    pub fn entries(&self) -> &Set {
+        &self.set
+    }
+
+    /// Whether requests with this fingerprint are refused.
+    #[must_use]
+    pub fn is_quarantined(&self, now: Time, key: &EntryKey) -> bool {
+        let unix_ms = self.unix_ms(now);
+        self.set.get(key).is_some_and(|e| !e.released && e.expires_unix_ms > unix_ms)
+    }
+
+    /// Time at which the machine needs a [`Event::Tick`], if any.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Time> {
+        let load = match self.load {
+            Load::Due(at) => Some(at),
+            _ => None,
+        };
+        let writes = self.writes.values().filter_map(|write| match write {
+            Write::Due(at) => Some(*at),
+            Write::Outstanding(_) => None,
+        });
+        let expiry = self.set.next_expiry().map(|unix_ms| self.time(unix_ms));
+        writes.chain(load).chain(expiry).min()
+    }
+
+    /// Takes one event and appends the resulting actions to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Start => {
+                self.started = now;
+                self.load = Load::Due(now);
+            }
+            Event::Condemned { service, fingerprint, crashes } => {
+                let expires_unix_ms = self.expiry(now);
+                let entry = QuarantineEntry {
+                    service,
+                    fingerprint,
+                    crashes,
+                    expires_unix_ms,
+                    released: false,
+                };
+                self.originate(now, entry, out);
+            }
+            Event::Release { service, fingerprint } => self.release(now, service, fingerprint, out),
+            Event::PeerEntries(entries) => {
+                self.learn(now, &entries, out);
+            }
+            Event::PeerDigest { instance, digest } => self.compare(now, instance, digest, out),
+            Event::StoreEntries(entries) => self.loaded(now, &entries, out),
+            Event::StoreUnreachable => {
+                if self.load == Load::Outstanding {
+                    self.load = Load::Due(now + self.settings.store_retry);
+                }
+            }
+            Event::StoreWrite { key, result } => self.written(now, key, result),
+            Event::Tick => {}
+        }
+        self.set.expire(self.unix_ms(now));
+        self.call_store(now, out);
+    }
+
+    /// An entry made here: it applies at once and goes to all peers and to the store.
+    fn originate(&mut self, now: Time, entry: QuarantineEntry, out: &mut Vec<Action>) {
+        let key = key_of(&entry);
+        let Some(held) = self.set.insert(&entry).cloned() else { return };
+        out.push(self.apply(&held));
+        out.push(Action::PushAll(vec![held]));
+        self.write(now, key);
+    }
+
+    /// A release must win over every entry made before it, also over those that other instances
+    /// made at about the same time and with a later expiry, so it takes the latest expiry that
+    /// such an entry can have.
+    fn release(&mut self, now: Time, service: ServiceId, fp: Fingerprint, out: &mut Vec<Action>) {
+        let key = (service, fp);
+        let held = self.set.get(&key);
+        let expires = self.expiry(now).max(held.map_or(0, |e| e.expires_unix_ms));
+        let entry = QuarantineEntry {
+            crashes: held.map_or(0, |e| e.crashes),
+            service: key.0,
+            fingerprint: fp,
+            expires_unix_ms: expires,
+            released: true,
+        };
+        self.originate(now, entry, out);
+    }
+
+    fn learn(&mut self, now: Time, entries: &[QuarantineEntry], out: &mut Vec<Action>) {
+        let unix_ms = self.unix_ms(now);
+        for entry in entries.iter().filter(|e| e.expires_unix_ms > unix_ms) {
+            if let Some(held) = self.set.insert(entry).cloned() {
+                out.push(self.apply(&held));
+            }
+        }
+    }
+
+    /// The store's entries arrived. What it lacks is written, because the instance that made an
+    /// entry may have died before its write.
+    fn loaded(&mut self, now: Time, stored: &[QuarantineEntry], out: &mut Vec<Action>) {
+        self.load = Load::Done;
+        self.learn(now, stored, out);
+        let lacking: Vec<EntryKey> =
+            self.set.iter().filter(|entry| !stored.contains(entry)).map(key_of).collect();
+        for key in lacking {
+            self.write(now, key);
+        }
+        let unix_ms = self.unix_ms(now);
+        let expired = |e: &&QuarantineEntry| e.expires_unix_ms + CLOCK_SKEW_MS <= unix_ms;
+        let old = stored.iter().filter(expired);
+        out.extend(old.map(|entry| Action::DeleteStore { key: key_of(entry) }));
+    }
+
+    /// A peer with another digest lacks an entry or holds one that is missing here. Each side
+    /// pushes its own set, so both end with the union.
+    fn compare(&mut self, now: Time, instance: InstanceId, digest: u64, out: &mut Vec<Action>) {
+        if self.set.is_empty() || digest == self.set.digest() {
+            return;
+        }
+        let interval = self.settings.push_interval;
+        self.pushed.retain(|_, at| now < *at + interval);
+        if self.pushed.contains_key(&instance) {
+            return;
+        }
+        self.pushed.insert(instance.clone(), now);
+        out.push(Action::PushTo { instance, entries: self.set.iter().cloned().collect() });
+    }
+
+    fn write(&mut self, now: Time, key: EntryKey) {
+        // The reply of an outstanding write is compared with the entry held by then.
+        self.writes.entry(key).or_insert(Write::Due(now));
+    }
+
+    fn written(&mut self, now: Time, key: EntryKey, result: WriteResult) {
+        let Some(Write::Outstanding(entry)) = self.writes.get(&key) else { return };
+        let is_current = self.set.get(&key).is_none_or(|held| held == entry);
+        match result {
+            WriteResult::Written if is_current => {
+                self.writes.remove(&key);
+            }
+            WriteResult::Written => {
+                self.writes.insert(key, Write::Due(now));
+            }
+            WriteResult::Failed => {
+                self.writes.insert(key, Write::Due(now + self.settings.store_retry));
+            }
+        }
+    }
+
+    fn call_store(&mut self, now: Time, out: &mut Vec<Action>) {
+        if matches!(self.load, Load::Due(at) if at <= now) {
+            self.load = Load::Outstanding;
+            out.push(Action::LoadStore);
+        }
+        let set = &self.set;
+        // An entry that expired before it could be written is of no use to anyone.
+        self.writes.retain(|key, write| match write {
+            Write::Due(_) => set.get(key).is_some(),
+            Write::Outstanding(_) => true,
+        });
+        for (key, write) in &mut self.writes {
+            let due = matches!(write, Write::Due(at) if *at <= now);
+            if let Some(entry) = set.get(key).filter(|_| due) {
+                *write = Write::Outstanding(entry.clone());
+                out.push(Action::WriteStore(entry.clone()));
+            }
+        }
+    }
+
+    fn apply(&self, entry: &QuarantineEntry) -> Action {
+        let until = if entry.released { Time::ZERO } else { self.time(entry.expires_unix_ms) };
+        let (service, fingerprint) = (entry.service.clone(), entry.fingerprint);
+        Action::Apply { service, fingerprint, until }
+    }
+
+    fn expiry(&self, now: Time) -> u64 {
+        self.unix_ms(now + self.settings.duration)
+    }
+
+    fn unix_ms(&self, now: Time) -> u64 {
+        let ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.settings.unix_ms_at_zero.saturating_add(ms)
+    }
+
+    fn time(&self, unix_ms: u64) -> Time {
+        Duration::from_millis(unix_ms.saturating_sub(self.settings.unix_ms_at_zero))
+    }
+}
