Add the platform client

Cause: claims, configuration and quarantine need conditional updates whose four outcomes (applied, conflict, not applied, unknown) are told apart, and watches that survive a broken connection. Ruled out: hyper-util's pooled client, because its errors do not tell a request that was never sent from one whose reply was lost; hyper's try_send_request returns the unsent request, so it does. Retries inside single calls, because the state machines decide about them. Change: get, list, create, update, delete and watch over one h2 connection; a seeded backoff; counts by kind; bon builder for settings. The stand-in closes the connection of a request that gets no reply, and its store's number of kept changes can be set. Before: an empty package. Conclusion: the daemon and the operators' command can use it.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Client of the platform's object API.
+//!
+//! A change has four outcomes that callers must tell apart: applied, in conflict, not applied,
+//! and unknown because the reply was lost. Single calls are never repeated by the client; a
+//! watch resumes by itself.
+
+pub mod backoff;
+pub mod client;
+pub mod counts;
+pub mod outcome;
+pub mod settings;
+pub mod watch;
+
+mod connection;
+mod wire;
+
+pub use backoff::Backoff;
+pub use client::PlatformClient;
+pub use counts::CallCounts;
+pub use outcome::{CallError, Change, Listing, Object, ObjectVersion};
+pub use settings::Settings;
+pub use watch::{ObjectChange, Watch, WatchEvent};
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -9,7 +9,7 @@
 /// Reply with a body that is known as a whole.
 pub type Reply = Response<Full<Bytes>>;
 
-/// Ends a request without a reply: the h2 stream is reset, an HTTP/1.1 connection is closed.
+/// Ends a request without a reply by closing its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoReply;
 
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -5,17 +5,17 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
-/// Changes that are kept for watches; an older position must list again.
+/// Changes that [`Store::default`] keeps for watches; an older position must list again.
 const KEPT_CHANGES: usize = 10_000;
 
 /// Versioned objects in memory. Each change raises one global revision, which is also the
 /// version of the object that it wrote.
-#[derive(Default)]
 pub struct Store {
     revision: u64,
     objects: BTreeMap<String, Object>,
     /// Revision and path of each change, oldest first.
     log: VecDeque<(u64, String)>,
+    kept_changes: usize,
 }
 
 /// Value and version of an object.
@@ -61,7 +61,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Compacted;
 
+impl Default for Store {
+    fn default() -> Store {
+        Store::keeping(KEPT_CHANGES)
+    }
+}
+
 impl Store {
+    /// Builds an empty store that keeps this number of changes for watches.
+    #[must_use]
+    pub fn keeping(kept_changes: usize) -> Store {
+        Store { revision: 0, objects: BTreeMap::new(), log: VecDeque::new(), kept_changes }
+    }
+
     /// Revision of the last change; 0 when there was none.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -158,7 +170,7 @@
     fn record(&mut self, path: &str) -> u64 {
         self.revision += 1;
         self.log.push_back((self.revision, path.to_owned()));
-        if self.log.len() > KEPT_CHANGES {
+        if self.log.len() > self.kept_changes {
             self.log.pop_front();
         }
         self.revision
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -17,7 +17,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Notify, watch},
 };
 
 use crate::http::{NoReply, Reply};
@@ -98,18 +98,28 @@
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new());
     builder.http2().timer(TokioTimer::new()).max_concurrent_streams(1_000);
-    let service = service_fn(move |req| {
-        let handler = handler.clone();
-        async move { handler.handle(req, peer).await }
+    let closing = Arc::new(Notify::new());
+    let service = service_fn(|req| {
+        let (handler, closing) = (handler.clone(), closing.clone());
+        async move {
+            let result = handler.handle(req, peer).await;
+            if result.is_err() {
+                closing.notify_one();
+            }
+            result
+        }
     });
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     loop {
         tokio::select! {
+            biased;
+            () = closing.notified() => return,
             _ = conn.as_mut() => return,
-            changed = orders.changed() => {
+            // Without a giver of orders, the connection runs on.
+            Ok(()) = orders.changed() => {
                 let now = *orders.borrow_and_update();
-                if changed.is_err() || now.resets != seen.resets {
+                if now.resets != seen.resets {
                     return;
                 }
                 if now.drains != seen.drains {
