daemon: answer searches and actions from end to end

Cause: the state machines need threads, sockets and settings to run. Ruled out: gotham's own server, which has no graceful stop and no header timeout; the router and its handlers run behind an accept loop of our own. GracefulShutdown of hyper-util was ruled out as well, because a connection also needs an idle limit: hyper's header timeout does not cover a client that sends half of an h2 preface. Change: the settings file with a check that reports every fault, five threads joined by rings, the callers' port, the engine and upstreams threads, a control thread that follows the configuration and the list of replicas and runs the claims of actions, the admin port with metrics and traces, and a stop in phases. Before: an empty main.

--- /dev/null
+++ b/crates/daemon/src/control/replicas.rs
@@ -0,0 +1,82 @@
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+
+use compact_str::CompactString;
+use rosemarybank_platform::{ObjectChange, WatchEvent};
+use rosemarybank_protocol::platform::{INSTANCES_PREFIX, InstanceEntry};
+use rosemarybank_query::interface::Event;
+use rosemarybank_transport::upstream::Target;
+use slog::{info, warn};
+
+use super::shared::Shared;
+use crate::telemetry::Gauge;
+
+/// The platform's lagging list of replicas. Clones share it.
+#[derive(Clone)]
+pub(super) struct Replicas {
+    shared: Rc<Shared>,
+    list: Rc<RefCell<BTreeMap<CompactString, InstanceEntry>>>,
+}
+
+impl Replicas {
+    /// Nothing is known of the list yet.
+    pub(super) fn new(shared: Rc<Shared>) -> Replicas {
+        Replicas { shared, list: Rc::default() }
+    }
+
+    /// Follows the list for ever.
+    pub(super) async fn follow(self) {
+        let mut watch = self.shared.platform.watch(INSTANCES_PREFIX);
+        loop {
+            match watch.next().await {
+                WatchEvent::Listed(listing) => {
+                    self.list.borrow_mut().clear();
+                    for object in listing.objects {
+                        self.apply(&object.path, Some(&object.value));
+                    }
+                }
+                WatchEvent::Changed(changes) => {
+                    for ObjectChange { path, value, .. } in changes {
+                        self.apply(&path, value.as_deref());
+                    }
+                }
+                WatchEvent::Interrupted(err) => {
+                    info!(self.shared.log, "the list of replicas is not followed";
+                        "error" => %err);
+                    continue;
+                }
+            }
+            let list: Vec<_> = self.list.borrow().values().cloned().collect();
+            self.shared.gauge(Gauge::Replicas, list.len() as u64);
+            self.shared.engine_event(Event::ReplicaList(list));
+            self.connect();
+        }
+    }
+
+    /// Tells the upstreams thread which connections to keep and how many it may hold.
+    pub(super) fn connect(&self) {
+        let shared = &self.shared;
+        let target = |it: &InstanceEntry| Target {
+            replica: it.replica.clone(),
+            addr: it.addr,
+            share: shared.share_of(shared.cap_of(&it.upstream)),
+        };
+        shared.upstreams.send(self.list.borrow().values().map(target).collect());
+    }
+
+    fn apply(&self, path: &str, value: Option<&[u8]>) {
+        let mut list = self.list.borrow_mut();
+        let Some(value) = value else {
+            list.remove(path);
+            return;
+        };
+        match serde_json::from_slice(value) {
+            Ok(entry) => {
+                list.insert(path.into(), entry);
+            }
+            Err(err) => {
+                warn!(self.shared.log, "an entry of the replica list is not readable";
+                    "path" => path, "error" => %err);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/engine/run.rs
@@ -0,0 +1,187 @@
+use std::{collections::VecDeque, task::Waker, thread, time::Duration};
+
+use rosemarybank_protocol::id::Time;
+use rosemarybank_query::{interface::Event, settings::Settings};
+use rosemarybank_ring::{Receiver, SendError, Sender, thread_waker};
+
+use super::driver::{Driver, Outgoing};
+use crate::{
+    clock::Clock,
+    lifecycle::{Phase, PhaseWatch},
+    message::{ControlToEngine, EngineToControl, EngineToFront, EngineToUpstreams, FrontToEngine},
+    telemetry::{Counter, Gauge, Record, Recorder},
+};
+
+/// Messages taken from one ring before the next ring has its turn.
+const BATCH: usize = 64;
+/// Time between two reports of the engine's counters; also how soon the thread sees the stop.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Rings of the engine thread.
+pub struct EngineRings {
+    /// From the front.
+    pub from_front: Receiver<FrontToEngine>,
+    /// To the front.
+    pub to_front: Sender<EngineToFront>,
+    /// From the upstreams.
+    pub from_upstreams: Receiver<Event>,
+    /// To the upstreams.
+    pub to_upstreams: Sender<EngineToUpstreams>,
+    /// From control.
+    pub from_control: Receiver<ControlToEngine>,
+    /// To control.
+    pub to_control: Sender<EngineToControl>,
+}
+
+/// What the engine thread needs besides its rings.
+pub struct EngineSetup {
+    /// The daemon's time.
+    pub clock: Clock,
+    /// Settings of the engine.
+    pub settings: Settings,
+    /// Seed of the engine's random choices.
+    pub seed: u64,
+    /// Records for telemetry.
+    pub recorder: Recorder,
+    /// Phases of the process.
+    pub phase: PhaseWatch,
+}
+
+/// Runs the engine until the phase [`Phase::Ending`].
+pub fn run(setup: EngineSetup, rings: EngineRings) {
+    let EngineSetup { clock, settings, seed, recorder, phase } = setup;
+    let mut thread = EngineThread {
+        driver: Driver::new(settings, seed, recorder.clone()),
+        out: Outgoing::default(),
+        held: Held::default(),
+        rings,
+        clock,
+    };
+    let waker = thread_waker();
+    let mut report = Report { recorder, next: Time::ZERO, attempts: 0, useless: 0 };
+    while phase.now() < Phase::Ending {
+        thread.register(&waker);
+        let is_busy = thread.turn();
+        report.run(thread.clock.now(), &thread.driver);
+        if !is_busy {
+            thread.sleep();
+        }
+    }
+}
+
+struct EngineThread {
+    driver: Driver,
+    out: Outgoing,
+    held: Held,
+    rings: EngineRings,
+    clock: Clock,
+}
+
+/// Messages that wait for space in a ring.
+#[derive(Default)]
+struct Held {
+    front: VecDeque<EngineToFront>,
+    upstreams: VecDeque<EngineToUpstreams>,
+    control: VecDeque<EngineToControl>,
+}
+
+impl EngineThread {
+    fn register(&self, waker: &Waker) {
+        self.rings.from_front.set_waker(waker);
+        self.rings.from_upstreams.set_waker(waker);
+        self.rings.from_control.set_waker(waker);
+        self.rings.to_front.set_waker(waker);
+        self.rings.to_upstreams.set_waker(waker);
+        self.rings.to_control.set_waker(waker);
+    }
+
+    /// Takes what the rings hold. `true` when there was something.
+    fn turn(&mut self) -> bool {
+        let EngineThread { driver, out, rings, clock, .. } = self;
+        let mut taken = 0;
+        // Outcomes go first, because they free slots that new searches need.
+        for event in std::iter::from_fn(|| rings.from_upstreams.try_recv()).take(BATCH) {
+            driver.event(clock.now(), event, out);
+            taken += 1;
+        }
+        for message in std::iter::from_fn(|| rings.from_control.try_recv()).take(BATCH) {
+            driver.control(clock.now(), message, out);
+            taken += 1;
+        }
+        for message in std::iter::from_fn(|| rings.from_front.try_recv()).take(BATCH) {
+            driver.front(clock.now(), message, out);
+            taken += 1;
+        }
+        let now = clock.now();
+        if driver.engine().next_wakeup().is_some_and(|at| at <= now) {
+            driver.event(now, Event::Tick, out);
+        }
+        self.flush();
+        taken > 0
+    }
+
+    fn flush(&mut self) {
+        let EngineThread { out, held, rings, .. } = self;
+        held.front.extend(out.front.drain(..));
+        held.upstreams.extend(out.upstreams.drain(..));
+        held.control.extend(out.control.drain(..));
+        push(&mut rings.to_front, &mut held.front);
+        push(&mut rings.to_upstreams, &mut held.upstreams);
+        push(&mut rings.to_control, &mut held.control);
+    }
+
+    fn sleep(&self) {
+        let now = self.clock.now();
+        let until = self.driver.engine().next_wakeup().unwrap_or(Time::MAX);
+        let wait = until.saturating_sub(now).min(REPORT_INTERVAL);
+        if !wait.is_zero() {
+            thread::park_timeout(wait);
+        }
+    }
+}
+
+fn push<T>(ring: &mut Sender<T>, held: &mut VecDeque<T>) {
+    while let Some(item) = held.pop_front() {
+        match ring.try_send(item) {
+            Ok(()) => {}
+            Err(SendError::Full(item)) => {
+                held.push_front(item);
+                return;
+            }
+            // The receiver is gone only at the end of a stop.
+            Err(SendError::Closed(_)) => held.clear(),
+        }
+    }
+}
+
+/// Reports the engine's counters from time to time.
+struct Report {
+    recorder: Recorder,
+    next: Time,
+    attempts: u64,
+    useless: u64,
+}
+
+impl Report {
+    fn run(&mut self, now: Time, driver: &Driver) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + REPORT_INTERVAL;
+        let engine = driver.engine();
+        let counters = engine.counters();
+        let attempts =
+            counters.first_sends + counters.retries + counters.hedges + counters.action_sends;
+        let useless = counters.late_outcomes + counters.rejected_replies;
+        self.recorder.record(Record::Count(Counter::Attempts, attempts - self.attempts));
+        self.recorder.record(Record::Count(Counter::UselessReplies, useless - self.useless));
+        (self.attempts, self.useless) = (attempts, useless);
+        let gauges = [
+            (Gauge::QueriesInFlight, engine.queries_in_flight()),
+            (Gauge::AttemptsInFlight, engine.attempts_in_flight()),
+        ];
+        for (gauge, value) in gauges {
+            self.recorder.record(Record::Gauge(gauge, value as u64));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/run.rs
@@ -0,0 +1,104 @@
+use rosemarybank_ring::{Receiver, Sender};
+use slog::{Logger, info};
+use tokio::{net::TcpListener, task::JoinHandle};
+
+use super::{router::router, service::FrontService, shared::Shared};
+use crate::{
+    clock::Clock,
+    http_server::{self, HttpLimits, Observer},
+    in_flight::InFlight,
+    lifecycle::{Phase, PhaseWatch},
+    message::{ControlToFront, EngineToFront, FrontToControl, FrontToEngine},
+    outbox::Outbox,
+    settings::Callers,
+    telemetry::{Counter, Recorder},
+};
+
+/// Rings of the front thread.
+pub struct FrontRings {
+    /// To the engine.
+    pub to_engine: Sender<FrontToEngine>,
+    /// From the engine.
+    pub from_engine: Receiver<EngineToFront>,
+    /// To control.
+    pub to_control: Sender<FrontToControl>,
+    /// From control.
+    pub from_control: Receiver<ControlToFront>,
+}
+
+/// What the front thread needs besides its rings.
+pub struct FrontSetup {
+    /// The daemon's time.
+    pub clock: Clock,
+    /// Settings of the callers' port.
+    pub settings: Callers,
+    /// The bound callers' port.
+    pub listener: std::net::TcpListener,
+    /// Requests in flight.
+    pub in_flight: InFlight,
+    /// Records for telemetry.
+    pub recorder: Recorder,
+    /// Log.
+    pub log: Logger,
+    /// Phases of the process.
+    pub phase: PhaseWatch,
+}
+
+/// Serves callers until the stop, and returns when every request in flight has been answered.
+///
+/// # Errors
+///
+/// Fails when the listener can't be used.
+pub async fn run(setup: FrontSetup, rings: FrontRings) -> std::io::Result<()> {
+    let FrontSetup { clock, settings, listener, in_flight, recorder, log, phase } = setup;
+    let listener = TcpListener::from_std(listener)?;
+    let limits = HttpLimits {
+        connections: settings.connections,
+        streams_per_connection: settings.streams_per_connection,
+        head_bytes: settings.head_bytes,
+        head_timeout: settings.head_timeout,
+        close_at: Phase::Draining,
+    };
+    let (engine, control) = (Outbox::new(rings.to_engine), Outbox::new(rings.to_control));
+    let pumps = [tokio::spawn(engine.clone().pump()), tokio::spawn(control.clone().pump())];
+    let shared = Shared::new(clock, settings, engine, control, recorder.clone(), log.clone());
+    let inbound = [
+        tokio::spawn(searches(shared.clone(), rings.from_engine)),
+        tokio::spawn(actions(shared.clone(), rings.from_control)),
+    ];
+    info!(log, "the callers' port is open"; "addr" => %listener.local_addr()?);
+    let service = FrontService { shared: shared.clone(), router: router(), in_flight };
+    http_server::serve(listener, limits, service, Connections(recorder), phase, log.clone()).await;
+    info!(log, "the callers' port is closed"; "unanswered" => shared.waiting());
+    pumps.iter().chain(&inbound).for_each(JoinHandle::abort);
+    Ok(())
+}
+
+async fn searches(shared: Shared, mut ring: Receiver<EngineToFront>) {
+    while let Some(EngineToFront { query, answer }) = ring.recv().await {
+        shared.searches.resolve(query, answer);
+    }
+}
+
+async fn actions(shared: Shared, mut ring: Receiver<ControlToFront>) {
+    while let Some(message) = ring.recv().await {
+        match message {
+            ControlToFront::Config(config) => shared.set_config(config),
+            ControlToFront::Acted { id, answer } => shared.actions.resolve(id, answer),
+            ControlToFront::Found { id, outcome } => shared.lookups.resolve(id, outcome),
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Connections(Recorder);
+
+impl Observer for Connections {
+    fn accepted(&self) {
+        self.0.count(Counter::Connections);
+    }
+
+    fn silenced(&self) {
+        self.0.count(Counter::SilentConnections);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,18 @@
+//! The entry instance daemon: threads, sockets and the state machines they drive.
+
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod engine;
+pub mod front;
+pub mod http_server;
+pub mod in_flight;
+pub mod lifecycle;
+pub mod logging;
+pub mod message;
+pub mod outbox;
+pub mod settings;
+pub mod stop;
+pub mod telemetry;
+pub mod trace;
+pub mod upstreams;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,58 @@
-//! Placeholder.
-fn main() {}
+//! Runs one entry instance.
+
+use std::{path::PathBuf, process::ExitCode, sync::mpsc, thread};
+
+use eyre::Result;
+use rosemarybank_daemon::{
+    daemon::{Daemon, Notice},
+    logging, settings,
+    stop::{self, Ending},
+};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+fn main() -> Result<ExitCode> {
+    let flags = xflags::parse_or_exit! {
+        /// File with the settings of the instance; config/rosemarybankd.yaml shows every key.
+        required --settings file: PathBuf
+        /// Check the settings, report every fault and exit.
+        optional --check-settings
+    };
+    let settings = match settings::load(&flags.settings) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return Ok(ExitCode::from(2));
+        }
+    };
+    if flags.check_settings {
+        println!("{}: the settings have no faults", flags.settings.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    run(settings)
+}
+
+fn run(settings: settings::Settings) -> Result<ExitCode> {
+    let (log, log_guard) = logging::logger(&settings);
+    let (notices_tx, notices) = mpsc::channel();
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let signal_notices = notices_tx.clone();
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for _ in signals.forever() {
+            if signal_notices.send(Notice::StopAsked).is_err() {
+                return;
+            }
+        }
+    })?;
+    let stop = settings.stop.clone();
+    let daemon = Daemon::start(settings, &log, &notices_tx)?;
+    let ending = stop::run_until_stopped(&daemon, &stop, &notices, &log);
+    drop(log);
+    drop(log_guard);
+    Ok(match ending {
+        Ending::Graceful => ExitCode::SUCCESS,
+        Ending::Forced | Ending::ThreadLost => ExitCode::FAILURE,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -0,0 +1,17 @@
+//! The telemetry thread: metrics, spans, status and the admin port.
+
+mod admin;
+mod document;
+mod metrics;
+mod record;
+mod run;
+mod sink;
+mod spans;
+
+pub use admin::AdminToControl;
+pub use document::{PeerStatus, StatusDocument};
+pub use record::{Counter, Gauge, Hop, Record, Recorder, RequestRecord, Span};
+pub use run::{TelemetrySetup, run};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/telemetry/spans.rs
@@ -0,0 +1,73 @@
+use std::collections::VecDeque;
+
+use compact_str::CompactString;
+use serde::Serialize;
+
+use super::record::Span;
+
+/// The last spans; the oldest make room for new ones.
+pub(super) struct Spans {
+    kept: VecDeque<Span>,
+    limit: usize,
+}
+
+/// Answer of `/traces/<id>`.
+#[derive(Debug, Serialize)]
+pub(super) struct Trace {
+    /// Identifier of the trace.
+    pub(super) trace_id: CompactString,
+    /// Its spans in order of their start.
+    pub(super) spans: Vec<SpanView>,
+}
+
+/// A span in a [`Trace`].
+#[derive(Debug, Serialize)]
+pub(super) struct SpanView {
+    span_id: String,
+    parent_id: Option<String>,
+    hop: &'static str,
+    /// Microseconds since the start of the instance.
+    start_us: u128,
+    duration_us: u128,
+    detail: CompactString,
+}
+
+impl Spans {
+    /// Keeps up to `limit` spans.
+    pub(super) fn new(limit: usize) -> Spans {
+        Spans { kept: VecDeque::new(), limit }
+    }
+
+    /// Keeps a span.
+    pub(super) fn push(&mut self, span: Span) {
+        if self.limit == 0 {
+            return;
+        }
+        if self.kept.len() == self.limit {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(span);
+    }
+
+    /// The kept spans of a trace; `None` when there are none.
+    pub(super) fn trace(&self, trace_id: u128) -> Option<Trace> {
+        let mut spans: Vec<&Span> =
+            self.kept.iter().filter(|it| it.trace.trace_id == trace_id).collect();
+        spans.sort_by_key(|it| it.start);
+        let first = spans.first()?;
+        let trace_id = first.trace.trace_id_text();
+        Some(Trace { trace_id, spans: spans.into_iter().map(view).collect() })
+    }
+}
+
+fn view(span: &Span) -> SpanView {
+    let parent = span.trace.parent_id;
+    SpanView {
+        span_id: format!("{:016x}", span.trace.span_id),
+        parent_id: (parent != 0).then(|| format!("{parent:016x}")),
+        hop: span.hop.name(),
+        start_us: span.start.as_micros(),
+        duration_us: span.end.saturating_sub(span.start).as_micros(),
+        detail: span.detail.clone(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,298 @@
+//! Stand-ins, a bundle and daemons for the tests of the daemon.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Method, Response};
+use rosemarybank_bundle::{KeyPair, sign};
+use rosemarybank_daemon::{
+    daemon::{Daemon, Notice},
+    settings,
+    stop::{self, Ending},
+};
+use rosemarybank_protocol::{key_range::KeyRange, platform::CONFIG_PATH};
+use rosemarybank_standins::{
+    client::HttpClient,
+    platform::{PlatformService, Store},
+    server,
+    upstream::{HoldingSpec, Replica, ReplicaSpec, ServiceTime, run},
+};
+use serde_json::Value;
+use slog::{Discard, Logger, o};
+use tokio::{runtime::Runtime, sync::watch};
+
+/// Token of the caller `desk`.
+pub const TOKEN: &str = "desk-token";
+
+/// Two services: `stock` in two shards, and the ledger `lots`. The caller may not use `hidden`.
+pub const BUNDLE: &str = "format: 1
+services:
+  - name: stock
+    kind: search
+    timeout_ms: 2000
+    shards:
+      - { range: { first: 0000000000000000, last: 7fffffffffffffff }, upstream: stock-low }
+      - { range: { first: 8000000000000000, last: ffffffffffffffff }, upstream: stock-high }
+  - name: hidden
+    kind: search
+    timeout_ms: 2000
+    shards:
+      - { range: { first: 0000000000000000, last: ffffffffffffffff }, upstream: stock-low }
+  - name: lots
+    kind: ledger
+    timeout_ms: 2000
+    shards:
+      - { range: { first: 0000000000000000, last: ffffffffffffffff }, upstream: lot-ledger }
+upstreams:
+  - { name: stock-low, slots: 2, connections: 25 }
+  - { name: stock-high, slots: 2, connections: 25 }
+  - { name: lot-ledger, slots: 2, connections: 100 }
+callers:
+  - name: desk
+    token_sha256: TOKEN_SHA256
+    priority: normal
+    services: [stock, lots]
+";
+
+/// Stand-ins for the platform and the upstreams.
+pub struct Bench {
+    /// Runs the stand-ins and the test's client.
+    pub runtime: Runtime,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Replicas, ledgers last.
+    pub replicas: Vec<Replica>,
+    /// Signs bundles.
+    pub key: KeyPair,
+    /// HTTP/1.1 client.
+    pub client: HttpClient,
+    /// Orders to the platform's connections.
+    pub platform_orders: watch::Sender<server::ConnOrders>,
+}
+
+impl Bench {
+    /// Starts the stand-ins with version 1 of [`BUNDLE`] in the store.
+    pub fn start() -> Bench {
+        let bench = Bench::start_without_bundle();
+        bench.roll_out(1, &bundle());
+        bench
+    }
+
+    /// Starts the stand-ins without a configuration.
+    pub fn start_without_bundle() -> Bench {
+        let runtime = Runtime::new().unwrap();
+        let (platform, platform_orders, replicas) = runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let orders = watch::Sender::default();
+            let service = PlatformService::new(Store::default());
+            tokio::spawn(server::serve(listener, orders.subscribe(), service));
+            (addr, orders, run::start_all(specs(), 1).await.unwrap())
+        });
+        let key = KeyPair::generate("ops-1").unwrap();
+        let client = HttpClient::http1();
+        let bench = Bench { runtime, platform, replicas, key, client, platform_orders };
+        for replica in &bench.replicas {
+            let entry = run::instance_entry(&replica.spec);
+            let body = serde_json::to_string(&entry).unwrap();
+            bench.put(&format!("instances/{}", entry.replica), body);
+        }
+        bench
+    }
+
+    /// Writes an object of the platform.
+    pub fn put(&self, path: &str, body: String) {
+        let path = format!("/objects/{path}");
+        let reply = self.send(Method::PUT, self.platform, &path, &[], body);
+        assert!(reply.status().is_success(), "{reply:?}");
+    }
+
+    /// Signs a bundle and writes it as the configuration.
+    pub fn roll_out(&self, version: u64, text: &str) {
+        let signed = sign(&self.key, version, text).unwrap();
+        self.put(CONFIG_PATH, serde_json::to_string(&signed).unwrap());
+    }
+
+    /// Sends a request and reads the reply.
+    pub fn send(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Response<Bytes> {
+        self.runtime.block_on(self.client.send(method, addr, path, headers, body)).unwrap()
+    }
+
+    /// Sends a request of the caller `desk`.
+    pub fn ask(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> (u16, Value) {
+        let token = format!("Bearer {TOKEN}");
+        let mut all = vec![("authorization", token.as_str())];
+        all.extend(headers);
+        let reply = self.send(method, addr, path, &all, body.to_owned());
+        (reply.status().as_u16(), serde_json::from_slice(reply.body()).unwrap())
+    }
+
+    /// Starts an instance and waits until it is ready.
+    pub fn instance(&self) -> Instance {
+        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[], "");
+        self.await_ready(&instance);
+        instance
+    }
+
+    /// Starts an instance with further lines of settings.
+    pub fn unready_instance(
+        &self,
+        name: &str,
+        peer_addr: &str,
+        others: &[SocketAddr],
+        extra: &str,
+    ) -> Instance {
+        let public = self.key.public_key();
+        let others: Vec<_> = others.iter().map(ToString::to_string).collect();
+        let text = format!(
+            "instance: {name}
+data_centre: maun
+callers: {{ addr: 127.0.0.1:0, head_timeout_ms: 1000, body_timeout_ms: 1000 }}
+peers: {{ addr: {peer_addr}, others: [{}] }}
+admin: {{ addr: 127.0.0.1:0 }}
+platform: {{ addr: {}, timeout_ms: 500, watch_wait_ms: 5000 }}
+trusted_keys: [{{ name: {}, public_key: {} }}]
+{extra}
+",
+            others.join(", "),
+            self.platform,
+            public.name,
+            public.public_key,
+        );
+        Instance::start(settings::parse(&text).unwrap())
+    }
+
+    /// Waits until the admin port says that the instance is ready, and its replicas are polled.
+    pub fn await_ready(&self, instance: &Instance) {
+        eventually("the instance is ready", || {
+            let reply = self.send(Method::GET, instance.daemon.admin, "/ready", &[], "");
+            reply.status().is_success()
+        });
+        eventually("searches are complete", || {
+            let (status, body) = self.ask(
+                Method::POST,
+                instance.daemon.callers,
+                "/v1/services/stock/search",
+                &[],
+                r#"{"query":"cherry"}"#,
+            );
+            status == 200 && body["complete"] == true
+        });
+    }
+
+    /// Sum of the requests that replicas have run.
+    pub fn effects(&self) -> usize {
+        self.replicas[0].effects.all().len()
+    }
+}
+
+/// [`BUNDLE`] with the hash of [`TOKEN`].
+pub fn bundle() -> String {
+    use sha2::{Digest, Sha256};
+    let hash: String = Sha256::digest(TOKEN).iter().map(|it| format!("{it:02x}")).collect();
+    BUNDLE.replace("TOKEN_SHA256", &hash)
+}
+
+/// An idempotency key that is new now.
+pub fn key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// Loopback addresses that were free a moment ago.
+pub fn free_addrs(n: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<_> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    listeners.iter().map(|it| it.local_addr().unwrap()).collect()
+}
+
+/// Waits up to ten seconds for a condition.
+pub fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let until = Instant::now() + Duration::from_secs(10);
+    while !condition() {
+        assert!(Instant::now() < until, "not reached in time: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A running instance.
+pub struct Instance {
+    /// Its threads.
+    pub daemon: Daemon,
+    /// Asks it to stop.
+    pub notices: mpsc::Sender<Notice>,
+    ended: mpsc::Receiver<Notice>,
+    stop: settings::Stop,
+}
+
+impl Instance {
+    fn start(settings: settings::Settings) -> Instance {
+        let (notices, ended) = mpsc::channel();
+        let stop = settings.stop.clone();
+        let log = Logger::root(Discard, o!());
+        let daemon = Daemon::start(settings, &log, &notices).unwrap();
+        Instance { daemon, notices, ended, stop }
+    }
+
+    /// Stops it as a signal does.
+    pub fn stop(self) -> Ending {
+        self.notices.send(Notice::StopAsked).unwrap();
+        let log = Logger::root(Discard, o!());
+        stop::run_until_stopped(&self.daemon, &self.stop, &self.ended, &log)
+    }
+}
+
+fn specs() -> Vec<ReplicaSpec> {
+    let spec = |name: &str, upstream: &str| ReplicaSpec {
+        replica: name.into(),
+        upstream: upstream.into(),
+        data_centre: "maun".into(),
+        addr: "127.0.0.1:0".parse().unwrap(),
+        slots: 2,
+        queue: 4,
+        connections: 25,
+        connect_ms: 0,
+        cold_start_ms: 0,
+        service_time: ServiceTime { median_us: 1_000, sigma: 0.1 },
+        holdings: Vec::new(),
+        ledgers: Vec::new(),
+    };
+    let half = |name: &str, upstream: &str, first: u64, last: u64| ReplicaSpec {
+        holdings: vec![HoldingSpec {
+            service: "stock".into(),
+            snapshot: 7,
+            records: 1_000,
+            ranges: vec![KeyRange::new(first, last).unwrap()],
+        }],
+        ..spec(name, upstream)
+    };
+    let middle = 1 << 63;
+    let ledger =
+        |name: &str| ReplicaSpec { ledgers: vec!["lots".into()], ..spec(name, "lot-ledger") };
+    vec![
+        half("stock-low-1", "stock-low", 0, middle - 1),
+        half("stock-low-2", "stock-low", 0, middle - 1),
+        half("stock-high-1", "stock-high", middle, u64::MAX),
+        half("stock-high-2", "stock-high", middle, u64::MAX),
+        ledger("lots-1"),
+        ledger("lots-2"),
+    ]
+}
