transport: Add links and a server for peer messages

Cause: heartbeats, configuration and quarantine travel between instances as PeerEnvelope, and a peer's bytes must not harm the receiver. Ruled out: hyper for this port; h2 streams give the window, the header limit and the read loop directly. An explicit reset after a refusal, because h2 drops queued frames of a stream that is reset, and with them the answer. Change: encode and decode with bincode 2 under MAX_PEER_MESSAGE_LEN, the protocol version checked before the rest is read; a link per peer that keeps its connection and connects again; a server with limits on connections, streams, headers, time to read and idle time. Before: an empty package. Conclusion: arbitrary, truncated and oversized bytes give errors.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Connections to upstreams and between instances.
+
+pub mod peer;
--- /dev/null
+++ b/crates/transport/tests/peer_link.rs
@@ -0,0 +1,206 @@
+//! Links and servers of peers over real sockets.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rosemarybank_protocol::{
+    peer::{ConfigUpdate, MAX_PEER_MESSAGE_LEN, PeerEnvelope, PeerMessage},
+    platform::SignedBundle,
+};
+use rosemarybank_transport::peer::{
+    PeerError, PeerHandler, PeerLink, PeerLinkSettings, PeerServerSettings, serve,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Sends pushes back, and does not answer fetches before `delay` has passed.
+#[derive(Clone)]
+struct Echo {
+    delay: Duration,
+    handled: Arc<AtomicU32>,
+}
+
+impl PeerHandler for Echo {
+    async fn handle(&self, envelope: PeerEnvelope) -> PeerMessage {
+        self.handled.fetch_add(1, Ordering::SeqCst);
+        if let PeerMessage::ConfigFetch { .. } = envelope.message {
+            tokio::time::sleep(self.delay).await;
+        }
+        envelope.message
+    }
+}
+
+struct Server {
+    addr: SocketAddr,
+    stop: CancellationToken,
+    handled: Arc<AtomicU32>,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    async fn start(addr: &str, delay: Duration) -> Server {
+        let listener = TcpListener::bind(addr).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let handler = Echo { delay, handled: Arc::default() };
+        let (stop, handled) = (CancellationToken::new(), handler.handled.clone());
+        let settings = PeerServerSettings::builder()
+            .name("e2")
+            .message_timeout(Duration::from_millis(500))
+            .build();
+        let task = tokio::spawn(serve(listener, settings, handler, stop.clone()));
+        Server { addr, stop, handled, task }
+    }
+
+    fn link(&self) -> PeerLink {
+        PeerLink::new(PeerLinkSettings::builder().addr(self.addr).from("e1").build())
+    }
+}
+
+fn push(len: usize) -> PeerMessage {
+    PeerMessage::ConfigPush(ConfigUpdate::Whole(SignedBundle {
+        version: 1,
+        signer: "ops".into(),
+        bundle: "x".repeat(len),
+        signature: "AA==".into(),
+    }))
+}
+
+/// Guards against answers that are lost, cut, or attributed to another sender.
+#[tokio::test]
+async fn messages_of_all_sizes_are_answered() {
+    let server = Server::start("127.0.0.1:0", Duration::ZERO).await;
+    let link = server.link();
+    for len in [0, 100, 70_000, 1 << 20] {
+        let answer = link.send(push(len)).await.unwrap();
+        assert_eq!((answer.from.as_str(), answer.message), ("e2", push(len)));
+    }
+    assert_eq!(link.send(push(MAX_PEER_MESSAGE_LEN)).await, Err(PeerError::TooLarge));
+}
+
+/// Guards against a link that stays broken after its peer was restarted.
+#[tokio::test]
+async fn a_link_connects_again() {
+    let server = Server::start("127.0.0.1:0", Duration::ZERO).await;
+    let link = server.link();
+    link.send(PeerMessage::Ack).await.unwrap();
+    server.stop.cancel();
+    server.task.await.unwrap();
+    link.send(PeerMessage::Ack).await.unwrap_err();
+    let gone = link.send(PeerMessage::Ack).await.unwrap_err();
+    assert!(matches!(gone, PeerError::Connect(_)), "{gone:?}");
+
+    let server = Server::start(&server.addr.to_string(), Duration::ZERO).await;
+    link.send(PeerMessage::Ack).await.unwrap();
+    assert_eq!(server.handled.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against a stop that cuts off a message in progress.
+#[tokio::test]
+async fn a_stop_finishes_messages() {
+    let server = Server::start("127.0.0.1:0", Duration::from_millis(100)).await;
+    let link = Arc::new(server.link());
+    let fetch = {
+        let link = link.clone();
+        tokio::spawn(async move { link.send(PeerMessage::ConfigFetch { have: None }).await })
+    };
+    while server.handled.load(Ordering::SeqCst) == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    server.stop.cancel();
+    fetch.await.unwrap().unwrap();
+    server.task.await.unwrap();
+}
+
+/// Guards against a sender that waits without bound for a peer that does not answer.
+#[tokio::test]
+async fn a_silent_peer_times_out() {
+    // The system accepts connections for the listener, but nothing ever answers them.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let timeout = Duration::from_millis(50);
+    let settings = PeerLinkSettings::builder().addr(addr).from("e1").timeout(timeout).build();
+    let start = Instant::now();
+    assert_eq!(PeerLink::new(settings).send(PeerMessage::Ack).await, Err(PeerError::Timeout));
+    assert!(start.elapsed() < Duration::from_secs(5));
+
+    let server = Server::start("127.0.0.1:0", Duration::from_secs(60)).await;
+    let fetch = server.link().send(PeerMessage::ConfigFetch { have: None }).await;
+    assert_eq!(fetch, Err(PeerError::Refused(408)));
+}
+
+/// Guards against a server that reads a body beyond the limit, announced or not.
+#[tokio::test]
+async fn oversized_bodies_are_refused_while_they_arrive() {
+    let server = Server::start("127.0.0.1:0", Duration::ZERO).await;
+    let len = MAX_PEER_MESSAGE_LEN + 1;
+    for announced in [Some(len), None] {
+        let stream = TcpStream::connect(server.addr).await.unwrap();
+        let (mut sender, conn) = h2::client::handshake(stream).await.unwrap();
+        tokio::spawn(conn);
+        let mut req = Request::post(format!("http://{}/peer", server.addr));
+        if let Some(len) = announced {
+            req = req.header("content-length", len);
+        }
+        let (reply, mut body) = sender.send_request(req.body(()).unwrap(), false).unwrap();
+        if announced.is_none() {
+            body.send_data(Bytes::from(vec![1; len]), false).unwrap();
+        }
+        let reply = tokio::time::timeout(Duration::from_secs(5), reply).await.unwrap();
+        assert_eq!(reply.unwrap().status(), StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    assert_eq!(server.handled.load(Ordering::SeqCst), 0);
+    server.link().send(PeerMessage::Ack).await.unwrap();
+}
+
+/// Guards against a server that panics, hangs or stops serving others after arbitrary bytes, sent
+/// in place of h2 or as the body of a message.
+#[test]
+fn arbitrary_bytes_leave_the_server_serving() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let server = runtime.block_on(Server::start("127.0.0.1:0", Duration::ZERO));
+    let config =
+        ProptestConfig { cases: 48, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() };
+    let bytes = prop::collection::vec(any::<u8>(), 0..600);
+    proptest!(config, |(bytes in bytes, preface in any::<bool>())| {
+        runtime.block_on(send_raw(server.addr, &bytes, preface));
+        let status = runtime.block_on(post(server.addr, bytes));
+        prop_assert!(status.is_client_error(), "{status}");
+        runtime.block_on(server.link().send(PeerMessage::Ack)).unwrap();
+    });
+}
+
+async fn send_raw(addr: SocketAddr, bytes: &[u8], preface: bool) {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    if preface {
+        stream.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await.unwrap();
+    }
+    // The server may close at the first wrong byte.
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    let mut rest = Vec::new();
+    let read = stream.read_to_end(&mut rest);
+    let _ = tokio::time::timeout(Duration::from_secs(5), read).await.expect("the server closes");
+}
+
+async fn post(addr: SocketAddr, body: Vec<u8>) -> StatusCode {
+    let stream = TcpStream::connect(addr).await.unwrap();
+    let (mut sender, conn) = h2::client::handshake(stream).await.unwrap();
+    tokio::spawn(conn);
+    let req = Request::post(format!("http://{addr}/peer")).body(()).unwrap();
+    let (reply, mut stream) = sender.send_request(req, false).unwrap();
+    stream.send_data(body.into(), true).unwrap();
+    tokio::time::timeout(Duration::from_secs(5), reply).await.unwrap().unwrap().status()
+}
