Add roll-out, status, history, settling and the list of instances

Cause: operators need to put bundles into force, see who has them, go back, and settle actions whose outcome is unknown.

Ruled out: one history object that holds all versions, because 20 bundles may exceed the platform's 1 MB for a value. Ruled out: reading the status only, after a lost reply, because a later version hides whether the own one was ever in force; the history tells. Ruled out: settling a claim in `sending` without a confirmation, because its holder may be paused and send the action after the caller's retry.

Change: a roll-out keeps the version before in config/log/<version>, updates config/current conditionally with up to 5 sendings of the same update, reads back after a lost reply, writes the new version into the history and drops the 20th before it. A conflict names both versions. Acceptance counts the instances that report the version or a later one in the status objects. A roll-back signs an old text as the next version.

Before: the command could only work on files. After: 7 unit tests with a fake store that loses requests and replies, and 2 sessions against the platform stand-in pass.

--- a/crates/cli/src/commands/action/mod.rs
+++ b/crates/cli/src/commands/action/mod.rs
@@ -1,5 +1,6 @@
 //! Commands about one-time actions.
 
+pub(crate) mod settle;
 pub(crate) mod show;
 pub(crate) mod submit;
 
--- /dev/null
+++ b/crates/cli/src/commands/action/settle.rs
@@ -0,0 +1,124 @@
+use std::{ffi::OsString, net::SocketAddr};
+
+use rosemarybank_platform::Change;
+use rosemarybank_protocol::{
+    action::ActionOutcome,
+    platform::{CLAIMS_PREFIX, Claim, ClaimState},
+};
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::{
+    command::{Command, Example, Needs},
+    context::Context,
+    error::CliError,
+    report::Report,
+    store::{ObjectStore, connect, get_json, to_json},
+};
+
+xflags::xflags! {
+    cmd action-settle {
+        /// Name of the caller, as the bundle lists it.
+        required caller: String
+        /// Key of the action.
+        required key: Uuid
+        /// The action took effect; the text is given to the caller as the upstream's reply.
+        optional --done result: String
+        /// The action did not take effect and can't any more; the caller may send it again.
+        optional --not-run reason: String
+        /// The instance that holds the claim is stopped, so it can't send the action any more.
+        optional --holder-stopped
+        /// Platform's object API; $ROSEMARYBANK_PLATFORM if absent.
+        optional --platform addr: SocketAddr
+    }
+}
+
+impl Command for ActionSettle {
+    const NAME: &'static [&'static str] = &["action", "settle"];
+    const ABOUT: &'static str = "Records what became of an action whose outcome is unknown.";
+    const EXAMPLES: &'static [Example] = &[
+        Example {
+            about: "The ledger shows the order: record it as done.",
+            args: &[
+                "buyer-desk",
+                "0190d3a4-7c1e-7b3a-9f00-3b1f2c4d5e6f",
+                "--done",
+                "lot 17 reserved",
+            ],
+            needs: Needs::Servers,
+        },
+        Example {
+            about: "The ledger does not show it, and the instance that held it is stopped.",
+            args: &[
+                "buyer-desk",
+                "0190d3a4-7c1e-7b3a-9f00-3b1f2c4d5e6f",
+                "--not-run",
+                "not in the ledger",
+                "--holder-stopped",
+            ],
+            needs: Needs::Servers,
+        },
+    ];
+
+    fn parse(args: Vec<OsString>) -> xflags::Result<ActionSettle> {
+        let flags = ActionSettle::from_vec(args)?;
+        if flags.done.is_some() == flags.not_run.is_some() {
+            return Err(xflags::Error::new("give one of --done and --not-run"));
+        }
+        Ok(flags)
+    }
+
+    fn run(self, cx: &Context) -> Result<Report, CliError> {
+        let store = connect(cx.platform(self.platform)?);
+        cx.block_on(self.settle(&store))?
+    }
+}
+
+impl ActionSettle {
+    async fn settle(&self, store: &impl ObjectStore) -> Result<Report, CliError> {
+        let path = format!("{CLAIMS_PREFIX}{}/{}", self.caller, self.key);
+        let Some((version, claim)) = get_json::<Claim>(store, &path).await? else {
+            return Err(CliError::NoClaim { path });
+        };
+        self.check_open(&claim, &path)?;
+        let outcome = self.outcome();
+        let settled = Claim { state: ClaimState::Ended { outcome }, ..claim };
+        match store.update(&path, version, to_json(&settled)).await {
+            Change::Applied { .. } => {}
+            Change::Conflict { .. } => return Err(CliError::ClaimChanged { path }),
+            Change::NotApplied(e) => return Err(CliError::Platform(e)),
+            Change::Unknown(e) => {
+                let now = get_json::<Claim>(store, &path).await?;
+                if now.is_none_or(|(_, claim)| claim != settled) {
+                    return Err(CliError::SettleUnknown { path, source: e });
+                }
+            }
+        }
+        Ok(Report::new(format!("{path}: settled\n"), &json!({ "path": path, "claim": settled })))
+    }
+
+    fn outcome(&self) -> ActionOutcome {
+        match (&self.done, &self.not_run) {
+            (Some(result), _) => ActionOutcome::Done { result: result.as_str().into() },
+            (None, reason) => {
+                ActionOutcome::NotRun { reason: reason.as_deref().unwrap_or_default().into() }
+            }
+        }
+    }
+
+    /// Only an unknown outcome can be settled. A claim in `sending` belongs to an instance that may
+    /// be paused and still send it, so a caller's retry could run the action a second time.
+    fn check_open(&self, claim: &Claim, path: &str) -> Result<(), CliError> {
+        match &claim.state {
+            ClaimState::Ended { outcome: ActionOutcome::Unknown { .. } } => Ok(()),
+            ClaimState::Sending { .. } if self.holder_stopped => Ok(()),
+            ClaimState::Sending { owner, .. } => {
+                Err(CliError::ClaimHeld { path: path.to_owned(), owner: owner.to_string() })
+            }
+            ClaimState::Ended { outcome } => {
+                let state = super::outcome_line(outcome).0;
+                Err(CliError::ClaimSettled { path: path.to_owned(), state })
+            }
+        }
+    }
+}
--- a/crates/cli/src/commands/bundle/mod.rs
+++ b/crates/cli/src/commands/bundle/mod.rs
@@ -3,7 +3,10 @@
 pub(crate) mod check;
 pub(crate) mod diff;
 pub(crate) mod keygen;
+pub(crate) mod log;
+pub(crate) mod roll_out;
 pub(crate) mod sign;
+pub(crate) mod status;
 
 use std::path::Path;
 
--- /dev/null
+++ b/crates/cli/src/commands/bundle/roll_out.rs
@@ -0,0 +1,173 @@
+use std::{
+    ffi::OsString,
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use rosemarybank_bundle::{diff, parse};
+use rosemarybank_protocol::{id::Version, platform::SignedBundle};
+use serde_json::json;
+
+use super::{read_bundle, read_key};
+use crate::{
+    command::{Command, Example, Needs},
+    context::{Context, read_file},
+    error::CliError,
+    exit::ExitStatus,
+    report::Report,
+    rollout::{
+        accept, history,
+        update::{Base, Candidate, read_base, roll_out},
+    },
+    store::{ObjectStore, connect},
+};
+
+/// Time allowed for the acceptance if the command line names none.
+const DEFAULT_WAIT: Duration = Duration::from_secs(30);
+
+xflags::xflags! {
+    cmd bundle-roll-out {
+        /// Bundle file.
+        optional file: PathBuf
+        /// Signing key made by `bundle keygen`; not needed with --signed.
+        optional --key file: PathBuf
+        /// Rolls out the text of an old version as a new, higher version.
+        optional --from-version version: u64
+        /// Rolls out the output of `bundle sign`.
+        optional --signed file: PathBuf
+        /// Version that you have seen in force; another one in force is a conflict.
+        optional --expect version: u64
+        /// Returns at once instead of waiting for a majority of the instances.
+        optional --no-wait
+        /// Milliseconds to wait for a majority; 30000 if absent.
+        optional --wait-ms ms: u64
+        /// Number of configured instances; those that have reported if absent.
+        optional --instances number: usize
+        /// Platform's object API; $ROSEMARYBANK_PLATFORM if absent.
+        optional --platform addr: SocketAddr
+    }
+}
+
+impl Command for BundleRollOut {
+    const NAME: &'static [&'static str] = &["bundle", "roll-out"];
+    const ABOUT: &'static str = "Signs a bundle as the next version and puts it into force.";
+    const EXAMPLES: &'static [Example] = &[
+        Example {
+            about: "Roll out and wait until a majority of 6 instances has it; exit code 3 means \
+                    that another operator was faster, 4 that it is not yet accepted.",
+            args: &["config/bundle.yaml", "--key", "keys/ops-1.key", "--instances", "6"],
+            needs: Needs::Servers,
+        },
+        Example {
+            about: "Roll back to the text of version 6, under a new version.",
+            args: &["--from-version", "6", "--key", "keys/ops-1.key"],
+            needs: Needs::Servers,
+        },
+    ];
+
+    fn parse(args: Vec<OsString>) -> xflags::Result<BundleRollOut> {
+        let flags = BundleRollOut::from_vec(args)?;
+        let sources = [flags.file.is_some(), flags.from_version.is_some(), flags.signed.is_some()];
+        if sources.iter().filter(|&&given| given).count() != 1 {
+            return Err(xflags::Error::new("give one of <file>, --from-version and --signed"));
+        }
+        if flags.signed.is_none() && flags.key.is_none() {
+            return Err(xflags::Error::new("flag is required: `--key`"));
+        }
+        Ok(flags)
+    }
+
+    fn run(self, cx: &Context) -> Result<Report, CliError> {
+        let store = connect(cx.platform(self.platform)?);
+        cx.block_on(self.perform(cx, &store))?
+    }
+}
+
+/// What the operator wants in force.
+enum Source {
+    Text(String),
+    Signed(SignedBundle),
+}
+
+impl BundleRollOut {
+    async fn perform(&self, cx: &Context, store: &impl ObjectStore) -> Result<Report, CliError> {
+        let source = self.source(store).await?;
+        let key = self.key.as_deref().map(read_key).transpose()?;
+        let base = read_base(store).await?;
+        let candidate = match (&source, &key) {
+            (Source::Signed(signed), _) => Candidate::Signed(signed.clone()),
+            (Source::Text(text), Some(key)) => Candidate::Text { text, key },
+            (Source::Text(_), None) => {
+                return Err(CliError::Usage("flag is required: `--key`".to_owned()));
+            }
+        };
+        note_changes(cx, &base, &source);
+        let signed = roll_out(store, &base, candidate, self.expect).await?;
+        cx.note(format!("version {} is rolled out", signed.version));
+        record(cx, store, &signed).await;
+        if self.no_wait {
+            let text = format!("version {}: rolled out, acceptance not awaited\n", signed.version);
+            return Ok(Report::new(text, &json!({ "version": signed.version })));
+        }
+        self.await_acceptance(store, signed.version).await
+    }
+
+    async fn source(&self, store: &impl ObjectStore) -> Result<Source, CliError> {
+        if let Some(path) = &self.signed {
+            let signed = serde_json::from_str(&read_file(path)?)
+                .map_err(|e| CliError::SignedFile { path: path.clone(), message: e.to_string() })?;
+            return Ok(Source::Signed(signed));
+        }
+        if let Some(version) = self.from_version {
+            let entry = history::read(store, version).await?;
+            let entry = entry.ok_or(CliError::UnknownVersion { version })?;
+            return Ok(Source::Text(entry.signed.bundle));
+        }
+        Ok(Source::Text(read_bundle(self.file.as_deref().unwrap_or("".as_ref()))?.0))
+    }
+
+    async fn await_acceptance(
+        &self,
+        store: &impl ObjectStore,
+        version: Version,
+    ) -> Result<Report, CliError> {
+        let timeout = self.wait_ms.map_or(DEFAULT_WAIT, Duration::from_millis);
+        let acceptance = accept::wait(store, version, self.instances, timeout).await?;
+        let accept::Acceptance { holding, instances, .. } = acceptance;
+        let (state, status) = match acceptance.accepted {
+            true => ("accepted", ExitStatus::Done),
+            false => ("not yet accepted", ExitStatus::NotYetAccepted),
+        };
+        let text = format!("version {version}: {state}; {holding} of {instances} instances\n");
+        Ok(Report::new(text, &acceptance).with_status(status))
+    }
+}
+
+fn note_changes(cx: &Context, base: &Base, source: &Source) {
+    let text = match source {
+        Source::Text(text) => text,
+        Source::Signed(signed) => &signed.bundle,
+    };
+    let Some((_, before)) = base else { return };
+    let (Ok(old), Ok(new)) = (parse(&before.bundle), parse(text)) else { return };
+    let changes = diff(&old, &new);
+    cx.note(format!("changes against version {}: {}", before.version, changes.len()));
+    for change in changes {
+        cx.note(format!("  {change}"));
+    }
+}
+
+/// Writes the history. The version is in force already, so a failure is told and not returned;
+/// the next roll-out writes a missing entry.
+async fn record(cx: &Context, store: &impl ObjectStore, signed: &SignedBundle) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).ok();
+    let now = now.and_then(|it| u64::try_from(it.as_millis()).ok());
+    for result in
+        [history::keep(store, signed, now).await, history::prune(store, signed.version).await]
+    {
+        if let Err(e) = result {
+            cx.note(format!("the history could not be written: {e}"));
+        }
+    }
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod bundle;
+mod instances;
 pub(crate) mod search;
 mod trace;
 
@@ -18,9 +19,14 @@
     Entry::of::<bundle::diff::BundleDiff>(),
     Entry::of::<bundle::keygen::BundleKeygen>(),
     Entry::of::<bundle::sign::BundleSign>(),
+    Entry::of::<bundle::roll_out::BundleRollOut>(),
+    Entry::of::<bundle::status::BundleStatus>(),
+    Entry::of::<bundle::log::BundleLog>(),
     Entry::of::<search::Search>(),
     Entry::of::<action::submit::ActionSubmit>(),
     Entry::of::<action::show::ActionShow>(),
+    Entry::of::<action::settle::ActionSettle>(),
+    Entry::of::<instances::Instances>(),
     Entry::of::<trace::show::TraceShow>(),
 ];
 
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -7,6 +7,8 @@
 
 use crate::error::CliError;
 
+/// Variable that replaces `--platform`.
+const PLATFORM_VARIABLE: &str = "ROSEMARYBANK_PLATFORM";
 /// Variable that replaces `--entry`.
 const ENTRY_VARIABLE: &str = "ROSEMARYBANK_ENTRY";
 /// Variable that replaces `--admin`.
@@ -26,6 +28,11 @@
         eprintln!("{}", text.as_ref());
     }
 
+    /// The platform's address.
+    pub(crate) fn platform(&self, flag: Option<SocketAddr>) -> Result<SocketAddr, CliError> {
+        address(flag, "--platform", PLATFORM_VARIABLE)
+    }
+
     /// The address of an entry instance's callers port.
     pub(crate) fn entry(&self, flag: Option<SocketAddr>) -> Result<SocketAddr, CliError> {
         address(flag, "--entry", ENTRY_VARIABLE)
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,7 +1,11 @@
 use std::{io, net::SocketAddr, path::PathBuf};
 
 use rosemarybank_bundle::{Fault, KeyError, SignError};
-use rosemarybank_protocol::error::{ErrorBody, ErrorKind, Execution};
+use rosemarybank_platform::CallError;
+use rosemarybank_protocol::{
+    error::{ErrorBody, ErrorKind, Execution},
+    id::Version,
+};
 use thiserror::Error;
 
 use crate::{commands::search::coverage_text, exit::ExitStatus};
@@ -39,6 +43,36 @@
     Refused { addr: SocketAddr, body: Box<ErrorBody> },
     #[error("{addr} keeps no trace {id}")]
     NoTrace { addr: SocketAddr, id: String },
+    #[error("{0}")]
+    Platform(CallError),
+    #[error("object {path} has an unknown form: {message}")]
+    BadObject { path: String, message: String },
+    #[error("no configuration is rolled out")]
+    NoConfiguration,
+    #[error(
+        "your bundle is not rolled out as version {planned}: version {in_force}, signed by `{signer}`, is in force"
+    )]
+    RollOutConflict { planned: Version, in_force: Version, signer: String },
+    #[error("the signed bundle has {len} bytes, more than {max}")]
+    BundleTooLarge { len: usize, max: usize },
+    #[error(
+        "it is unknown whether version {version} is rolled out: the platform's replies are lost"
+    )]
+    RollOutUnknown { version: Version },
+    #[error("{path} is not a signed bundle: {message}", path = path.display())]
+    SignedFile { path: PathBuf, message: String },
+    #[error("version {version} is not in the history")]
+    UnknownVersion { version: Version },
+    #[error("there is no claim {path}")]
+    NoClaim { path: String },
+    #[error("claim {path} changed while it was being settled")]
+    ClaimChanged { path: String },
+    #[error("claim {path} is held by instance `{owner}`, which may still send the action")]
+    ClaimHeld { path: String, owner: String },
+    #[error("claim {path} is settled already: {state}")]
+    ClaimSettled { path: String, state: String },
+    #[error("it is unknown whether claim {path} is settled: {source}")]
+    SettleUnknown { path: String, source: CallError },
     #[error("the outcome of the action with key {key} is unknown: {message}")]
     ActionUnknown { key: String, message: String },
 }
@@ -73,6 +107,37 @@
             CliError::NoTrace { .. } => {
                 "ask the instance that answered; it keeps only its latest spans".to_owned()
             }
+            CliError::Platform(_) => "check the platform's address; nothing was changed".to_owned(),
+            CliError::BadObject { .. } => {
+                "check that this command and the instances are of the same release".to_owned()
+            }
+            CliError::NoConfiguration => {
+                "roll the first bundle out with `rosemarybank bundle roll-out`".to_owned()
+            }
+            CliError::RollOutConflict { in_force, .. } => format!(
+                "compare with `rosemarybank bundle log --show {in_force}`, then roll out again"
+            ),
+            CliError::BundleTooLarge { .. } => {
+                "join neighbouring shards or shorten the comments".to_owned()
+            }
+            CliError::RollOutUnknown { .. } => {
+                "look with `rosemarybank bundle status`, then roll out again if needed".to_owned()
+            }
+            CliError::SignedFile { .. } => {
+                "give the output of `rosemarybank bundle sign`".to_owned()
+            }
+            CliError::UnknownVersion { .. } => {
+                "list the versions with `rosemarybank bundle log`".to_owned()
+            }
+            CliError::NoClaim { .. } => "check the caller's name and the key".to_owned(),
+            CliError::ClaimChanged { .. } => {
+                "look at the action again before settling it".to_owned()
+            }
+            CliError::ClaimHeld { owner, .. } => format!(
+                "wait for its answer, or stop `{owner}` and settle again with --holder-stopped"
+            ),
+            CliError::ClaimSettled { .. } => "nothing needs to be settled".to_owned(),
+            CliError::SettleUnknown { .. } => "settle it again; it is changed once".to_owned(),
             CliError::ActionUnknown { key, .. } => {
                 format!("submit it again with `--key {key}`; it takes effect at most once")
             }
@@ -95,18 +160,32 @@
             CliError::Usage(_) | CliError::MissingSetting { .. } | CliError::Address { .. } => {
                 ExitStatus::Usage
             }
-            CliError::Faulty { .. } | CliError::NoTrace { .. } => ExitStatus::Finding,
-            CliError::Unreachable { .. } | CliError::NoReply { .. } | CliError::BadReply { .. } => {
-                ExitStatus::Unreachable
-            }
+            CliError::Faulty { .. }
+            | CliError::NoTrace { .. }
+            | CliError::NoConfiguration
+            | CliError::UnknownVersion { .. }
+            | CliError::NoClaim { .. } => ExitStatus::Finding,
+            CliError::RollOutConflict { .. }
+            | CliError::ClaimChanged { .. }
+            | CliError::ClaimHeld { .. }
+            | CliError::ClaimSettled { .. } => ExitStatus::Conflict,
             CliError::Refused { body, .. } => refusal_exit(body),
-            CliError::ActionUnknown { .. } => ExitStatus::Unknown,
+            CliError::ActionUnknown { .. }
+            | CliError::RollOutUnknown { .. }
+            | CliError::SettleUnknown { .. } => ExitStatus::Unknown,
+            CliError::Unreachable { .. }
+            | CliError::NoReply { .. }
+            | CliError::BadReply { .. }
+            | CliError::Platform(_)
+            | CliError::BadObject { .. } => ExitStatus::Unreachable,
             CliError::Runtime { .. }
             | CliError::Read { .. }
             | CliError::Write { .. }
             | CliError::KeyFile { .. }
             | CliError::Key(_)
-            | CliError::Sign(_) => ExitStatus::Local,
+            | CliError::Sign(_)
+            | CliError::BundleTooLarge { .. }
+            | CliError::SignedFile { .. } => ExitStatus::Local,
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,5 +12,7 @@
 mod exit;
 mod http;
 mod report;
+mod rollout;
+mod store;
 
 pub use crate::app::{Sample, main, samples};
--- /dev/null
+++ b/crates/cli/src/rollout/history.rs
@@ -0,0 +1,69 @@
+use rosemarybank_platform::Change;
+use rosemarybank_protocol::{id::Version, platform::SignedBundle};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    error::CliError,
+    store::{ObjectStore, get_json, list_json, to_json},
+};
+
+/// Prefix of the history: `config/log/<version as 20 digits>`.
+const HISTORY_PREFIX: &str = "config/log/";
+
+/// Versions that are kept. Twenty bundles of the largest size are 20 MB in the platform's store.
+pub(crate) const KEPT_VERSIONS: u64 = 20;
+
+/// A version that was in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct HistoryEntry {
+    /// The bundle as it was rolled out.
+    #[serde(flatten)]
+    pub(crate) signed: SignedBundle,
+    /// When it was rolled out, in milliseconds since the Unix epoch; unknown when the command
+    /// ended before it could write the entry and a later roll-out wrote it.
+    pub(crate) rolled_out_unix_ms: Option<u64>,
+}
+
+/// Writes a version into the history unless it is there.
+pub(crate) async fn keep(
+    store: &impl ObjectStore,
+    signed: &SignedBundle,
+    rolled_out_unix_ms: Option<u64>,
+) -> Result<(), CliError> {
+    let entry = HistoryEntry { signed: signed.clone(), rolled_out_unix_ms };
+    match store.create(&path(signed.version), to_json(&entry)).await {
+        Change::Applied { .. } | Change::Conflict { .. } => Ok(()),
+        Change::NotApplied(e) | Change::Unknown(e) => Err(CliError::Platform(e)),
+    }
+}
+
+/// Deletes the version that falls out of the history when `newest` comes in.
+pub(crate) async fn prune(store: &impl ObjectStore, newest: Version) -> Result<(), CliError> {
+    let Some(oldest) = newest.checked_sub(KEPT_VERSIONS) else { return Ok(()) };
+    let path = path(oldest);
+    let Some((object, _)) = get_json::<HistoryEntry>(store, &path).await? else { return Ok(()) };
+    match store.delete(&path, object).await {
+        Change::Applied { .. } | Change::Conflict { .. } => Ok(()),
+        Change::NotApplied(e) | Change::Unknown(e) => Err(CliError::Platform(e)),
+    }
+}
+
+/// Reads one version.
+pub(crate) async fn read(
+    store: &impl ObjectStore,
+    version: Version,
+) -> Result<Option<HistoryEntry>, CliError> {
+    Ok(get_json(store, &path(version)).await?.map(|(_, entry)| entry))
+}
+
+/// Lists the versions, the newest first.
+pub(crate) async fn list(store: &impl ObjectStore) -> Result<Vec<HistoryEntry>, CliError> {
+    let mut entries: Vec<HistoryEntry> =
+        list_json(store, HISTORY_PREFIX).await?.into_iter().map(|(_, entry)| entry).collect();
+    entries.sort_by_key(|entry| std::cmp::Reverse(entry.signed.version));
+    Ok(entries)
+}
+
+fn path(version: Version) -> String {
+    format!("{HISTORY_PREFIX}{version:020}")
+}
--- /dev/null
+++ b/crates/cli/src/rollout/mod.rs
@@ -0,0 +1,8 @@
+//! Roll-outs: the conditional update of the configuration, its history, and its acceptance.
+
+pub(crate) mod accept;
+pub(crate) mod history;
+pub(crate) mod update;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cli/src/rollout/tests.rs
@@ -0,0 +1,264 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, VecDeque},
+};
+
+use bytes::Bytes;
+use rosemarybank_bundle::KeyPair;
+use rosemarybank_platform::{CallError, Change, Listing, Object, ObjectVersion};
+use rosemarybank_protocol::{
+    id::Version,
+    platform::{CONFIG_PATH, InstanceStatus, SignedBundle},
+};
+
+use super::{
+    accept::judge,
+    history::{self, KEPT_VERSIONS},
+    update::{Base, Candidate, read_base, roll_out},
+};
+use crate::{error::CliError, store::ObjectStore};
+
+const TEXT: &str = include_str!("../../../../config/bundle.yaml");
+
+/// What happens to a write of the configuration.
+enum Fate {
+    /// It takes effect and its reply is lost.
+    LoseReply,
+    /// It is lost on the way.
+    LoseRequest,
+    /// It takes effect after the read that follows it; its reply is lost.
+    Delay,
+    /// It takes effect, another bundle follows it at once, and its reply is lost.
+    Supersede(SignedBundle),
+}
+
+/// Objects in memory, with a fate for each of the next writes of the configuration.
+#[derive(Default)]
+struct FakeStore {
+    objects: RefCell<BTreeMap<String, (ObjectVersion, Bytes)>>,
+    revision: Cell<ObjectVersion>,
+    fates: RefCell<VecDeque<Fate>>,
+    delayed: RefCell<Option<(Option<ObjectVersion>, Bytes)>>,
+}
+
+impl FakeStore {
+    fn with(fates: impl Into<VecDeque<Fate>>) -> FakeStore {
+        FakeStore { fates: RefCell::new(fates.into()), ..FakeStore::default() }
+    }
+
+    fn write(&self, path: &str, condition: Option<ObjectVersion>, value: Bytes) -> Change {
+        let mut objects = self.objects.borrow_mut();
+        let current = objects.get(path).map(|(version, _)| *version);
+        if current != condition {
+            return Change::Conflict { current };
+        }
+        self.revision.set(self.revision.get() + 1);
+        objects.insert(path.to_owned(), (self.revision.get(), value));
+        Change::Applied { version: self.revision.get() }
+    }
+
+    fn configure(&self, condition: Option<ObjectVersion>, value: Bytes) -> Change {
+        match self.fates.borrow_mut().pop_front() {
+            None => return self.write(CONFIG_PATH, condition, value),
+            Some(Fate::LoseRequest) => {}
+            Some(Fate::LoseReply) => {
+                self.write(CONFIG_PATH, condition, value);
+            }
+            Some(Fate::Delay) => *self.delayed.borrow_mut() = Some((condition, value)),
+            Some(Fate::Supersede(later)) => {
+                let Change::Applied { version } = self.write(CONFIG_PATH, condition, value.clone())
+                else {
+                    panic!("the write is the first");
+                };
+                let earlier: serde_json::Value = serde_json::from_slice(&value).unwrap();
+                let path = format!("config/log/{:020}", earlier["version"].as_u64().unwrap());
+                let mut entry = earlier;
+                entry["rolled_out_unix_ms"] = serde_json::Value::Null;
+                self.write(&path, None, entry.to_string().into());
+                let later = serde_json::to_vec(&later).unwrap();
+                self.write(CONFIG_PATH, Some(version), later.into());
+            }
+        }
+        Change::Unknown(CallError::Timeout)
+    }
+}
+
+impl ObjectStore for FakeStore {
+    async fn get(&self, path: &str) -> Result<Option<Object>, CallError> {
+        let object = self.objects.borrow().get(path).cloned();
+        if let Some((condition, value)) = self.delayed.take() {
+            self.write(CONFIG_PATH, condition, value);
+        }
+        Ok(object.map(|(version, value)| Object { path: path.into(), version, value }))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, CallError> {
+        let objects = self.objects.borrow();
+        let below = objects.iter().filter(|(path, _)| path.starts_with(prefix));
+        let objects = below.map(|(path, (version, value))| Object {
+            path: path.as_str().into(),
+            version: *version,
+            value: value.clone(),
+        });
+        Ok(Listing { revision: self.revision.get(), objects: objects.collect() })
+    }
+
+    async fn create(&self, path: &str, value: Bytes) -> Change {
+        if path == CONFIG_PATH {
+            self.configure(None, value)
+        } else {
+            self.write(path, None, value)
+        }
+    }
+
+    async fn update(&self, path: &str, version: ObjectVersion, value: Bytes) -> Change {
+        assert_eq!(path, CONFIG_PATH);
+        self.configure(Some(version), value)
+    }
+
+    async fn delete(&self, path: &str, _: ObjectVersion) -> Change {
+        self.objects.borrow_mut().remove(path);
+        Change::Applied { version: self.revision.get() }
+    }
+}
+
+fn block_on<T>(work: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(work)
+}
+
+fn key(name: &str) -> KeyPair {
+    KeyPair::generate(name).unwrap()
+}
+
+async fn attempt(store: &FakeStore, base: &Base, key: &KeyPair) -> Result<Version, CliError> {
+    let candidate = Candidate::Text { text: TEXT, key };
+    Ok(roll_out(store, base, candidate, None).await?.version)
+}
+
+async fn in_force(store: &FakeStore) -> (Version, String) {
+    let (_, bundle) = read_base(store).await.unwrap().unwrap();
+    (bundle.version, bundle.signer.to_string())
+}
+
+/// Guards against two operators who both believe that their bundle is in force.
+#[test]
+fn of_two_operators_one_wins_and_the_other_learns_both_versions() {
+    block_on(async {
+        let store = FakeStore::default();
+        attempt(&store, &None, &key("first")).await.unwrap();
+        let base = read_base(&store).await.unwrap();
+        assert_eq!(attempt(&store, &base, &key("fast")).await.unwrap(), 2);
+        let e = attempt(&store, &base, &key("slow")).await.unwrap_err();
+        insta::assert_snapshot!(format!("{e} ({}) {:?}", e.help(), e.exit()));
+        assert_eq!(in_force(&store).await, (2, "fast".to_owned()));
+    });
+}
+
+/// Guards against a second version, or a false failure, when the platform's replies are lost.
+#[test]
+fn a_lost_reply_is_resolved_by_reading_back() {
+    let losses = [
+        vec![Fate::LoseReply],
+        vec![Fate::LoseRequest],
+        vec![Fate::Delay],
+        vec![Fate::LoseRequest, Fate::LoseReply],
+        vec![Fate::Delay, Fate::LoseRequest],
+    ];
+    for fates in losses {
+        block_on(async {
+            let store = FakeStore::with(fates);
+            assert_eq!(attempt(&store, &None, &key("ops")).await.unwrap(), 1);
+            assert_eq!(in_force(&store).await, (1, "ops".to_owned()));
+        });
+    }
+}
+
+/// Guards against telling an operator whose version was in force that it never was, and against
+/// taking another operator's bundle for the own one.
+#[test]
+fn a_lost_reply_and_a_later_version_are_told_apart() {
+    block_on(async {
+        let later = rosemarybank_bundle::sign(&key("later"), 2, TEXT).unwrap();
+        let store = FakeStore::with([Fate::Supersede(later.clone())]);
+        assert_eq!(attempt(&store, &None, &key("ops")).await.unwrap(), 1);
+
+        let store = FakeStore::with([Fate::LoseRequest]);
+        let first = rosemarybank_bundle::sign(&key("other"), 1, TEXT).unwrap();
+        let value = serde_json::to_vec(&first).unwrap();
+        *store.delayed.borrow_mut() = Some((None, value.into()));
+        let e = attempt(&store, &None, &key("ops")).await.unwrap_err();
+        assert!(matches!(e, CliError::RollOutConflict { planned: 1, in_force: 1, .. }), "{e}");
+    });
+}
+
+/// Guards against a claim of success or failure when nothing is known.
+#[test]
+fn an_outcome_that_stays_unknown_is_reported_as_unknown() {
+    block_on(async {
+        let fates: Vec<_> = std::iter::repeat_with(|| Fate::LoseRequest).take(5).collect();
+        let e = attempt(&FakeStore::with(fates), &None, &key("ops")).await.unwrap_err();
+        assert!(matches!(e, CliError::RollOutUnknown { version: 1 }), "{e}");
+    });
+}
+
+/// Guards against rolling out over a version that the operator has not seen, and against a signed
+/// bundle whose version is taken.
+#[test]
+fn another_version_than_the_expected_one_is_a_conflict() {
+    block_on(async {
+        let store = FakeStore::default();
+        let key = key("ops");
+        attempt(&store, &None, &key).await.unwrap();
+        let base = read_base(&store).await.unwrap();
+        let candidate = Candidate::Text { text: TEXT, key: &key };
+        let e = roll_out(&store, &base, candidate, Some(0)).await.unwrap_err();
+        assert!(matches!(e, CliError::RollOutConflict { planned: 1, in_force: 1, .. }), "{e}");
+        let stale = Candidate::Signed(rosemarybank_bundle::sign(&key, 1, TEXT).unwrap());
+        let e = roll_out(&store, &base, stale, None).await.unwrap_err();
+        assert!(matches!(e, CliError::RollOutConflict { planned: 1, in_force: 1, .. }), "{e}");
+    });
+}
+
+/// Guards against a history that grows without bound or misses the version before.
+#[test]
+fn the_history_keeps_the_latest_versions() {
+    block_on(async {
+        let store = FakeStore::default();
+        let key = key("ops");
+        for _ in 0..KEPT_VERSIONS + 3 {
+            let base = read_base(&store).await.unwrap();
+            let candidate = Candidate::Text { text: TEXT, key: &key };
+            let signed = roll_out(&store, &base, candidate, None).await.unwrap();
+            history::prune(&store, signed.version).await.unwrap();
+        }
+        let versions: Vec<_> =
+            history::list(&store).await.unwrap().iter().map(|it| it.signed.version).collect();
+        let newest = KEPT_VERSIONS + 3;
+        // The version in force is written by the command after the update.
+        assert_eq!(versions, (newest - KEPT_VERSIONS + 1..newest).rev().collect::<Vec<_>>());
+    });
+}
+
+/// Guards against accepting a version that half of the instances hold.
+#[test]
+fn acceptance_needs_more_than_half_of_the_configured_instances() {
+    let instance = |name: &str, version| InstanceStatus {
+        instance: name.into(),
+        data_centre: "maun".into(),
+        version,
+        ready: true,
+    };
+    let fleet = [
+        instance("a", Some(8)),
+        instance("b", Some(9)),
+        instance("c", Some(7)),
+        instance("d", None),
+    ];
+    let half = judge(&fleet, 8, None);
+    assert_eq!((half.holding, half.instances, half.accepted), (2, 4, false));
+    assert_eq!(half.behind, ["c", "d"]);
+    assert!(judge(&fleet, 7, None).accepted);
+    assert!(judge(&fleet[..2], 8, Some(3)).accepted);
+    assert!(!judge(&fleet[..2], 8, Some(4)).accepted);
+    assert!(!judge(&[], 1, None).accepted);
+}
--- /dev/null
+++ b/crates/cli/src/store.rs
@@ -0,0 +1,85 @@
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use rosemarybank_platform::{
+    CallError, Change, Listing, Object, ObjectVersion, PlatformClient, Settings,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::error::CliError;
+
+/// Time for a call. A bundle of 1 MB over a slow link takes longer than the client's default.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The platform's object API, as the commands use it. Tests put a fake in its place that loses
+/// replies.
+pub(crate) trait ObjectStore {
+    async fn get(&self, path: &str) -> Result<Option<Object>, CallError>;
+    async fn list(&self, prefix: &str) -> Result<Listing, CallError>;
+    async fn create(&self, path: &str, value: Bytes) -> Change;
+    async fn update(&self, path: &str, version: ObjectVersion, value: Bytes) -> Change;
+    async fn delete(&self, path: &str, version: ObjectVersion) -> Change;
+}
+
+impl ObjectStore for PlatformClient {
+    async fn get(&self, path: &str) -> Result<Option<Object>, CallError> {
+        PlatformClient::get(self, path).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, CallError> {
+        PlatformClient::list(self, prefix).await
+    }
+
+    fn create(&self, path: &str, value: Bytes) -> impl Future<Output = Change> {
+        PlatformClient::create(self, path, value)
+    }
+
+    fn update(
+        &self,
+        path: &str,
+        version: ObjectVersion,
+        value: Bytes,
+    ) -> impl Future<Output = Change> {
+        PlatformClient::update(self, path, version, value)
+    }
+
+    fn delete(&self, path: &str, version: ObjectVersion) -> impl Future<Output = Change> {
+        PlatformClient::delete(self, path, version)
+    }
+}
+
+/// A client of the platform at an address.
+pub(crate) fn connect(addr: SocketAddr) -> PlatformClient {
+    let seed = fastrand::u64(..);
+    PlatformClient::new(
+        Settings::builder().addr(addr).seed(seed).call_timeout(CALL_TIMEOUT).build(),
+    )
+}
+
+/// Reads an object and its version.
+pub(crate) async fn get_json<T: DeserializeOwned>(
+    store: &impl ObjectStore,
+    path: &str,
+) -> Result<Option<(ObjectVersion, T)>, CliError> {
+    let object = store.get(path).await.map_err(CliError::Platform)?;
+    object.map(|it| Ok((it.version, read(&it)?))).transpose()
+}
+
+/// Lists the objects below a prefix with their paths.
+pub(crate) async fn list_json<T: DeserializeOwned>(
+    store: &impl ObjectStore,
+    prefix: &str,
+) -> Result<Vec<(String, T)>, CliError> {
+    let listing = store.list(prefix).await.map_err(CliError::Platform)?;
+    listing.objects.iter().map(|it| Ok((it.path.to_string(), read(it)?))).collect()
+}
+
+/// The JSON text of an object.
+pub(crate) fn to_json(value: &impl Serialize) -> Bytes {
+    serde_json::to_vec(value).expect("objects have text keys and finite numbers").into()
+}
+
+fn read<T: DeserializeOwned>(object: &Object) -> Result<T, CliError> {
+    serde_json::from_slice(&object.value)
+        .map_err(|e| CliError::BadObject { path: object.path.to_string(), message: e.to_string() })
+}
--- /dev/null
+++ b/crates/cli/tests/platform.rs
@@ -0,0 +1,112 @@
+//! Commands against the platform stand-in.
+
+#[allow(dead_code)]
+mod support;
+
+use std::{net::SocketAddr, sync::mpsc, thread};
+
+use rosemarybank_protocol::{
+    action::ActionOutcome,
+    platform::{Claim, ClaimState, DataCentreStatus, InstanceStatus},
+};
+use rosemarybank_standins::{
+    platform::{PlatformService, Store, store::Condition},
+    server,
+};
+use serde_json::value::to_raw_value;
+use support::Workspace;
+use tokio::{net::TcpListener, sync::watch};
+
+const KEY: &str = "0190d3a4-7c1e-7b3a-9f00-3b1f2c4d5e6f";
+
+fn start(store: Store) -> SocketAddr {
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            tx.send(listener.local_addr().unwrap()).unwrap();
+            let orders = watch::Sender::default();
+            server::serve(listener, orders.subscribe(), PlatformService::new(store)).await;
+        });
+    });
+    rx.recv().unwrap()
+}
+
+fn put(store: &mut Store, path: &str, value: &impl serde::Serialize) {
+    store.put(path, Condition::None, to_raw_value(value).unwrap()).unwrap();
+}
+
+fn status(data_centre: &str, versions: &[(&str, u64)]) -> DataCentreStatus {
+    let instances = versions.iter().map(|(name, version)| InstanceStatus {
+        instance: (*name).into(),
+        data_centre: data_centre.into(),
+        version: Some(*version),
+        ready: true,
+    });
+    DataCentreStatus { instances: instances.collect() }
+}
+
+/// Runs commands one after the other and shows what scripts see of them.
+fn session(platform: SocketAddr, commands: &[&[&str]]) -> String {
+    let workspace = Workspace::new();
+    let mut text = String::new();
+    for command in commands {
+        let out = workspace.run_at(&platform.to_string(), command);
+        let code = out.status.code().unwrap();
+        text.push_str(&format!("$ {}\n", command.join(" ")));
+        text.push_str(&String::from_utf8_lossy(&out.stdout));
+        text.push_str(&String::from_utf8_lossy(&out.stderr));
+        text.push_str(&format!("exit {code}\n\n"));
+    }
+    text
+}
+
+/// Guards against a roll-back that reuses an old version number, and against a roll-out that is
+/// called accepted before a majority reports it.
+#[test]
+fn versions_are_rolled_out_back_and_listed() {
+    let mut store = Store::default();
+    put(&mut store, "status/maun", &status("maun", &[("entry-1", 2), ("entry-2", 1)]));
+    put(&mut store, "status/kigali", &status("kigali", &[("entry-3", 2)]));
+    let key = ["--key", "keys/ops-1.key"];
+    let text = session(
+        start(store),
+        &[
+            &["bundle", "status"],
+            &["bundle", "roll-out", "config/bundle.yaml", key[0], key[1], "--no-wait"],
+            &["bundle", "roll-out", "config/bundle.yaml", key[0], key[1]],
+            &["bundle", "roll-out", "--from-version", "1", key[0], key[1], "--wait-ms", "1"],
+            &["bundle", "roll-out", "--from-version", "9", key[0], key[1]],
+            &["bundle", "roll-out", "config/bundle.yaml", key[0], key[1], "--expect", "2"],
+            &["bundle", "status", "--instances", "4"],
+            &["bundle", "log", "--show", "4"],
+            &["instances"],
+        ],
+    );
+    insta::assert_snapshot!(text);
+}
+
+/// Guards against settling an action that an instance may still send, and against changing an
+/// outcome that the caller may have been told.
+#[test]
+fn only_unknown_outcomes_are_settled() {
+    let claim = |state| Claim { fingerprint: 7, state };
+    let unknown = ActionOutcome::Unknown { reason: "the connection broke".into() };
+    let mut store = Store::default();
+    let path = |caller: &str| format!("claims/{caller}/{KEY}");
+    let sending = ClaimState::Sending { owner: "entry-2".into(), nonce: 5 };
+    put(&mut store, &path("unknown"), &claim(ClaimState::Ended { outcome: unknown }));
+    put(&mut store, &path("sending"), &claim(sending));
+    let text = session(
+        start(store),
+        &[
+            &["action", "settle", "unknown", KEY, "--done", "lot 17"],
+            &["action", "settle", "unknown", KEY, "--not-run", "mistake"],
+            &["action", "settle", "sending", KEY, "--not-run", "not in the ledger"],
+            &["action", "settle", "sending", KEY, "--not-run", "-", "--holder-stopped"],
+            &["action", "settle", "nobody", KEY, "--done", "-"],
+        ],
+    );
+    insta::assert_snapshot!(text);
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -31,11 +31,16 @@
 
     pub fn run(&self, args: &[&str]) -> Output {
         // Port 1 of the loopback address refuses connections, so commands that need servers fail.
+        self.run_at("127.0.0.1:1", args)
+    }
+
+    /// Runs the command with a platform.
+    pub fn run_at(&self, platform: &str, args: &[&str]) -> Output {
         let nowhere = "127.0.0.1:1";
         Command::new(env!("CARGO_BIN_EXE_rosemarybank"))
             .args(args)
             .current_dir(self.path())
-            .env("ROSEMARYBANK_PLATFORM", nowhere)
+            .env("ROSEMARYBANK_PLATFORM", platform)
             .env("ROSEMARYBANK_ENTRY", nowhere)
             .env("ROSEMARYBANK_ADMIN", nowhere)
             .env("ROSEMARYBANK_TOKEN", "example-buyer-token")
