standins: Add faults that are switched at run time

Ruled out: one switch per kind of fault; standing faults are replaced as a whole instead, so that a test cannot leave half of an earlier one on. Delaying the object API's own writes for the lagging list; the platform's own changes come in at its control address and appear after the lag. Change: POST /faults on control addresses. Platform: outage, silence, slowness, lost replies by path and count, list lag; GET /counts. Before: no faults but overload.

--- a/crates/standins/src/bin/standin_platform/flags.rs
+++ b/crates/standins/src/bin/standin_platform/flags.rs
@@ -5,10 +5,12 @@
 xflags::xflags! {
     /// Serves the platform's object API from memory.
     ///
-    /// Prints `listening platform <address>` when it is ready.
+    /// Prints `listening platform <address>`, `listening control <address>`, and `ready`.
     cmd standin-platform {
         /// Address of the object API; port 0 picks a free one.
         required --listen addr: SocketAddr
+        /// Address for `POST /faults`, `POST /instances` and `GET /counts`; port 0 picks a free one.
+        optional --control addr: SocketAddr
         /// Directory of JSON files that are loaded as objects.
         optional --objects dir: PathBuf
         /// YAML or JSON list of entries for `instances/`.
--- a/crates/standins/src/bin/standin_platform/main.rs
+++ b/crates/standins/src/bin/standin_platform/main.rs
@@ -5,7 +5,7 @@
 use eyre::Result;
 use rosemarybank_standins::{
     logging,
-    platform::{PlatformService, Store, initial},
+    platform::{PlatformControl, PlatformService, Store, initial},
     server,
 };
 use tokio::{net::TcpListener, sync::watch};
@@ -26,6 +26,14 @@
     let listener = TcpListener::bind(flags.listen).await?;
     println!("listening platform {}", listener.local_addr()?);
     let orders = watch::Sender::default();
-    server::serve(listener, orders.subscribe(), PlatformService::new(store)).await;
+    let service = PlatformService::new(store);
+    if let Some(addr) = flags.control {
+        let control = TcpListener::bind(addr).await?;
+        println!("listening control {}", control.local_addr()?);
+        let handler = PlatformControl::new(service.clone(), orders.clone());
+        tokio::spawn(server::serve(control, watch::Sender::default().subscribe(), handler));
+    }
+    println!("ready");
+    server::serve(listener, orders.subscribe(), service).await;
     Ok(())
 }
--- /dev/null
+++ b/crates/standins/src/platform/control.rs
@@ -0,0 +1,81 @@
+//! The control address of the platform: faults, counts and its own view of the instances.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use rosemarybank_protocol::platform::{INSTANCES_PREFIX, InstanceEntry};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio::sync::watch;
+
+use super::{faults::PlatformFaults, service::PlatformService};
+use crate::{
+    http::{NoReply, Reply, empty, json, read_body},
+    server::{ConnOrders, Handler},
+};
+
+/// Largest order in bytes; a list of 3,900 instances takes about 1 MB.
+const MAX_ORDER_LEN: usize = 4 << 20;
+
+/// Answers `POST /faults`, `POST /instances` and `GET /counts`.
+#[derive(Clone)]
+pub struct PlatformControl {
+    service: PlatformService,
+    orders: watch::Sender<ConnOrders>,
+}
+
+impl PlatformControl {
+    /// Controls a service; `orders` go to the connections of its listener.
+    #[must_use]
+    pub fn new(service: PlatformService, orders: watch::Sender<ConnOrders>) -> PlatformControl {
+        PlatformControl { service, orders }
+    }
+
+    fn set_faults(&self, faults: PlatformFaults) {
+        // Calls in progress end as well, or waiting watches would go on through the outage.
+        let breaks_connections = faults.down || faults.silent;
+        self.service.faults().set(faults);
+        if breaks_connections {
+            self.orders.send_modify(|it| it.resets += 1);
+        }
+    }
+
+    fn set_instances(&self, entries: Vec<InstanceEntry>) {
+        let lag = Duration::from_millis(self.service.faults().get().instance_lag_ms);
+        let service = self.service.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(lag).await;
+            for entry in entries {
+                let value = serde_json::value::to_raw_value(&entry);
+                let value = value.expect("an entry has no map with non-text keys");
+                service.put_own(&format!("{INSTANCES_PREFIX}{}", entry.replica), value);
+            }
+        });
+    }
+}
+
+impl Handler for PlatformControl {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Result<Reply, NoReply> {
+        let (head, body) = req.into_parts();
+        Ok(match (head.method, head.uri.path()) {
+            (Method::POST, "/faults") => order(body, |it| self.set_faults(it)).await,
+            (Method::POST, "/instances") => order(body, |it| self.set_instances(it)).await,
+            (Method::GET, "/counts") => json(StatusCode::OK, &self.service.counts()),
+            _ => empty(StatusCode::NOT_FOUND),
+        })
+    }
+}
+
+async fn order<T: DeserializeOwned>(body: Incoming, carry_out: impl FnOnce(T)) -> Reply {
+    let Ok(body) = read_body(body, MAX_ORDER_LEN).await else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    match serde_json::from_slice(&body) {
+        Ok(order) => {
+            carry_out(order);
+            empty(StatusCode::NO_CONTENT)
+        }
+        Err(err) => json(StatusCode::BAD_REQUEST, &json!({ "message": err.to_string() })),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/counts.rs
@@ -0,0 +1,57 @@
+//! Count of the calls that the platform took, by kind.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use http::Method;
+use serde::{Deserialize, Serialize};
+
+/// Calls since the start, as `GET /counts` on the control address shows them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Reads of one object.
+    pub get: u64,
+    /// Creations and updates.
+    pub put: u64,
+    /// Deletions.
+    pub delete: u64,
+    /// Lists.
+    pub list: u64,
+    /// Watches; one wait counts as one call.
+    pub watch: u64,
+}
+
+/// Counts calls.
+#[derive(Default)]
+pub struct Counters {
+    get: AtomicU64,
+    put: AtomicU64,
+    delete: AtomicU64,
+    list: AtomicU64,
+    watch: AtomicU64,
+}
+
+impl Counters {
+    /// Counts a call.
+    pub fn add(&self, method: &Method, path: &str) {
+        let counter = match (method, path) {
+            (_, "/list") => &self.list,
+            (_, "/watch") => &self.watch,
+            (&Method::PUT, _) => &self.put,
+            (&Method::DELETE, _) => &self.delete,
+            _ => &self.get,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn snapshot(&self) -> PlatformCounts {
+        PlatformCounts {
+            get: self.get.load(Ordering::Relaxed),
+            put: self.put.load(Ordering::Relaxed),
+            delete: self.delete.load(Ordering::Relaxed),
+            list: self.list.load(Ordering::Relaxed),
+            watch: self.watch.load(Ordering::Relaxed),
+        }
+    }
+}
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -12,10 +12,14 @@
 use serde_json::{json, value::RawValue};
 use tokio::{sync::watch, time::Instant};
 
-use super::store::{Condition, Conflict, Entry, Store};
+use super::{
+    counts::{Counters, PlatformCounts},
+    faults::Faults,
+    store::{Condition, Conflict, Entry, Store},
+};
 use crate::{
     http::{NoReply, ReadError, Reply, empty, json, percent_decode, query_value, read_body},
-    server::Handler,
+    server::{ConnLimits, Handler},
 };
 
 /// Largest value of an object in bytes.
@@ -29,6 +33,8 @@
 pub struct PlatformService {
     store: Arc<Mutex<Store>>,
     revision: watch::Sender<u64>,
+    faults: Arc<Faults>,
+    counters: Arc<Counters>,
 }
 
 /// Body of a list reply.
@@ -50,20 +56,45 @@
     #[must_use]
     pub fn new(store: Store) -> PlatformService {
         let revision = watch::Sender::new(store.revision());
-        PlatformService { store: Arc::new(Mutex::new(store)), revision }
+        let (faults, counters) = (Arc::default(), Arc::default());
+        PlatformService { store: Arc::new(Mutex::new(store)), revision, faults, counters }
+    }
+
+    /// The faults that are switched on.
+    #[must_use]
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn counts(&self) -> PlatformCounts {
+        self.counters.snapshot()
+    }
+
+    /// Writes an object on the platform's own behalf.
+    pub fn put_own(&self, path: &str, value: Box<RawValue>) {
+        let result = self.lock().put(path, Condition::None, value);
+        self.changed(result);
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<Reply, NoReply> {
         let (head, body) = req.into_parts();
         let query = head.uri.query().unwrap_or_default();
         let path = percent_decode(head.uri.path());
+        self.counters.add(&head.method, &path);
+        if self.faults.get().silent {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(self.faults.delay()).await;
         if let Some(path) = path.strip_prefix("/objects/") {
-            return match head.method {
-                Method::GET => Ok(self.get(path)),
-                Method::PUT => self.put(path, &head.headers, body).await,
-                Method::DELETE => Ok(self.delete(path, &head.headers)),
-                _ => Ok(empty(StatusCode::METHOD_NOT_ALLOWED)),
+            let reply = match head.method {
+                Method::GET => return Ok(self.get(path)),
+                Method::PUT => self.put(path, &head.headers, body).await?,
+                Method::DELETE => self.delete(path, &head.headers),
+                _ => return Ok(empty(StatusCode::METHOD_NOT_ALLOWED)),
             };
+            return if self.faults.take_lost_reply(path) { Err(NoReply) } else { Ok(reply) };
         }
         match (head.method, path.as_str()) {
             (Method::GET, "/list") => Ok(self.list(query)),
@@ -161,6 +192,11 @@
     async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Result<Reply, NoReply> {
         self.answer(req).await
     }
+
+    fn limits(&self) -> ConnLimits {
+        let max = if self.faults.get().down { 0 } else { u32::MAX };
+        ConnLimits { max, ..ConnLimits::default() }
+    }
 }
 
 fn condition(headers: &HeaderMap) -> Option<Condition> {
--- a/crates/standins/src/upstream/mod.rs
+++ b/crates/standins/src/upstream/mod.rs
@@ -1,6 +1,9 @@
 //! Stand-in for upstreams: one process serves many replicas, each on its own address.
 
+pub mod control;
 pub mod effects;
+pub mod faults;
+pub mod holdings;
 pub mod records;
 pub mod replica;
 pub mod run;
@@ -10,7 +13,9 @@
 pub mod slots;
 pub mod spec;
 
+pub use control::ControlService;
 pub use effects::{Effect, Effects};
+pub use faults::{Command, CrashPoint, CrashRule, FaultOrder, Lie, StandingFaults};
 pub use replica::Replica;
 pub use service::UpstreamService;
 pub use spec::{HoldingSpec, ReplicaSpec, ServiceTime};
--- a/crates/standins/src/upstream/replica.rs
+++ b/crates/standins/src/upstream/replica.rs
@@ -7,13 +7,14 @@
 
 use rosemarybank_protocol::{
     id::SnapshotId,
-    upstream::{Holding, RangeCount, ReplicaState, ReplicaStatus},
+    upstream::{ReplicaState, ReplicaStatus},
 };
 use tokio::{sync::watch, time::Instant};
 
 use super::{
     effects::Effects,
-    records::Records,
+    faults::StandingFaults,
+    holdings::Holdings,
     slots::Slots,
     spec::{HoldingSpec, ReplicaSpec},
 };
@@ -28,7 +29,7 @@
     pub slots: Slots,
     /// Effects of all replicas of the process.
     pub effects: Effects,
-    /// Orders to its connections.
+    /// Orders to its connections; a reset also ends the actions that are running.
     pub orders: watch::Sender<ConnOrders>,
     state: Arc<Mutex<State>>,
 }
@@ -37,7 +38,9 @@
     incarnation: u64,
     started: Instant,
     draining: bool,
-    holdings: Vec<HoldingSpec>,
+    holdings: Holdings,
+    faults: StandingFaults,
+    reported: Option<(Instant, ReplicaStatus)>,
     rng: fastrand::Rng,
 }
 
@@ -49,7 +52,9 @@
             incarnation: new_incarnation(0),
             started: Instant::now(),
             draining: false,
-            holdings: spec.holdings.clone(),
+            holdings: Holdings::new(spec.holdings.clone()),
+            faults: StandingFaults::default(),
+            reported: None,
             rng: fastrand::Rng::with_seed(seed),
         };
         Replica {
@@ -77,7 +82,7 @@
     pub fn status(&self) -> ReplicaStatus {
         let (incarnation, holdings) = {
             let state = self.lock();
-            (state.incarnation, state.holdings.iter().map(holding).collect())
+            (state.incarnation, state.holdings.report())
         };
         ReplicaStatus {
             replica: self.spec.replica.clone(),
@@ -88,26 +93,78 @@
         }
     }
 
+    /// The status that it reports, which may lag or mislead.
+    #[must_use]
+    pub fn reported_status(&self) -> ReplicaStatus {
+        let now = Instant::now();
+        let truth = self.status();
+        let mut state = self.lock();
+        let lag = Duration::from_millis(state.faults.status_lag_ms);
+        let old = state.reported.take().filter(|(at, _)| now - *at < lag);
+        let (at, mut status) = old.unwrap_or((now, truth));
+        state.reported = Some((at, status.clone()));
+        let lie = &state.faults.lie;
+        status.state = lie.state.unwrap_or(status.state);
+        status.load = lie.load.unwrap_or(status.load);
+        status
+    }
+
     /// What it holds of a snapshot.
     #[must_use]
     pub fn holding(&self, service: &str, snapshot: SnapshotId) -> Option<HoldingSpec> {
-        let state = self.lock();
-        let mut holdings = state.holdings.iter();
-        holdings.find(|it| it.service == service && it.snapshot == snapshot).cloned()
+        self.lock().holdings.of(service, snapshot).cloned()
     }
 
     /// Snapshots of a service that it holds.
     #[must_use]
     pub fn snapshots(&self, service: &str) -> Vec<SnapshotId> {
-        let state = self.lock();
-        let holdings = state.holdings.iter().filter(|it| it.service == service);
-        holdings.map(|it| it.snapshot).collect()
+        self.lock().holdings.snapshots(service)
+    }
+
+    /// Changes what it holds.
+    pub fn change_holdings(&self, change: impl FnOnce(&mut Holdings)) {
+        change(&mut self.lock().holdings);
     }
 
     /// Draws the time that the next request takes in its slot.
     #[must_use]
     pub fn draw_service_time(&self) -> Duration {
-        self.spec.service_time.draw(&mut self.lock().rng)
+        let mut state = self.lock();
+        let factor = state.faults.straggler;
+        self.spec.service_time.draw(&mut state.rng).mul_f64(factor)
+    }
+
+    /// Its standing faults.
+    #[must_use]
+    pub fn faults(&self) -> StandingFaults {
+        self.lock().faults.clone()
+    }
+
+    /// Replaces its standing faults.
+    pub fn set_faults(&self, faults: StandingFaults) {
+        let goes_down = faults.down;
+        self.lock().faults = faults;
+        if goes_down {
+            self.orders.send_modify(|it| it.resets += 1);
+        }
+    }
+
+    /// Takes no new work and closes connections once their requests are done.
+    pub fn drain(&self) {
+        self.lock().draining = true;
+        self.orders.send_modify(|it| it.drains += 1);
+    }
+
+    /// Breaks all connections and work, and starts again with a new incarnation.
+    pub fn crash(&self) {
+        {
+            let mut state = self.lock();
+            state.incarnation = new_incarnation(state.incarnation);
+            state.started = Instant::now();
+            state.draining = false;
+            state.reported = None;
+        }
+        self.orders.send_modify(|it| it.resets += 1);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -120,13 +177,3 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX).max(previous + 1)
 }
-
-fn holding(spec: &HoldingSpec) -> Holding {
-    let records = Records { service: &spec.service, snapshot: spec.snapshot, count: spec.records };
-    let count = |range| RangeCount { range, records: records.count_in(range) };
-    Holding {
-        service: spec.service.clone(),
-        snapshot: spec.snapshot,
-        ranges: spec.ranges.iter().copied().map(count).collect(),
-    }
-}
--- a/crates/standins/src/upstream/run.rs
+++ b/crates/standins/src/upstream/run.rs
@@ -4,17 +4,21 @@
 use rosemarybank_protocol::platform::{InstanceEntry, InstanceState};
 use tokio::net::TcpListener;
 
-use super::{effects::Effects, replica::Replica, service::UpstreamService, spec::ReplicaSpec};
+use super::{
+    control::ControlService, effects::Effects, replica::Replica, service::UpstreamService,
+    spec::ReplicaSpec,
+};
 use crate::server;
 
 /// Binds and serves every replica in tasks of the present runtime.
 ///
-/// Returns the replicas with the addresses that they got. `seed` fixes their service times.
+/// Returns the control of the replicas, which have the addresses that they got. `seed` fixes
+/// their service times.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
-pub async fn start_all(specs: Vec<ReplicaSpec>, seed: u64) -> Result<Vec<Replica>> {
+pub async fn start_all(specs: Vec<ReplicaSpec>, seed: u64) -> Result<ControlService> {
     let effects = Effects::default();
     let mut replicas = Vec::with_capacity(specs.len());
     for (number, mut spec) in specs.into_iter().enumerate() {
@@ -27,7 +31,7 @@
         tokio::spawn(server::serve(listener, orders, UpstreamService(replica.clone())));
         replicas.push(replica);
     }
-    Ok(replicas)
+    Ok(ControlService::new(replicas, effects))
 }
 
 /// The platform's list entry of a replica.
--- a/crates/standins/src/upstream/service.rs
+++ b/crates/standins/src/upstream/service.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
-use super::{effects::Effect, replica::Replica, search::search};
+use super::{effects::Effect, faults::CrashPoint, replica::Replica, search::search};
 use crate::{
     http::{NoReply, Reply, empty, json, read_body},
     server::{ConnLimits, Handler},
@@ -44,7 +44,13 @@
         let req: ShardRequest = read(body).await?;
         let _permit = self.admit(deadline).await?;
         let found = search(replica, &req).map_err(Refusal::Error)?;
-        let end = Instant::now() + replica.draw_service_time();
+        let time = replica.draw_service_time();
+        if crash_rule(replica, &req.query).is_some() {
+            tokio::time::sleep(time / 2).await;
+            replica.crash();
+            return Err(Refusal::NoReply);
+        }
+        let end = Instant::now() + time;
         if deadline.is_some_and(|it| it < end) {
             tokio::time::sleep_until(deadline.unwrap_or(end)).await;
             return Err(UpstreamErrorKind::Failed.into());
@@ -67,12 +73,24 @@
         }
         let permit = self.admit(deadline).await?;
         // An action that has begun runs to its end, whether or not its caller still waits.
-        let run = tokio::spawn(run_action(self.0.clone(), action, permit));
+        let mut orders = self.0.orders.subscribe();
+        let resets = orders.borrow_and_update().resets;
+        let run = run_action(self.0.clone(), action, permit);
+        let run = tokio::spawn(async move {
+            tokio::select! {
+                biased;
+                _ = orders.wait_for(|it| it.resets != resets) => Err(Refusal::NoReply),
+                result = run => result,
+            }
+        });
         run.await.unwrap_or(Err(Refusal::NoReply))
     }
 
     /// Waits for a slot, unless the replica refuses work or the deadline passes.
     async fn admit(&self, deadline: Option<Instant>) -> Result<OwnedSemaphorePermit, Refusal> {
+        if self.0.faults().shed {
+            return Err(UpstreamErrorKind::Shed.into());
+        }
         match self.0.state() {
             ReplicaState::Cold => return Err(UpstreamErrorKind::Cold.into()),
             ReplicaState::Draining => return Err(UpstreamErrorKind::Draining.into()),
@@ -94,14 +112,19 @@
 
 impl Handler for UpstreamService {
     async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Result<Reply, NoReply> {
+        let faults = self.0.faults();
+        if faults.silent {
+            return std::future::pending().await;
+        }
         let (head, body) = req.into_parts();
         let result = match (head.method, head.uri.path()) {
             (Method::POST, "/search") => self.search(&head.headers, body).await,
             (Method::POST, "/actions") => self.act(&head.headers, body).await,
-            (Method::GET, "/status") => Ok(json(StatusCode::OK, &self.0.status())),
+            (Method::GET, "/status") => Ok(json(StatusCode::OK, &self.0.reported_status())),
             (Method::GET, "/effects") => Ok(json(StatusCode::OK, &self.0.effects.all())),
             _ => Ok(empty(StatusCode::NOT_FOUND)),
         };
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         match result {
             Ok(reply) => Ok(reply),
             Err(Refusal::Error(error)) => Ok(json(status_of(error.error), &error)),
@@ -111,7 +134,8 @@
 
     fn limits(&self) -> ConnLimits {
         let spec = &self.0.spec;
-        ConnLimits { max: spec.connections, delay: Duration::from_millis(spec.connect_ms) }
+        let max = if self.0.faults().down { 0 } else { spec.connections };
+        ConnLimits { max, delay: Duration::from_millis(spec.connect_ms) }
     }
 }
 
@@ -121,8 +145,13 @@
     permit: OwnedSemaphorePermit,
 ) -> Result<Reply, Refusal> {
     let _permit = permit;
+    let crash = crash_rule(&replica, &action.body);
     let half = replica.draw_service_time() / 2;
     tokio::time::sleep(half).await;
+    if crash == Some(CrashPoint::BeforeEffect) {
+        replica.crash();
+        return Err(Refusal::NoReply);
+    }
     // The effect lies between the two halves, so that a crash can come before or after it.
     let number = replica.effects.record(Effect {
         replica: replica.spec.replica.clone(),
@@ -130,11 +159,20 @@
         key: action.key,
         body: action.body,
     });
+    if crash == Some(CrashPoint::AfterEffect) {
+        replica.crash();
+        return Err(Refusal::NoReply);
+    }
     tokio::time::sleep(half).await;
     let reply = UpstreamActionReply { result: format_compact!("entry {number}") };
     Ok(json(StatusCode::OK, &reply))
 }
 
+fn crash_rule(replica: &Replica, text: &str) -> Option<CrashPoint> {
+    let rule = replica.faults().crash?;
+    text.contains(rule.text.as_str()).then_some(rule.at)
+}
+
 async fn read<T: DeserializeOwned>(body: Incoming) -> Result<T, Refusal> {
     let body = read_body(body, MAX_BODY_LEN).await.map_err(|_| UpstreamErrorKind::BadRequest)?;
     serde_json::from_slice(&body).map_err(|_| UpstreamErrorKind::BadRequest.into())
--- a/crates/standins/tests/upstream_api.rs
+++ b/crates/standins/tests/upstream_api.rs
@@ -1,61 +1,23 @@
 //! The upstream stand-in over h2.
 
-use std::time::{Duration, Instant};
+mod support;
 
 use http::{Method, StatusCode};
 use rosemarybank_protocol::{
     key_range::KeyRange,
     upstream::{
-        Load, ReplicaState, ReplicaStatus, ShardReply, ShardRequest, UpstreamAction, UpstreamError,
+        Load, ReplicaState, ReplicaStatus, ShardReply, UpstreamAction, UpstreamError,
         UpstreamErrorKind,
     },
 };
 use rosemarybank_standins::{
     client::HttpClient,
-    upstream::{Effect, HoldingSpec, Replica, ReplicaSpec, ServiceTime, records::Records, run},
+    upstream::{Effect, Replica, ReplicaSpec, records::Records, run},
 };
-
-fn spec(service_time_ms: u64) -> ReplicaSpec {
-    let low = KeyRange::new(0, u64::MAX / 2).unwrap();
-    ReplicaSpec {
-        replica: "r0".into(),
-        upstream: "u0".into(),
-        data_centre: "dc1".into(),
-        addr: "127.0.0.1:0".parse().unwrap(),
-        slots: 2,
-        queue: 1,
-        connections: 2,
-        connect_ms: 0,
-        cold_start_ms: 0,
-        service_time: ServiceTime { median_us: service_time_ms * 1_000, sigma: 0.0 },
-        holdings: vec![HoldingSpec {
-            service: "order-desk".into(),
-            snapshot: 4,
-            records: 1_000,
-            ranges: vec![low],
-        }],
-        ledgers: vec!["lot-ledger".into()],
-    }
-}
+use support::{search, shard_request, spec, wait_for};
 
 async fn start(spec: ReplicaSpec) -> Replica {
-    run::start_all(vec![spec], 1).await.unwrap().remove(0)
-}
-
-fn shard_request(range: KeyRange) -> String {
-    let req = ShardRequest {
-        service: "order-desk".into(),
-        snapshot: 4,
-        range,
-        query: "cherry".into(),
-        limit: 5,
-    };
-    serde_json::to_string(&req).unwrap()
-}
-
-async fn search(client: &HttpClient, replica: &Replica, body: String) -> (StatusCode, Vec<u8>) {
-    let reply = client.send(Method::POST, replica.spec.addr, "/search", &[], body).await.unwrap();
-    (reply.status(), reply.body().to_vec())
+    run::start_all(vec![spec], 1).await.unwrap().replicas()[0].clone()
 }
 
 /// Guards against a reply that claims more of the range than the replica holds.
@@ -171,11 +133,3 @@
     let refused = second.send(Method::GET, replica.spec.addr, "/status", &[], "").await;
     assert!(refused.is_err(), "a connection beyond the cap is refused");
 }
-
-async fn wait_for(condition: impl Fn() -> bool) {
-    let end = Instant::now() + Duration::from_secs(5);
-    while !condition() {
-        assert!(Instant::now() < end, "the condition did not become true within 5 s");
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
-}
