standins: Add topologies and delays between data centres

Cause: the demo needs a small site of today's shape in one command, and crossing between data centres must have a price. Ruled out: traffic shaping by the system, which needs rights and tools that the stand-ins should not need. The stand-in sleeps instead, by the source address of the connection. Before: replicas had to be listed one by one. Conclusion: the demo and the process tests have their upstreams.

--- a/crates/standins/src/bin/standin_platform/flags.rs
+++ b/crates/standins/src/bin/standin_platform/flags.rs
@@ -13,7 +13,7 @@
         optional --control addr: SocketAddr
         /// Directory of JSON files that are loaded as objects.
         optional --objects dir: PathBuf
-        /// YAML or JSON list of entries for `instances/`.
-        optional --instances file: PathBuf
+        /// YAML or JSON list of entries for `instances/`; may be given again.
+        repeated --instances file: PathBuf
     }
 }
--- a/crates/standins/src/bin/standin_platform/main.rs
+++ b/crates/standins/src/bin/standin_platform/main.rs
@@ -18,7 +18,7 @@
     if let Some(dir) = &flags.objects {
         initial::load_dir(&mut store, dir)?;
     }
-    if let Some(file) = &flags.instances {
+    for file in &flags.instances {
         initial::load_instances(&mut store, file)?;
     }
     slog::info!(log, "objects loaded"; "revision" => store.revision());
--- a/crates/standins/src/bin/standin_upstream/flags.rs
+++ b/crates/standins/src/bin/standin_upstream/flags.rs
@@ -9,12 +9,16 @@
     /// `ready` after the last.
     cmd standin-upstream {
         /// YAML or JSON list of replicas.
-        required --replicas file: PathBuf
+        optional --replicas file: PathBuf
+        /// YAML or JSON topology, in place of a list; config/demo/topology.yaml is an example.
+        optional --topology file: PathBuf
+        /// Serves only the replicas of this data centre.
+        optional --data-centre name: String
         /// Address for `POST /faults`, `GET /effects` and `GET /replicas`; port 0 picks a free one.
         optional --control addr: SocketAddr
         /// File that gets the platform's list entries of the replicas, as JSON.
         optional --instances-out file: PathBuf
-        /// Seed of the service times; 1 if absent.
+        /// Seed of the service times; the topology's, or 1, if absent.
         optional --seed seed: u64
     }
 }
--- a/crates/standins/src/bin/standin_upstream/main.rs
+++ b/crates/standins/src/bin/standin_upstream/main.rs
@@ -2,25 +2,25 @@
 
 mod flags;
 
-use std::fs;
+use std::{fs, path::Path};
 
-use eyre::{Context, Result};
+use eyre::{Context, Result, bail};
 use rosemarybank_standins::{
     logging, server,
-    upstream::{ReplicaSpec, run},
+    upstream::{Network, ReplicaSpec, Topology, run},
 };
+use serde::de::DeserializeOwned;
 use tokio::{net::TcpListener, sync::watch};
 
 #[tokio::main(worker_threads = 2)]
 async fn main() -> Result<()> {
     let flags = flags::StandinUpstream::from_env_or_exit();
     let log = logging::stderr_logger();
-    let file = &flags.replicas;
-    let text = fs::read_to_string(file).wrap_err_with(|| format!("read {}", file.display()))?;
-    let specs: Vec<ReplicaSpec> =
-        serde_saphyr::from_str(&text).wrap_err_with(|| format!("parse {}", file.display()))?;
-
-    let control = run::start_all(specs, flags.seed.unwrap_or(1)).await?;
+    let Plan { mut replicas, network, seed } = plan(&flags)?;
+    if let Some(name) = &flags.data_centre {
+        replicas.retain(|it| it.data_centre == name.as_str());
+    }
+    let control = run::start_all(replicas, network, flags.seed.unwrap_or(seed)).await?;
     let replicas = control.replicas().to_vec();
     for replica in &replicas {
         println!("listening {} {}", replica.spec.replica, replica.spec.addr);
@@ -40,3 +40,28 @@
     slog::info!(log, "replicas started"; "count" => replicas.len());
     std::future::pending().await
 }
+
+struct Plan {
+    replicas: Vec<ReplicaSpec>,
+    network: Network,
+    seed: u64,
+}
+
+fn plan(flags: &flags::StandinUpstream) -> Result<Plan> {
+    match (&flags.replicas, &flags.topology) {
+        (Some(file), None) => {
+            Ok(Plan { replicas: read(file)?, network: Network::default(), seed: 1 })
+        }
+        (None, Some(file)) => {
+            let topology: Topology = read(file)?;
+            let (replicas, network) = (topology.replicas(), topology.network());
+            Ok(Plan { replicas, network, seed: topology.seed })
+        }
+        _ => bail!("give either --replicas or --topology"),
+    }
+}
+
+fn read<T: DeserializeOwned>(file: &Path) -> Result<T> {
+    let text = fs::read_to_string(file).wrap_err_with(|| format!("read {}", file.display()))?;
+    serde_saphyr::from_str(&text).wrap_err_with(|| format!("parse {}", file.display()))
+}
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -193,7 +193,7 @@
         self.answer(req).await
     }
 
-    fn limits(&self) -> ConnLimits {
+    fn limits(&self, _peer: SocketAddr) -> ConnLimits {
         let max = if self.faults.get().down { 0 } else { u32::MAX };
         ConnLimits { max, ..ConnLimits::default() }
     }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -31,8 +31,8 @@
         peer: SocketAddr,
     ) -> impl Future<Output = Result<Reply, NoReply>> + Send;
 
-    /// Limits for new connections, asked at each accept.
-    fn limits(&self) -> ConnLimits {
+    /// Limits for a new connection, asked at each accept.
+    fn limits(&self, _peer: SocketAddr) -> ConnLimits {
         ConnLimits::default()
     }
 }
@@ -74,7 +74,7 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let limits = handler.limits();
+        let limits = handler.limits(peer);
         let Some(slot) = ConnSlot::take(&open, limits.max) else { continue };
         let (handler, orders) = (handler.clone(), orders.clone());
         tokio::spawn(async move {
--- a/crates/standins/src/upstream/mod.rs
+++ b/crates/standins/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 pub mod effects;
 pub mod faults;
 pub mod holdings;
+pub mod network;
 pub mod records;
 pub mod replica;
 pub mod run;
@@ -12,13 +13,16 @@
 pub mod service_time;
 pub mod slots;
 pub mod spec;
+pub mod topology;
 
 pub use control::ControlService;
 pub use effects::{Effect, Effects};
 pub use faults::{Command, CrashPoint, CrashRule, FaultOrder, Lie, StandingFaults};
+pub use network::Network;
 pub use replica::Replica;
 pub use service::UpstreamService;
 pub use spec::{HoldingSpec, ReplicaSpec, ServiceTime};
+pub use topology::Topology;
 
 #[cfg(test)]
 mod tests;
--- a/crates/standins/src/upstream/run.rs
+++ b/crates/standins/src/upstream/run.rs
@@ -1,12 +1,14 @@
 //! Starts the replicas of a process.
 
+use std::sync::Arc;
+
 use eyre::{Context, Result};
 use rosemarybank_protocol::platform::{InstanceEntry, InstanceState};
 use tokio::net::TcpListener;
 
 use super::{
-    control::ControlService, effects::Effects, replica::Replica, service::UpstreamService,
-    spec::ReplicaSpec,
+    control::ControlService, effects::Effects, network::Network, replica::Replica,
+    service::UpstreamService, spec::ReplicaSpec,
 };
 use crate::server;
 
@@ -18,7 +20,12 @@
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
-pub async fn start_all(specs: Vec<ReplicaSpec>, seed: u64) -> Result<ControlService> {
+pub async fn start_all(
+    specs: Vec<ReplicaSpec>,
+    network: Network,
+    seed: u64,
+) -> Result<ControlService> {
+    let network = Arc::new(network);
     let effects = Effects::default();
     let mut replicas = Vec::with_capacity(specs.len());
     for (number, mut spec) in specs.into_iter().enumerate() {
@@ -28,7 +35,11 @@
         spec.addr = listener.local_addr()?;
         let replica = Replica::start(spec, seed.wrapping_add(number as u64), effects.clone());
         let orders = replica.orders.subscribe();
-        tokio::spawn(server::serve(listener, orders, UpstreamService(replica.clone())));
+        tokio::spawn(server::serve(
+            listener,
+            orders,
+            UpstreamService::new(replica.clone(), network.clone()),
+        ));
         replicas.push(replica);
     }
     Ok(ControlService::new(replicas, effects))
--- a/crates/standins/src/upstream/service.rs
+++ b/crates/standins/src/upstream/service.rs
@@ -1,6 +1,6 @@
 //! The upstream protocol over HTTP.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use compact_str::format_compact;
 use http::{HeaderMap, Method, Request, StatusCode};
@@ -12,7 +12,9 @@
 use serde::de::DeserializeOwned;
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
-use super::{effects::Effect, faults::CrashPoint, replica::Replica, search::search};
+use super::{
+    effects::Effect, faults::CrashPoint, network::Network, replica::Replica, search::search,
+};
 use crate::{
     http::{NoReply, Reply, empty, json, read_body},
     server::{ConnLimits, Handler},
@@ -23,7 +25,10 @@
 
 /// Answers the upstream protocol for one [`Replica`].
 #[derive(Clone)]
-pub struct UpstreamService(pub Replica);
+pub struct UpstreamService {
+    replica: Replica,
+    network: Arc<Network>,
+}
 
 /// Why a request has no `200` reply.
 enum Refusal {
@@ -38,8 +43,14 @@
 }
 
 impl UpstreamService {
+    /// Serves a replica; requests from other data centres are late by the network's delays.
+    #[must_use]
+    pub fn new(replica: Replica, network: Arc<Network>) -> UpstreamService {
+        UpstreamService { replica, network }
+    }
+
     async fn search(&self, headers: &HeaderMap, body: Incoming) -> Result<Reply, Refusal> {
-        let replica = &self.0;
+        let replica = &self.replica;
         let deadline = deadline(headers)?;
         let req: ShardRequest = read(body).await?;
         let _permit = self.admit(deadline).await?;
@@ -68,14 +79,14 @@
     async fn act(&self, headers: &HeaderMap, body: Incoming) -> Result<Reply, Refusal> {
         let deadline = deadline(headers)?;
         let action: UpstreamAction = read(body).await?;
-        if !self.0.spec.ledgers.contains(&action.service) {
+        if !self.replica.spec.ledgers.contains(&action.service) {
             return Err(UpstreamErrorKind::BadRequest.into());
         }
         let permit = self.admit(deadline).await?;
         // An action that has begun runs to its end, whether or not its caller still waits.
-        let mut orders = self.0.orders.subscribe();
+        let mut orders = self.replica.orders.subscribe();
         let resets = orders.borrow_and_update().resets;
-        let run = run_action(self.0.clone(), action, permit);
+        let run = run_action(self.replica.clone(), action, permit);
         let run = tokio::spawn(async move {
             tokio::select! {
                 biased;
@@ -86,17 +97,21 @@
         run.await.unwrap_or(Err(Refusal::NoReply))
     }
 
+    fn one_way(&self, peer: SocketAddr) -> Duration {
+        self.network.one_way(peer.ip(), &self.replica.spec.data_centre)
+    }
+
     /// Waits for a slot, unless the replica refuses work or the deadline passes.
     async fn admit(&self, deadline: Option<Instant>) -> Result<OwnedSemaphorePermit, Refusal> {
-        if self.0.faults().shed {
+        if self.replica.faults().shed {
             return Err(UpstreamErrorKind::Shed.into());
         }
-        match self.0.state() {
+        match self.replica.state() {
             ReplicaState::Cold => return Err(UpstreamErrorKind::Cold.into()),
             ReplicaState::Draining => return Err(UpstreamErrorKind::Draining.into()),
             ReplicaState::Serving => {}
         }
-        let acquire = self.0.slots.acquire();
+        let acquire = self.replica.slots.acquire();
         let acquired = match deadline {
             Some(at) => tokio::time::timeout_at(at, acquire).await,
             None => Ok(acquire.await),
@@ -111,20 +126,22 @@
 }
 
 impl Handler for UpstreamService {
-    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Result<Reply, NoReply> {
-        let faults = self.0.faults();
+    async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Result<Reply, NoReply> {
+        let faults = self.replica.faults();
         if faults.silent {
             return std::future::pending().await;
         }
+        let one_way = self.one_way(peer);
+        pause(one_way).await;
         let (head, body) = req.into_parts();
         let result = match (head.method, head.uri.path()) {
             (Method::POST, "/search") => self.search(&head.headers, body).await,
             (Method::POST, "/actions") => self.act(&head.headers, body).await,
-            (Method::GET, "/status") => Ok(json(StatusCode::OK, &self.0.reported_status())),
-            (Method::GET, "/effects") => Ok(json(StatusCode::OK, &self.0.effects.all())),
+            (Method::GET, "/status") => Ok(json(StatusCode::OK, &self.replica.reported_status())),
+            (Method::GET, "/effects") => Ok(json(StatusCode::OK, &self.replica.effects.all())),
             _ => Ok(empty(StatusCode::NOT_FOUND)),
         };
-        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        pause(one_way + Duration::from_millis(faults.delay_ms)).await;
         match result {
             Ok(reply) => Ok(reply),
             Err(Refusal::Error(error)) => Ok(json(status_of(error.error), &error)),
@@ -132,10 +149,18 @@
         }
     }
 
-    fn limits(&self) -> ConnLimits {
-        let spec = &self.0.spec;
-        let max = if self.0.faults().down { 0 } else { spec.connections };
-        ConnLimits { max, delay: Duration::from_millis(spec.connect_ms) }
+    fn limits(&self, peer: SocketAddr) -> ConnLimits {
+        let spec = &self.replica.spec;
+        let max = if self.replica.faults().down { 0 } else { spec.connections };
+        let round_trip = self.one_way(peer) * 2;
+        ConnLimits { max, delay: Duration::from_millis(spec.connect_ms) + round_trip }
+    }
+}
+
+/// Sleeps only for a time above zero, because the timer's resolution is a whole millisecond.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
     }
 }
 
--- a/crates/standins/src/upstream/tests.rs
+++ b/crates/standins/src/upstream/tests.rs
@@ -7,6 +7,7 @@
     records::Records,
     slots::{Full, Slots},
     spec::{ReplicaSpec, ServiceTime},
+    topology::Topology,
 };
 
 proptest! {
@@ -75,3 +76,35 @@
     assert_eq!((specs[0].slots, specs[0].connections), (2, 25));
     assert_eq!(specs[0].holdings[0].ranges[0].last(), u64::MAX / 2);
 }
+
+fn demo() -> Topology {
+    serde_saphyr::from_str(include_str!("../../../../config/demo/topology.yaml")).unwrap()
+}
+
+/// Guards against a demo topology whose shards do not tile the key space in each data centre, or
+/// whose replicas share an address.
+#[test]
+fn the_demo_topology_is_complete() {
+    let topology = demo();
+    let replicas = topology.replicas();
+    assert_eq!(replicas.len(), 33);
+    let addrs: std::collections::BTreeSet<_> = replicas.iter().map(|it| it.addr).collect();
+    assert_eq!(addrs.len(), 33);
+    for data_centre in &topology.data_centres {
+        let local = replicas.iter().filter(|it| it.data_centre == data_centre.name);
+        let ranges: Vec<_> = local.flat_map(|it| &it.holdings).flat_map(|it| &it.ranges).collect();
+        assert_eq!(ranges.len(), 10);
+        assert!(KeyRange::ALL.subtract(ranges.iter().map(|it| **it)).is_empty());
+        assert!(KeyRange::are_disjoint(ranges.iter().map(|it| **it)));
+    }
+}
+
+/// Guards against delays that are missing in one direction or apply inside a data centre.
+#[test]
+fn delays_follow_the_source_address() {
+    let network = demo().network();
+    let ms = |from: &str, to: &str| network.one_way(from.parse().unwrap(), &to.into()).as_millis();
+    assert_eq!((ms("127.0.1.9", "rundu"), ms("127.0.2.9", "maun")), (4, 4));
+    assert_eq!((ms("127.0.1.9", "katima"), ms("127.0.1.9", "maun")), (12, 0));
+    assert_eq!(ms("127.0.0.1", "katima"), 0);
+}
--- a/crates/standins/tests/upstream_api.rs
+++ b/crates/standins/tests/upstream_api.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use http::{Method, StatusCode};
 use rosemarybank_protocol::{
     key_range::KeyRange,
@@ -12,12 +14,12 @@
 };
 use rosemarybank_standins::{
     client::HttpClient,
-    upstream::{Effect, Replica, ReplicaSpec, records::Records, run},
+    upstream::{Effect, Network, Replica, ReplicaSpec, records::Records, run},
 };
 use support::{search, shard_request, spec, wait_for};
 
 async fn start(spec: ReplicaSpec) -> Replica {
-    run::start_all(vec![spec], 1).await.unwrap().replicas()[0].clone()
+    run::start_all(vec![spec], Network::default(), 1).await.unwrap().replicas()[0].clone()
 }
 
 /// Guards against a reply that claims more of the range than the replica holds.
@@ -133,3 +135,18 @@
     let refused = second.send(Method::GET, replica.spec.addr, "/status", &[], "").await;
     assert!(refused.is_err(), "a connection beyond the cap is refused");
 }
+
+/// Guards against crossings between data centres that cost nothing.
+#[tokio::test]
+async fn a_crossing_takes_its_delay_both_ways() {
+    let mut network = Network::default();
+    network.add_data_centre("127.0.0.0".parse().unwrap(), "dc2".into());
+    network.set_delay("dc1".into(), "dc2".into(), Duration::from_millis(30));
+    let control = run::start_all(vec![spec(0)], network, 1).await.unwrap();
+    let addr = control.replicas()[0].spec.addr;
+    let client = HttpClient::h2();
+    client.send(Method::GET, addr, "/status", &[], "").await.unwrap();
+    let start = Instant::now();
+    client.send(Method::GET, addr, "/status", &[], "").await.unwrap();
+    assert!(start.elapsed() >= Duration::from_millis(60), "{:?}", start.elapsed());
+}
