Add the load generator, the direct baseline and the quarantine commands

Cause: latency, coverage and extra load have to be measured with open-loop arrivals, and the latency that an instance adds needs a baseline in the same run.

Ruled out: the runtime's timers as the pace, because they round up to a millisecond, which every latency would include; a thread sets the pace. Ruled out: leaving failed requests out of the shares, because a refused search covers nothing for its caller. Ruled out: writing a release of the quarantine into the store only, because running instances read the store at their start; the command asks an instance's admin port.

Change: `load` draws Poisson arrivals from a seed, measures from the intended send time, bounds count, time and requests in flight, and reads the attempts counter of the instances before and after.

Before: no load could be made.

Conclusion: not yet run against the daemon.

--- a/crates/cli/src/commands/bundle/log.rs
+++ b/crates/cli/src/commands/bundle/log.rs
@@ -1,6 +1,5 @@
 use std::{ffi::OsString, net::SocketAddr};
 
-use chrono::DateTime;
 use rosemarybank_bundle::{diff, parse};
 use serde_json::json;
 
@@ -8,7 +7,7 @@
     command::{Command, Example, Needs},
     context::Context,
     error::CliError,
-    report::{Report, table},
+    report::{Report, table, utc},
     rollout::history::{self, HistoryEntry},
     store::connect,
 };
@@ -55,7 +54,7 @@
             rows.push(vec![
                 signed.version.to_string(),
                 signed.signer.to_string(),
-                rolled_out_unix_ms.and_then(utc).unwrap_or_else(|| "unknown".to_owned()),
+                rolled_out_unix_ms.map_or("unknown".to_owned(), utc),
                 changes.map_or("-".to_owned(), |it| it.to_string()),
             ]);
             list.push(json!({
@@ -74,8 +73,3 @@
     let (old, new) = (parse(&before.signed.bundle).ok()?, parse(&after.signed.bundle).ok()?);
     Some(diff(&old, &new).len())
 }
-
-fn utc(unix_ms: u64) -> Option<String> {
-    let time = DateTime::from_timestamp_millis(i64::try_from(unix_ms).ok()?)?;
-    Some(time.format("%Y-%m-%d %H:%M:%S").to_string())
-}
--- /dev/null
+++ b/crates/cli/src/commands/load.rs
@@ -0,0 +1,275 @@
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, time::Duration};
+
+use rosemarybank_bundle::parse;
+use rosemarybank_protocol::{prelude::*, search::DEFAULT_LIMIT};
+use serde_json::json;
+
+use super::parse_word;
+use crate::{
+    admin::Admin,
+    command::{Command, Example, Needs},
+    context::Context,
+    entry::Entry,
+    error::CliError,
+    http::Http,
+    load::{
+        arrivals::Arrivals,
+        counters::attempts,
+        direct::Direct,
+        entries::Entries,
+        run::run,
+        table::{figures_table, median_lines},
+        tally::Figures,
+    },
+    report::Report,
+    rollout::update::read_base,
+    store::connect,
+};
+
+/// Longest run in seconds, so that a forgotten one ends.
+const MAX_SECONDS: f64 = 3_600.0;
+
+/// Rounds of a comparison if the command line names none, and the fewest that are taken.
+const COMPARED_ROUNDS: u32 = 5;
+
+/// Threads besides the pacer.
+const THREADS: usize = 2;
+
+/// Time in which the instances' telemetry threads count the last requests.
+const COUNTER_LAG: Duration = Duration::from_millis(500);
+
+xflags::xflags! {
+    cmd load-run {
+        /// Name of the search service.
+        required service: String
+        /// Text to search for; several are used in turn. `oak` if absent.
+        repeated --query text: String
+        /// Requests per second; 50 if absent.
+        optional --rate requests: f64
+        /// Length of a round in seconds, up to 3600; 10 if absent.
+        optional --seconds seconds: f64
+        /// Most requests of a round; 1000000 if absent.
+        optional --count requests: u64
+        /// Most requests without an answer; further ones are not sent. 1000 if absent.
+        optional --in-flight requests: usize
+        /// Seed of the arrivals; 1 if absent.
+        optional --seed seed: u64
+        /// Rounds; 1 if absent, 5 or more with --direct.
+        optional --rounds rounds: u32
+        /// Compares with a client that asks the upstreams itself, in alternating rounds.
+        optional --direct
+        /// Largest number of hits; 20 if absent.
+        optional --limit hits: u32
+        /// Milliseconds allowed; the service's own time if absent.
+        optional --timeout-ms ms: u64
+        /// `complete` or `partial`; the service's own wish if absent.
+        optional --coverage wish: String
+        /// Callers ports of entry instances, used in turn; $ROSEMARYBANK_ENTRY if absent.
+        repeated --entry addr: SocketAddr
+        /// h2 connections to each instance; 4 if absent.
+        optional --connections number: usize
+        /// Admin ports of all instances, to read the extra load from their counters.
+        repeated --admin addr: SocketAddr
+        /// File with the caller's token; $ROSEMARYBANK_TOKEN if absent.
+        optional --token-file file: PathBuf
+        /// Platform's object API, for --admin and --direct; $ROSEMARYBANK_PLATFORM if absent.
+        optional --platform addr: SocketAddr
+    }
+}
+
+impl Command for LoadRun {
+    const NAME: &'static [&'static str] = &["load"];
+    const ABOUT: &'static str = "Sends searches at a fixed rate and measures the answers.";
+    const EXAMPLES: &'static [Example] = &[
+        Example {
+            about: "Send 200 searches per second for 30 seconds; the run stops by itself.",
+            args: &["order-desk", "--rate", "200", "--seconds", "30", "--seed", "7"],
+            needs: Needs::Servers,
+        },
+        Example {
+            about: "Measure what an instance adds to the latency of its upstreams, and its extra \
+                    load, in 5 alternating rounds.",
+            args: &["order-desk", "--direct", "--rounds", "5", "--admin", "127.0.0.1:9100"],
+            needs: Needs::Servers,
+        },
+    ];
+
+    fn parse(args: Vec<OsString>) -> xflags::Result<LoadRun> {
+        let flags = LoadRun::from_vec(args)?;
+        coverage(&flags)?;
+        let seconds = flags.seconds();
+        if !(seconds > 0.0 && seconds <= MAX_SECONDS) {
+            return Err(xflags::Error::new("--seconds is above 0 and at most 3600"));
+        }
+        let rate = flags.rate();
+        if !(rate > 0.0 && rate <= 1e6) {
+            return Err(xflags::Error::new("--rate is above 0 and at most 1000000"));
+        }
+        if flags.direct && flags.rounds() < COMPARED_ROUNDS {
+            return Err(xflags::Error::new("--direct takes 5 rounds or more"));
+        }
+        Ok(flags)
+    }
+
+    fn run(self, cx: &Context) -> Result<Report, CliError> {
+        cx.block_on_threads(THREADS, self.perform(cx))?
+    }
+}
+
+/// The sides that are measured and what they need.
+struct Sides {
+    entries: Entries,
+    direct: Option<Direct>,
+    admins: Vec<Admin>,
+    /// Shards of the service; 0 when nothing asks for them.
+    shards: usize,
+}
+
+impl LoadRun {
+    async fn perform(&self, cx: &Context) -> Result<Report, CliError> {
+        let sides = self.sides(cx).await?;
+        cx.note(format!("seed {}", self.seed()));
+        sides.entries.warm_up().await?;
+        let (mut through, mut direct) = (Vec::new(), Vec::new());
+        for round in 0..self.rounds() {
+            let figures = self.entry_round(&sides, round).await?;
+            cx.note(figures_table([(format!("entry {}", round + 1), &figures)]));
+            through.push(figures);
+            if let Some(side) = &sides.direct {
+                let figures = self.direct_round(side, sides.shards, round).await;
+                cx.note(figures_table([(format!("direct {}", round + 1), &figures)]));
+                direct.push(figures);
+            }
+        }
+        Ok(self.report(&through, &direct))
+    }
+
+    async fn sides(&self, cx: &Context) -> Result<Sides, CliError> {
+        let requests = self.requests()?;
+        let admins: Vec<_> = self.admin.iter().map(|&addr| Admin::new(addr)).collect();
+        let mut sides = Sides {
+            entries: Entries::new(self.entries(cx)?, &self.service, requests.clone()),
+            direct: None,
+            admins,
+            shards: 0,
+        };
+        if sides.admins.is_empty() && !self.direct {
+            return Ok(sides);
+        }
+        let store = connect(cx.platform(self.platform)?);
+        let service = self.service_config(read_base(&store).await?.map(|(_, it)| it.bundle))?;
+        sides.shards = service.shards.len();
+        if self.direct {
+            let timeout = Duration::from_millis(self.timeout_ms.unwrap_or(service.timeout_ms));
+            let direct = Direct::prepare(&store, &service, requests, timeout, self.seed()).await?;
+            sides.direct = Some(direct);
+        }
+        Ok(sides)
+    }
+
+    async fn entry_round(&self, sides: &Sides, round: u32) -> Result<Figures, CliError> {
+        let before = attempts(&sides.admins).await?;
+        let tally = run(sides.entries.clone(), self.arrivals(round), self.in_flight()).await;
+        let mut figures = tally.figures(Duration::from_secs_f64(self.seconds()));
+        if !sides.admins.is_empty() {
+            tokio::time::sleep(COUNTER_LAG).await;
+            let sent = attempts(&sides.admins).await?.saturating_sub(before);
+            figures.extra_load = extra_load(sent, tally.sent(), sides.shards);
+        }
+        Ok(figures)
+    }
+
+    async fn direct_round(&self, side: &Direct, shards: usize, round: u32) -> Figures {
+        let before = side.sent();
+        let tally = run(side.clone(), self.arrivals(round), self.in_flight()).await;
+        let mut figures = tally.figures(Duration::from_secs_f64(self.seconds()));
+        figures.extra_load = extra_load(side.sent() - before, tally.sent(), shards);
+        figures
+    }
+
+    fn report(&self, through: &[Figures], direct: &[Figures]) -> Report {
+        let numbered = |side: &'static str| {
+            move |(i, figures)| -> (String, &Figures) { (format!("{side} {}", i + 1), figures) }
+        };
+        let rows = through.iter().enumerate().map(numbered("entry"));
+        let rows = rows.chain(direct.iter().enumerate().map(numbered("direct")));
+        let mut text = figures_table(rows);
+        if through.len() > 1 {
+            text.push_str(&format!("\n{}", median_lines("entry", through)));
+        }
+        if !direct.is_empty() {
+            text.push_str(&format!("\n{}", median_lines("direct", direct)));
+        }
+        text.push_str(&format!("\nseed {}\n", self.seed()));
+        Report::new(text, &json!({ "seed": self.seed(), "entry": through, "direct": direct }))
+    }
+
+    fn requests(&self) -> Result<Vec<SearchRequest>, CliError> {
+        let coverage = coverage(self).map_err(|e| CliError::Usage(e.to_string()))?;
+        let queries = match self.query.is_empty() {
+            true => vec!["oak".to_owned()],
+            false => self.query.clone(),
+        };
+        let limit = self.limit.unwrap_or(DEFAULT_LIMIT);
+        let timeout_ms = self.timeout_ms;
+        let request = |query| SearchRequest { query, limit, timeout_ms, coverage };
+        Ok(queries.into_iter().map(request).collect())
+    }
+
+    fn entries(&self, cx: &Context) -> Result<Vec<Entry>, CliError> {
+        let token = cx.token(self.token_file.as_deref())?;
+        let addrs = match self.entry.is_empty() {
+            true => vec![cx.entry(None)?],
+            false => self.entry.clone(),
+        };
+        // Each client has one connection to its address; the instances take turns first.
+        let connections = self.connections.unwrap_or(4).max(1);
+        let in_turn = (0..connections).flat_map(|_| &addrs);
+        Ok(in_turn.map(|&addr| Entry::new(addr, &token, Http::h2())).collect())
+    }
+
+    fn service_config(&self, bundle: Option<String>) -> Result<ServiceConfig, CliError> {
+        let Some(text) = bundle else { return Err(CliError::NoConfiguration) };
+        let bundle = parse(&text).ok();
+        let mut services = bundle.into_iter().flat_map(|it| it.services);
+        services
+            .find(|it| it.name == self.service && it.kind == ServiceKind::Search)
+            .ok_or_else(|| CliError::NoService { service: self.service.clone() })
+    }
+
+    /// Both sides of a round get the same arrivals.
+    fn arrivals(&self, round: u32) -> Arrivals {
+        let duration = Duration::from_secs_f64(self.seconds());
+        let seed = self.seed().wrapping_add(u64::from(round));
+        Arrivals::new(self.rate(), duration, self.count.unwrap_or(1_000_000), seed)
+    }
+
+    fn rate(&self) -> f64 {
+        self.rate.unwrap_or(50.0)
+    }
+
+    fn seconds(&self) -> f64 {
+        self.seconds.unwrap_or(10.0)
+    }
+
+    fn in_flight(&self) -> usize {
+        self.in_flight.unwrap_or(1_000)
+    }
+
+    fn seed(&self) -> u64 {
+        self.seed.unwrap_or(1)
+    }
+
+    fn rounds(&self) -> u32 {
+        self.rounds.unwrap_or(if self.direct { COMPARED_ROUNDS } else { 1 }).max(1)
+    }
+}
+
+fn coverage(flags: &LoadRun) -> xflags::Result<Option<CoverageMode>> {
+    flags.coverage.as_deref().map(|word| parse_word("--coverage", word)).transpose()
+}
+
+fn extra_load(upstream_requests: u64, requests: u64, shards: usize) -> Option<f64> {
+    let due = requests.saturating_mul(shards as u64);
+    (due > 0).then(|| upstream_requests as f64 / due as f64)
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,8 @@
 mod action;
 mod bundle;
 mod instances;
+mod load;
+mod quarantine;
 pub(crate) mod search;
 mod trace;
 
@@ -26,8 +28,11 @@
     Entry::of::<action::submit::ActionSubmit>(),
     Entry::of::<action::show::ActionShow>(),
     Entry::of::<action::settle::ActionSettle>(),
+    Entry::of::<quarantine::list::QuarantineList>(),
+    Entry::of::<quarantine::release::QuarantineRelease>(),
     Entry::of::<instances::Instances>(),
     Entry::of::<trace::show::TraceShow>(),
+    Entry::of::<load::LoadRun>(),
 ];
 
 /// Reads one of the words of an enum of the protocol.
--- /dev/null
+++ b/crates/cli/src/commands/quarantine/mod.rs
@@ -0,0 +1,4 @@
+//! Commands about requests that crash upstreams.
+
+pub(crate) mod list;
+pub(crate) mod release;
--- a/crates/cli/src/commands/trace/show.rs
+++ b/crates/cli/src/commands/trace/show.rs
@@ -1,21 +1,15 @@
-use std::{ffi::OsString, net::SocketAddr, time::Duration};
+use std::{ffi::OsString, net::SocketAddr};
 
-use bytes::Bytes;
-use http::{Method, StatusCode};
 use serde_json::Value;
 
 use crate::{
+    admin::Admin,
     command::{Command, Example, Needs},
     context::Context,
-    entry::{bad_reply, unreachable},
     error::CliError,
-    http::{Call, Http},
     report::Report,
 };
 
-/// Time for a reply of an admin port.
-const TIMEOUT: Duration = Duration::from_secs(5);
-
 xflags::xflags! {
     cmd trace-show {
         /// Identifier of the trace, 32 hexadecimal digits.
@@ -43,17 +37,11 @@
     }
 
     fn run(self, cx: &Context) -> Result<Report, CliError> {
-        let addr = cx.admin(self.admin)?;
+        let admin = Admin::new(cx.admin(self.admin)?);
         let path = format!("/traces/{}", self.id);
-        let (method, headers, body) = (Method::GET, Vec::new(), Bytes::new());
-        let call = Call { method, addr, path: &path, headers, body, timeout: TIMEOUT };
-        let reply = cx.block_on(Http::http1().send(call))?;
-        let reply = reply.map_err(|e| unreachable(addr, e))?;
-        if reply.status() == StatusCode::NOT_FOUND {
-            return Err(CliError::NoTrace { addr, id: self.id });
-        }
-        let trace: Value =
-            serde_json::from_slice(reply.body()).map_err(|_| bad_reply(addr, &reply))?;
+        let trace = cx.block_on(admin.get::<Value>(&path))??;
+        let addr = admin.addr();
+        let trace = trace.ok_or(CliError::NoTrace { addr, id: self.id })?;
         Ok(Report::new(format!("{trace:#}\n"), &trace))
     }
 }
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -5,6 +5,8 @@
     path::{Path, PathBuf},
 };
 
+use tokio::runtime::Builder;
+
 use crate::error::CliError;
 
 /// Variable that replaces `--platform`.
@@ -56,12 +58,27 @@
 
     /// Runs asynchronous work to its end on this thread.
     pub(crate) fn block_on<T>(&self, work: impl Future<Output = T>) -> Result<T, CliError> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|source| CliError::Runtime { source })?;
-        Ok(runtime.block_on(work))
+        block_on(Builder::new_current_thread(), work)
+    }
+
+    /// Runs asynchronous work to its end on this thread and `threads` others.
+    pub(crate) fn block_on_threads<T>(
+        &self,
+        threads: usize,
+        work: impl Future<Output = T>,
+    ) -> Result<T, CliError> {
+        let mut builder = Builder::new_multi_thread();
+        builder.worker_threads(threads);
+        block_on(builder, work)
     }
 }
 
+fn block_on<T>(mut builder: Builder, work: impl Future<Output = T>) -> Result<T, CliError> {
+    let runtime = builder.enable_all().build();
+    let runtime = runtime.map_err(|source| CliError::Runtime { source })?;
+    Ok(runtime.block_on(work))
+}
+
 fn address(
     flag: Option<SocketAddr>,
     name: &'static str,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -43,6 +43,12 @@
     Refused { addr: SocketAddr, body: Box<ErrorBody> },
     #[error("{addr} keeps no trace {id}")]
     NoTrace { addr: SocketAddr, id: String },
+    #[error("{addr} quarantines no request {service}/{fingerprint}")]
+    NotQuarantined { addr: SocketAddr, service: String, fingerprint: String },
+    #[error("no snapshot of `{service}` has a live replica for each shard")]
+    NoSnapshot { service: String },
+    #[error("the bundle in force has no search service `{service}`")]
+    NoService { service: String },
     #[error("{0}")]
     Platform(CallError),
     #[error("object {path} has an unknown form: {message}")]
@@ -138,6 +144,15 @@
             ),
             CliError::ClaimSettled { .. } => "nothing needs to be settled".to_owned(),
             CliError::SettleUnknown { .. } => "settle it again; it is changed once".to_owned(),
+            CliError::NotQuarantined { .. } => {
+                "list the requests with `rosemarybank quarantine list`".to_owned()
+            }
+            CliError::NoSnapshot { .. } => {
+                "look with `rosemarybank instances` which replicas are live".to_owned()
+            }
+            CliError::NoService { .. } => {
+                "check the name with `rosemarybank bundle log --show <version>`".to_owned()
+            }
             CliError::ActionUnknown { key, .. } => {
                 format!("submit it again with `--key {key}`; it takes effect at most once")
             }
@@ -163,6 +178,8 @@
             CliError::Faulty { .. }
             | CliError::NoTrace { .. }
             | CliError::NoConfiguration
+            | CliError::NotQuarantined { .. }
+            | CliError::NoService { .. }
             | CliError::UnknownVersion { .. }
             | CliError::NoClaim { .. } => ExitStatus::Finding,
             CliError::RollOutConflict { .. }
@@ -176,6 +193,7 @@
             CliError::Unreachable { .. }
             | CliError::NoReply { .. }
             | CliError::BadReply { .. }
+            | CliError::NoSnapshot { .. }
             | CliError::Platform(_)
             | CliError::BadObject { .. } => ExitStatus::Unreachable,
             CliError::Runtime { .. }
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -44,6 +44,13 @@
         Http(Client::builder(TokioExecutor::new()).build_http())
     }
 
+    /// A client that speaks h2 with prior knowledge, over one connection to each address.
+    pub(crate) fn h2() -> Http {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Http(Client::builder(TokioExecutor::new()).http2_only(true).build(connector))
+    }
+
     /// Sends a request and reads the whole reply.
     pub(crate) async fn send(&self, call: Call<'_>) -> Result<Response<Bytes>, HttpError> {
         let timeout = call.timeout;
--- /dev/null
+++ b/crates/cli/src/load/table.rs
@@ -0,0 +1,88 @@
+use super::tally::Figures;
+use crate::report::table;
+
+/// A column of [`median_lines`] and its value.
+type Column = (&'static str, fn(&Figures) -> f64);
+
+/// Column headings of [`row`].
+const HEADINGS: [&str; 12] = [
+    "RUN",
+    "OFFERED/S",
+    "ACHIEVED/S",
+    "P50 MS",
+    "P90 MS",
+    "P99 MS",
+    "P99.9 MS",
+    "MAX MS",
+    "COMPLETE",
+    "COVERAGE",
+    "EXTRA LOAD",
+    "ERRORS",
+];
+
+/// Renders named figures, one line each.
+pub(crate) fn figures_table<'a>(rows: impl IntoIterator<Item = (String, &'a Figures)>) -> String {
+    let mut lines = vec![HEADINGS.map(str::to_owned).to_vec()];
+    lines.extend(rows.into_iter().map(|(name, figures)| row(name, figures)));
+    table(&lines)
+}
+
+/// Renders the median, least and greatest value of each column over several runs.
+pub(crate) fn median_lines(name: &str, runs: &[Figures]) -> String {
+    let columns: [Column; 8] = [
+        ("achieved/s", |it| it.achieved_per_s),
+        ("p50 ms", |it| it.p50_ms),
+        ("p90 ms", |it| it.p90_ms),
+        ("p99 ms", |it| it.p99_ms),
+        ("p99.9 ms", |it| it.p999_ms),
+        ("max ms", |it| it.max_ms),
+        ("complete", |it| it.complete_share),
+        ("coverage", |it| it.coverage_share),
+    ];
+    let mut rows = vec![["RUN", "COLUMN", "MEDIAN", "MIN", "MAX"].map(str::to_owned).to_vec()];
+    for (column, value) in columns {
+        let (median, min, max) = spread(runs.iter().map(value).collect());
+        rows.push(vec![
+            name.to_owned(),
+            column.to_owned(),
+            format!("{median:.3}"),
+            format!("{min:.3}"),
+            format!("{max:.3}"),
+        ]);
+    }
+    table(&rows)
+}
+
+/// Median, least and greatest of the values; 0 without values.
+pub(crate) fn spread(mut values: Vec<f64>) -> (f64, f64, f64) {
+    values.sort_by(f64::total_cmp);
+    let at = |index: usize| values.get(index).copied().unwrap_or_default();
+    let len = values.len();
+    let median = match len % 2 {
+        0 => f64::midpoint(at((len / 2).saturating_sub(1)), at(len / 2)),
+        _ => at(len / 2),
+    };
+    (median, at(0), at(len.saturating_sub(1)))
+}
+
+fn row(name: String, figures: &Figures) -> Vec<String> {
+    let errors: Vec<_> =
+        figures.errors.iter().map(|(kind, count)| format!("{kind}={count}")).collect();
+    let errors = if errors.is_empty() { "-".to_owned() } else { errors.join(",") };
+    let ms = |value: f64| format!("{value:.2}");
+    let share = |value: f64| format!("{value:.4}");
+    vec![
+        name,
+        format!("{:.1}", figures.offered_per_s),
+        format!("{:.1}", figures.achieved_per_s),
+        ms(figures.p50_ms),
+        ms(figures.p90_ms),
+        ms(figures.p99_ms),
+        ms(figures.p999_ms),
+        ms(figures.max_ms),
+        share(figures.complete_share),
+        share(figures.coverage_share),
+        figures.extra_load.map_or("-".to_owned(), share),
+        errors,
+    ]
+}
--- /dev/null
+++ b/crates/cli/src/load/tests.rs
@@ -0,0 +1,167 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rosemarybank_protocol::{
+    bundle::Canary,
+    platform::{InstanceEntry, InstanceState},
+    prelude::*,
+    upstream::{Holding, Load, RangeCount, ReplicaState, ReplicaStatus},
+};
+use tokio::sync::Mutex;
+
+use super::{
+    arrivals::Arrivals,
+    counters::counter,
+    direct::{Reported, plan},
+    run::{Target, run},
+    table::{figures_table, median_lines, spread},
+    tally::{Figures, Outcome, Tally},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against arrivals that differ between runs, miss their rate or pass their bounds.
+#[test]
+fn arrivals_keep_their_rate_and_bounds() {
+    let all: Vec<_> = Arrivals::new(200.0, 50 * SECOND, u64::MAX, 7).collect();
+    assert_eq!(all, Arrivals::new(200.0, 50 * SECOND, u64::MAX, 7).collect::<Vec<_>>());
+    assert!((9_500..10_500).contains(&all.len()), "{}", all.len());
+    assert!(all.is_sorted() && all.last() < Some(&(50 * SECOND)));
+    let short = all.windows(2).filter(|pair| pair[1] - pair[0] < Duration::from_micros(3_466));
+    let half = short.count() as f64 / all.len() as f64;
+    assert!((0.48..0.52).contains(&half), "the median gap is ln 2 / rate: {half}");
+    assert_eq!(Arrivals::new(200.0, 50 * SECOND, 10, 7).count(), 10);
+}
+
+/// Guards against shares that leave failed requests out.
+#[test]
+fn failures_lower_the_shares() {
+    let mut tally = Tally::new();
+    let missing = vec![MissingRange { range: KeyRange::ALL, reason: MissingReason::Deadline }];
+    let part = Coverage { records_covered: 30, records_total: RecordTotal::AtLeast(40), missing };
+    let whole = Coverage {
+        records_covered: 40,
+        records_total: RecordTotal::Exact(40),
+        missing: Vec::new(),
+    };
+    tally.add(Duration::from_millis(10), Outcome::answered(&whole));
+    tally.add(Duration::from_millis(20), Outcome::answered(&part));
+    tally.add(Duration::from_millis(1), Outcome::Failed("overloaded".to_owned()));
+    tally.add(Duration::from_millis(1), Outcome::Failed("overloaded".to_owned()));
+    let figures = tally.figures(2 * SECOND);
+    assert_eq!((figures.requests, figures.offered_per_s, figures.achieved_per_s), (4, 2.0, 1.0));
+    assert_eq!((figures.complete_share, figures.coverage_share), (0.25, 0.4375));
+    assert_eq!(figures.errors, BTreeMap::from([("overloaded".to_owned(), 2)]));
+    insta::assert_snapshot!(figures_table([("a".to_owned(), &figures)]));
+}
+
+/// Guards against medians of the wrong rank.
+#[test]
+fn the_spread_is_the_median_and_the_ends() {
+    assert_eq!(spread(vec![5.0, 1.0, 3.0]), (3.0, 1.0, 5.0));
+    assert_eq!(spread(vec![4.0, 1.0]), (2.5, 1.0, 4.0));
+    assert_eq!(spread(Vec::new()), (0.0, 0.0, 0.0));
+    let runs: Vec<Figures> = [1, 3, 2]
+        .map(|ms| {
+            let mut tally = Tally::new();
+            let outcome = Outcome::Answered { complete: true, covered: 1.0 };
+            tally.add(Duration::from_millis(ms), outcome);
+            tally.figures(SECOND)
+        })
+        .into();
+    insta::assert_snapshot!(median_lines("entry", &runs));
+}
+
+/// Stalls at the first request and holds the requests that come meanwhile.
+#[derive(Clone)]
+struct StallingTarget(Arc<Mutex<()>>, Duration);
+
+impl Target for StallingTarget {
+    async fn send(&self, number: u64) -> Outcome {
+        let _guard = self.0.lock().await;
+        if number == 0 {
+            tokio::time::sleep(self.1).await;
+        }
+        Outcome::Answered { complete: true, covered: 1.0 }
+    }
+}
+
+/// Guards against coordinated omission: a stall must show in the latency of every request that
+/// was due during it, not only in the one that was stalled.
+#[test]
+fn latency_counts_from_the_intended_time() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let arrivals = Arrivals::new(200.0, Duration::from_millis(400), 1_000, 3);
+    let target = StallingTarget(Arc::default(), Duration::from_millis(300));
+    let figures = runtime.block_on(run(target, arrivals, 1_000)).figures(SECOND);
+    assert_eq!(figures.requests as f64, figures.achieved_per_s);
+    assert!(figures.p50_ms > 50.0, "{figures:?}");
+}
+
+/// Guards against unbounded memory when nothing answers.
+#[test]
+fn requests_above_the_limit_are_counted_and_not_sent() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let arrivals = Arrivals::new(1_000.0, Duration::from_millis(200), 50, 3);
+    let target = StallingTarget(Arc::default(), 2 * SECOND);
+    let figures = runtime.block_on(run(target, arrivals, 4)).figures(SECOND);
+    assert_eq!(figures.requests, 50);
+    assert_eq!(figures.errors.get("client_limit"), Some(&46));
+}
+
+/// Guards against counters with labels or with a common prefix that are read as one.
+#[test]
+fn counters_are_summed_over_their_labels() {
+    let metrics = "# TYPE a_total counter\na_total{shard=\"x y\"} 3\na_total{shard=\"z\"} 4\n\
+                   a_total_more 9\na_totals 8\nb_total 5\n";
+    assert_eq!(counter(metrics, "a_total"), 7);
+    assert_eq!(counter(metrics, "b_total"), 5);
+    assert_eq!(counter(metrics, "c_total"), 0);
+}
+
+fn range(first: u64, last: u64) -> KeyRange {
+    KeyRange::new(first, last).unwrap()
+}
+
+fn reported(port: u16, upstream: &str, held: &[(SnapshotId, KeyRange, u64)]) -> Reported {
+    let replica: ReplicaId = format!("{upstream}-{port}").into();
+    let entry = InstanceEntry {
+        replica: replica.clone(),
+        upstream: upstream.into(),
+        addr: ([127, 0, 0, 1], port).into(),
+        data_centre: "maun".into(),
+        state: InstanceState::Live,
+    };
+    let holdings = held.iter().map(|&(snapshot, range, records)| Holding {
+        service: "desk".into(),
+        snapshot,
+        ranges: vec![RangeCount { range, records }],
+    });
+    let state = ReplicaState::Serving;
+    let (load, holdings) = (Load::default(), holdings.collect());
+    (entry, ReplicaStatus { replica, incarnation: 1, state, load, holdings })
+}
+
+/// Guards against a baseline that skips a shard or mixes snapshots.
+#[test]
+fn the_direct_client_takes_the_newest_whole_snapshot() {
+    let (low, high) = (range(0, 99), range(100, u64::MAX));
+    let shard = |range, upstream: &str| ShardConfig { range, upstream: upstream.into() };
+    let service = ServiceConfig {
+        name: "desk".into(),
+        kind: ServiceKind::Search,
+        shards: vec![shard(low, "a"), shard(high, "b")],
+        timeout_ms: 100,
+        coverage: CoverageMode::Partial,
+        canary: Canary::Suspects,
+    };
+    let reports = [
+        reported(1, "a", &[(8, low, 5), (7, low, 4)]),
+        reported(2, "a", &[(7, low, 4)]),
+        reported(3, "b", &[(7, high, 6)]),
+        reported(4, "b", &[(8, range(100, 200), 2)]),
+    ];
+    let (snapshot, shards) = plan(&service, &reports).unwrap();
+    let found: Vec<_> = shards.iter().map(|it| (it.records, it.replicas.len())).collect();
+    assert_eq!((snapshot, found), (7, vec![(4, 2), (6, 1)]));
+    assert_eq!(plan(&service, &reports[..2]), None);
+}
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -1,3 +1,4 @@
+use chrono::DateTime;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -40,3 +41,12 @@
     }
     text
 }
+
+/// Milliseconds since the Unix epoch as date and time in UTC.
+pub(crate) fn utc(unix_ms: u64) -> String {
+    let time = i64::try_from(unix_ms).ok().and_then(DateTime::from_timestamp_millis);
+    time.map_or_else(
+        || "out of range".to_owned(),
+        |time| time.format("%Y-%m-%d %H:%M:%S").to_string(),
+    )
+}
