--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,3 +1,4 @@
 //! Connections to upstreams and between instances.
 
 pub mod peer;
+pub mod upstream;
