--- a/crates/standins/src/upstream/run.rs
+++ b/crates/standins/src/upstream/run.rs
@@ -1,20 +1,31 @@
 //! Starts the replicas of a process.
 
+use std::sync::Arc;
+
 use eyre::{Context, Result};
 use rosemarybank_protocol::platform::{InstanceEntry, InstanceState};
 use tokio::net::TcpListener;
 
-use super::{effects::Effects, replica::Replica, service::UpstreamService, spec::ReplicaSpec};
+use super::{
+    control::ControlService, effects::Effects, network::Network, replica::Replica,
+    service::UpstreamService, spec::ReplicaSpec,
+};
 use crate::server;
 
 /// Binds and serves every replica in tasks of the present runtime.
 ///
-/// Returns the replicas with the addresses that they got. `seed` fixes their service times.
+/// Returns the control of the replicas, which have the addresses that they got. `seed` fixes
+/// their service times.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
-pub async fn start_all(specs: Vec<ReplicaSpec>, seed: u64) -> Result<Vec<Replica>> {
+pub async fn start_all(
+    specs: Vec<ReplicaSpec>,
+    network: Network,
+    seed: u64,
+) -> Result<ControlService> {
+    let network = Arc::new(network);
     let effects = Effects::default();
     let mut replicas = Vec::with_capacity(specs.len());
     for (number, mut spec) in specs.into_iter().enumerate() {
@@ -24,10 +35,14 @@
         spec.addr = listener.local_addr()?;
         let replica = Replica::start(spec, seed.wrapping_add(number as u64), effects.clone());
         let orders = replica.orders.subscribe();
-        tokio::spawn(server::serve(listener, orders, UpstreamService(replica.clone())));
+        tokio::spawn(server::serve(
+            listener,
+            orders,
+            UpstreamService::new(replica.clone(), network.clone()),
+        ));
         replicas.push(replica);
     }
-    Ok(replicas)
+    Ok(ControlService::new(replicas, effects))
 }
 
 /// The platform's list entry of a replica.
