Test load, search and the direct baseline against stand-ins

Ruled out: waiting for the daemon; an entry instance with a fixed answer tells exactly which extra load and shares must come out.

Change: tests/load.rs runs the command against the platform stand-in, four upstream replicas and an entry that covers half of the records. The servers of the tests moved to tests/support/servers.rs.

Conclusion: both sides of a round get the same arrivals, the direct client covers every shard with extra load 1, and the counters are read as a difference.

--- a/crates/cli/tests/examples.rs
+++ b/crates/cli/tests/examples.rs
@@ -1,5 +1,6 @@
 //! Every example of the help is run.
 
+#[allow(dead_code)]
 mod support;
 
 use rosemarybank_cli::samples;
--- /dev/null
+++ b/crates/cli/tests/load.rs
@@ -0,0 +1,87 @@
+//! Searches and load against stand-ins.
+
+#[allow(dead_code)]
+mod support;
+
+use rosemarybank_bundle::{KeyPair, sign};
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_standins::{
+    platform::Store,
+    upstream::{HoldingSpec, ReplicaSpec, ServiceTime},
+};
+use support::{
+    Workspace,
+    servers::{HalfEntry, platform, put, replicas, serve},
+};
+
+/// Two replicas of each shard of the order desk of the reference bundle.
+fn order_desk() -> Vec<ReplicaSpec> {
+    let bundle = rosemarybank_bundle::parse(include_str!("../../../config/bundle.yaml")).unwrap();
+    let shards = bundle.services[0].shards.iter();
+    shards.flat_map(|shard| (0..2).map(move |number| replica(shard, number))).collect()
+}
+
+fn replica(shard: &ShardConfig, number: u32) -> ReplicaSpec {
+    ReplicaSpec {
+        replica: format!("{}-{number}", shard.upstream).into(),
+        upstream: shard.upstream.clone(),
+        data_centre: "maun".into(),
+        addr: ([127, 0, 0, 1], 0).into(),
+        slots: 8,
+        queue: 64,
+        connections: 25,
+        connect_ms: 0,
+        cold_start_ms: 0,
+        service_time: ServiceTime { median_us: 500, sigma: 0.0 },
+        holdings: vec![HoldingSpec {
+            service: "order-desk".into(),
+            snapshot: 7,
+            records: 1_000,
+            ranges: vec![shard.range],
+        }],
+        ledgers: Vec::new(),
+    }
+}
+
+/// Guards against a baseline that misses a shard, extra load that leaves requests out, and shares
+/// that do not follow the answers.
+#[test]
+fn both_sides_of_a_comparison_are_measured() {
+    let mut store = Store::default();
+    let text = include_str!("../../../config/bundle.yaml");
+    put(&mut store, "config/current", &sign(&KeyPair::generate("ops").unwrap(), 1, text).unwrap());
+    for entry in replicas(order_desk()) {
+        put(&mut store, &format!("instances/{}", entry.replica), &entry);
+    }
+    let (platform, entry) = (platform(store).to_string(), serve(HalfEntry::default()).to_string());
+    let workspace = Workspace::new();
+    let mut args = vec!["load", "order-desk", "--direct", "--rate", "100", "--seconds", "0.3"];
+    args.extend(["--entry", &entry, "--admin", &entry, "--json"]);
+    let out = workspace.run_at(&platform, &args);
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    let json: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    for round in 0..5 {
+        let (through, direct) = (&json["entry"][round], &json["direct"][round]);
+        assert_eq!(through["requests"], direct["requests"]);
+        assert_eq!(
+            (&through["complete_share"], &through["coverage_share"]),
+            (&0.0.into(), &0.5.into())
+        );
+        assert_eq!(
+            (&direct["complete_share"], &direct["coverage_share"]),
+            (&1.0.into(), &1.0.into())
+        );
+        // The fake instance counts 3 upstream requests for each search over 2 shards.
+        assert_eq!((&through["extra_load"], &direct["extra_load"]), (&1.5.into(), &1.0.into()));
+        assert!(direct["p50_ms"].as_f64().unwrap() >= 0.5, "{direct}");
+    }
+}
+
+/// Guards against a partial answer that looks complete to people or to scripts.
+#[test]
+fn a_partial_answer_shows_what_is_missing() {
+    let entry = serve(HalfEntry::default()).to_string();
+    let out = Workspace::new().run(&["search", "order-desk", "oak", "--entry", &entry]);
+    assert_eq!(out.status.code(), Some(1));
+    insta::assert_snapshot!(String::from_utf8(out.stdout).unwrap());
+}
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -3,40 +3,20 @@
 #[allow(dead_code)]
 mod support;
 
-use std::{net::SocketAddr, sync::mpsc, thread};
+use std::net::SocketAddr;
 
 use rosemarybank_protocol::{
     action::ActionOutcome,
     platform::{Claim, ClaimState, DataCentreStatus, InstanceStatus},
 };
-use rosemarybank_standins::{
-    platform::{PlatformService, Store, store::Condition},
-    server,
+use rosemarybank_standins::platform::Store;
+use support::{
+    Workspace,
+    servers::{platform, put},
 };
-use serde_json::value::to_raw_value;
-use support::Workspace;
-use tokio::{net::TcpListener, sync::watch};
 
 const KEY: &str = "0190d3a4-7c1e-7b3a-9f00-3b1f2c4d5e6f";
 
-fn start(store: Store) -> SocketAddr {
-    let (tx, rx) = mpsc::channel();
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            tx.send(listener.local_addr().unwrap()).unwrap();
-            let orders = watch::Sender::default();
-            server::serve(listener, orders.subscribe(), PlatformService::new(store)).await;
-        });
-    });
-    rx.recv().unwrap()
-}
-
-fn put(store: &mut Store, path: &str, value: &impl serde::Serialize) {
-    store.put(path, Condition::None, to_raw_value(value).unwrap()).unwrap();
-}
-
 fn status(data_centre: &str, versions: &[(&str, u64)]) -> DataCentreStatus {
     let instances = versions.iter().map(|(name, version)| InstanceStatus {
         instance: (*name).into(),
@@ -71,7 +51,7 @@
     put(&mut store, "status/kigali", &status("kigali", &[("entry-3", 2)]));
     let key = ["--key", "keys/ops-1.key"];
     let text = session(
-        start(store),
+        platform(store),
         &[
             &["bundle", "status"],
             &["bundle", "roll-out", "config/bundle.yaml", key[0], key[1], "--no-wait"],
@@ -99,7 +79,7 @@
     put(&mut store, &path("unknown"), &claim(ClaimState::Ended { outcome: unknown }));
     put(&mut store, &path("sending"), &claim(sending));
     let text = session(
-        start(store),
+        platform(store),
         &[
             &["action", "settle", "unknown", KEY, "--done", "lot 17"],
             &["action", "settle", "unknown", KEY, "--not-run", "mistake"],
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A directory with the files that the examples name, and the command run in it.
 
+pub mod servers;
+
 use std::{
     fs,
     path::Path,
