--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -5,8 +5,12 @@
     path::{Path, PathBuf},
 };
 
+use tokio::runtime::Builder;
+
 use crate::error::CliError;
 
+/// Variable that replaces `--platform`.
+const PLATFORM_VARIABLE: &str = "ROSEMARYBANK_PLATFORM";
 /// Variable that replaces `--entry`.
 const ENTRY_VARIABLE: &str = "ROSEMARYBANK_ENTRY";
 /// Variable that replaces `--admin`.
@@ -26,6 +30,11 @@
         eprintln!("{}", text.as_ref());
     }
 
+    /// The platform's address.
+    pub(crate) fn platform(&self, flag: Option<SocketAddr>) -> Result<SocketAddr, CliError> {
+        address(flag, "--platform", PLATFORM_VARIABLE)
+    }
+
     /// The address of an entry instance's callers port.
     pub(crate) fn entry(&self, flag: Option<SocketAddr>) -> Result<SocketAddr, CliError> {
         address(flag, "--entry", ENTRY_VARIABLE)
@@ -49,10 +58,25 @@
 
     /// Runs asynchronous work to its end on this thread.
     pub(crate) fn block_on<T>(&self, work: impl Future<Output = T>) -> Result<T, CliError> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|source| CliError::Runtime { source })?;
-        Ok(runtime.block_on(work))
+        block_on(Builder::new_current_thread(), work)
     }
+
+    /// Runs asynchronous work to its end on this thread and `threads` others.
+    pub(crate) fn block_on_threads<T>(
+        &self,
+        threads: usize,
+        work: impl Future<Output = T>,
+    ) -> Result<T, CliError> {
+        let mut builder = Builder::new_multi_thread();
+        builder.worker_threads(threads);
+        block_on(builder, work)
+    }
+}
+
+fn block_on<T>(mut builder: Builder, work: impl Future<Output = T>) -> Result<T, CliError> {
+    let runtime = builder.enable_all().build();
+    let runtime = runtime.map_err(|source| CliError::Runtime { source })?;
+    Ok(runtime.block_on(work))
 }
 
 fn address(
--- a/crates/standins/src/bin/standin_platform/main.rs
+++ b/crates/standins/src/bin/standin_platform/main.rs
@@ -5,7 +5,7 @@
 use eyre::Result;
 use rosemarybank_standins::{
     logging,
-    platform::{PlatformService, Store, initial},
+    platform::{PlatformControl, PlatformService, Store, initial},
     server,
 };
 use tokio::{net::TcpListener, sync::watch};
@@ -18,7 +18,7 @@
     if let Some(dir) = &flags.objects {
         initial::load_dir(&mut store, dir)?;
     }
-    if let Some(file) = &flags.instances {
+    for file in &flags.instances {
         initial::load_instances(&mut store, file)?;
     }
     slog::info!(log, "objects loaded"; "revision" => store.revision());
@@ -26,6 +26,14 @@
     let listener = TcpListener::bind(flags.listen).await?;
     println!("listening platform {}", listener.local_addr()?);
     let orders = watch::Sender::default();
-    server::serve(listener, orders.subscribe(), PlatformService::new(store)).await;
+    let service = PlatformService::new(store);
+    if let Some(addr) = flags.control {
+        let control = TcpListener::bind(addr).await?;
+        println!("listening control {}", control.local_addr()?);
+        let handler = PlatformControl::new(service.clone(), orders.clone());
+        tokio::spawn(server::serve(control, watch::Sender::default().subscribe(), handler));
+    }
+    println!("ready");
+    server::serve(listener, orders.subscribe(), service).await;
     Ok(())
 }
