standins: Keep the simple way to start replicas

Cause: tests of the daemon call run::start_all(specs, seed) and use the replicas it returns; the faults and the topologies had changed that. Change: start_all has its first form again, and start_controlled takes the network and returns the control of the replicas. Conclusion: other packages need no change.

--- a/crates/standins/src/bin/standin_upstream/main.rs
+++ b/crates/standins/src/bin/standin_upstream/main.rs
@@ -20,7 +20,7 @@
     if let Some(name) = &flags.data_centre {
         replicas.retain(|it| it.data_centre == name.as_str());
     }
-    let control = run::start_all(replicas, network, flags.seed.unwrap_or(seed)).await?;
+    let control = run::start_controlled(replicas, network, flags.seed.unwrap_or(seed)).await?;
     let replicas = control.replicas().to_vec();
     for replica in &replicas {
         println!("listening {} {}", replica.spec.replica, replica.spec.addr);
--- a/crates/standins/src/upstream/run.rs
+++ b/crates/standins/src/upstream/run.rs
@@ -12,15 +12,26 @@
 };
 use crate::server;
 
-/// Binds and serves every replica in tasks of the present runtime.
+/// Binds and serves every replica in tasks of the present runtime, without delays between data
+/// centres.
 ///
-/// Returns the control of the replicas, which have the addresses that they got. `seed` fixes
-/// their service times.
+/// Returns the replicas with the addresses that they got. `seed` fixes their service times.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
-pub async fn start_all(
+pub async fn start_all(specs: Vec<ReplicaSpec>, seed: u64) -> Result<Vec<Replica>> {
+    let control = start_controlled(specs, Network::default(), seed).await?;
+    Ok(control.replicas().to_vec())
+}
+
+/// Does as [`start_all`] does with the delays of `network`, and returns the control of the
+/// replicas.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn start_controlled(
     specs: Vec<ReplicaSpec>,
     network: Network,
     seed: u64,
--- a/crates/standins/tests/faults.rs
+++ b/crates/standins/tests/faults.rs
@@ -34,7 +34,8 @@
 
 impl Upstreams {
     async fn start(specs: Vec<ReplicaSpec>) -> Upstreams {
-        let control: ControlService = run::start_all(specs, Network::default(), 1).await.unwrap();
+        let control: ControlService =
+            run::start_controlled(specs, Network::default(), 1).await.unwrap();
         let replicas = control.replicas().to_vec();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
