cli: Copy only files of config into the tests' directory

Cause: config/demo, which holds the demo topology, made the copy of all entries of config fail, and with it three tests of the command. Ruled out: moving the topology; the examples name only files directly in config, so the directory is not needed in the copy. Change: the tests' support copies regular files. No check is weaker. Before: 3 tests of tests/bundle.rs fail. After: cargo test -p rosemarybank-cli passes. Conclusion: config can have subdirectories.

--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -18,7 +18,10 @@
         fs::create_dir(dir.path().join("keys")).unwrap();
         for entry in fs::read_dir(config).unwrap() {
             let path = entry.unwrap().path();
-            fs::copy(&path, dir.path().join("config").join(path.file_name().unwrap())).unwrap();
+            // The examples name only files directly in `config`.
+            if path.is_file() {
+                fs::copy(&path, dir.path().join("config").join(path.file_name().unwrap())).unwrap();
+            }
         }
         let workspace = Workspace(dir);
         assert!(workspace.run(&["bundle", "keygen", "ops-1", "--dir", "keys"]).status.success());
