--- /dev/null
+++ b/crates/standins/src/bin/standin_upstream/flags.rs
@@ -0,0 +1,24 @@
+//! Flags of the command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+xflags::xflags! {
+    /// Serves upstream replicas over generated records.
+    ///
+    /// Prints `listening <replica> <address>` for each replica, `listening control <address>`, and
+    /// `ready` after the last.
+    cmd standin-upstream {
+        /// YAML or JSON list of replicas.
+        optional --replicas file: PathBuf
+        /// YAML or JSON topology, in place of a list; config/demo/topology.yaml is an example.
+        optional --topology file: PathBuf
+        /// Serves only the replicas of this data centre.
+        optional --data-centre name: String
+        /// Address for `POST /faults`, `GET /effects` and `GET /replicas`; port 0 picks a free one.
+        optional --control addr: SocketAddr
+        /// File that gets the platform's list entries of the replicas, as JSON.
+        optional --instances-out file: PathBuf
+        /// Seed of the service times; the topology's, or 1, if absent.
+        optional --seed seed: u64
+    }
+}
--- /dev/null
+++ b/crates/standins/src/upstream/mod.rs
@@ -0,0 +1,28 @@
+//! Stand-in for upstreams: one process serves many replicas, each on its own address.
+
+pub mod control;
+pub mod effects;
+pub mod faults;
+pub mod holdings;
+pub mod network;
+pub mod records;
+pub mod replica;
+pub mod run;
+pub mod search;
+pub mod service;
+pub mod service_time;
+pub mod slots;
+pub mod spec;
+pub mod topology;
+
+pub use control::ControlService;
+pub use effects::{Effect, Effects};
+pub use faults::{Command, CrashPoint, CrashRule, FaultOrder, Lie, StandingFaults};
+pub use network::Network;
+pub use replica::Replica;
+pub use service::UpstreamService;
+pub use spec::{HoldingSpec, ReplicaSpec, ServiceTime};
+pub use topology::Topology;
+
+#[cfg(test)]
+mod tests;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Connections to upstreams and between instances.
+
+pub mod peer;
+pub mod upstream;
