query: split the policy bench and make its runs repeatable

The bench kept running requests in a hash map, so the loss of a data centre ended them in another order in each run. Record counts that contradict each other were resolved in hash order as well, so two instances could differ on a total. Both now go in key order.

--- a/crates/query/examples/decision_cost.rs
+++ b/crates/query/examples/decision_cost.rs
@@ -6,20 +6,15 @@
 //!
 //! Run `cargo run --release -p rosemarybank-query --example decision_cost`.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+mod fixture;
 
-use rosemarybank_protocol::{
-    bundle::Canary,
-    platform::{InstanceEntry, InstanceState},
-    prelude::*,
-    upstream::{Holding, Load, RangeCount, ReplicaState, ReplicaStatus, ShardReply},
-};
+use std::time::{Duration, Instant};
+
+use fixture::{SLOTS, configure, list, reply, status, submit};
+use rosemarybank_protocol::{prelude::*, upstream::Load};
 use rosemarybank_query::{
     engine::Engine,
-    interface::{Action, AttemptOutcome, Event, Send, Submission},
+    interface::{Action, Event, Send},
     settings::Settings,
 };
 
@@ -29,80 +24,17 @@
 /// Runs per cell; the lowest and the middle are printed, because other work shares the machine.
 const RUNS: usize = 5;
 
-fn range(shard: usize, shards: usize) -> KeyRange {
-    let width = u64::MAX / shards as u64;
-    let last = if shard + 1 == shards { u64::MAX } else { (shard as u64 + 1) * width - 1 };
-    KeyRange::new(shard as u64 * width, last).expect("the shards are in order")
-}
-
-fn bundle(shards: usize) -> Bundle {
-    let upstream = |it: usize| -> UpstreamId { format!("u{it}").into() };
-    let shard = |it| ShardConfig { range: range(it, shards), upstream: upstream(it) };
-    let config = |it| UpstreamConfig { name: upstream(it), slots: 2, connections: 25 };
-    Bundle {
-        format: 1,
-        services: vec![ServiceConfig {
-            name: "records".into(),
-            kind: ServiceKind::Search,
-            shards: (0..shards).map(shard).collect(),
-            timeout_ms: 400,
-            coverage: CoverageMode::Partial,
-            canary: Canary::Suspects,
-        }],
-        upstreams: (0..shards).map(config).collect(),
-        callers: Vec::new(),
-        limits: Limits::default(),
-    }
-}
-
 fn engine(shards: usize, replicas: usize) -> Engine {
     let mut engine = Engine::new(Settings::builder().data_centre("dc0".into()).build(), 1);
-    let mut out = Vec::new();
-    engine.handle(Duration::ZERO, Event::Configure(Box::new(bundle(shards))), &mut out);
-    let entry = |it: usize| InstanceEntry {
-        replica: format!("replica-{it}").into(),
-        upstream: format!("u{}", it % shards).into(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-        data_centre: format!("dc{}", it / shards % 3).into(),
-        state: InstanceState::Live,
-    };
-    let list = (0..replicas).map(entry).collect();
-    engine.handle(Duration::ZERO, Event::ReplicaList(list), &mut out);
-    for replica in 0..replicas {
-        let ranges = vec![RangeCount { range: range(replica % shards, shards), records: 1_000 }];
-        let status = ReplicaStatus {
-            replica: format!("replica-{replica}").into(),
-            incarnation: 1,
-            state: ReplicaState::Serving,
-            load: Load::default(),
-            holdings: vec![Holding { service: "records".into(), snapshot: 1, ranges }],
-        };
-        engine.handle(Duration::ZERO, Event::ReplicaStatus(status), &mut out);
+    let statuses = (0..replicas).map(|it| status(it, shards, Load::default()));
+    for event in [configure(shards), list(shards, replicas)].into_iter().chain(statuses) {
+        engine.handle(Duration::ZERO, event, &mut Vec::new());
     }
     engine
 }
 
-fn submit(query: u64, now: Time) -> Event {
-    Event::Submit(Submission {
-        query,
-        service: "records".into(),
-        fingerprint: query,
-        priority: Priority::Normal,
-        coverage: CoverageMode::Partial,
-        limit: 20,
-        deadline: now + Duration::from_millis(400),
-    })
-}
-
-fn reply(send: &Send) -> Event {
-    let hit = |it| Hit { key: send.range.first() + it, score: it as u32, record: "r".into() };
-    let outcome = AttemptOutcome::Reply(ShardReply {
-        snapshot: send.snapshot,
-        covered: vec![RangeCount { range: send.range, records: 1_000 }],
-        hits: (0..5).map(hit).collect(),
-        load: Load { in_flight: 1, queued: 0, slots: 2 },
-    });
-    Event::AttemptDone { attempt: send.attempt, outcome }
+fn search(query: u64, now: Time) -> Event {
+    submit(query, Priority::Normal, now + Duration::from_millis(400))
 }
 
 /// Nanoseconds per shard request.
@@ -116,7 +48,7 @@
     while requests < REQUESTS {
         query += 1;
         now += Duration::from_millis(1);
-        let event = submit(query, now);
+        let event = search(query, now);
         out.clear();
         let start = Instant::now();
         engine.handle(now, event, &mut out);
@@ -125,7 +57,9 @@
             Action::Send(send) => Some(send.clone()),
             _ => None,
         });
-        let replies: Vec<_> = sent.map(|it| reply(&it)).collect();
+        let load = Load { in_flight: 1, queued: 0, slots: SLOTS };
+        let done = |it: Send| Event::AttemptDone { attempt: it.attempt, outcome: reply(&it, load) };
+        let replies: Vec<_> = sent.map(done).collect();
         requests += replies.len();
         now += Duration::from_millis(4);
         out.clear();
@@ -144,7 +78,7 @@
 fn memory(shards: usize, replicas: usize) -> (usize, usize) {
     let mut engine = engine(shards, replicas);
     let now = Duration::from_secs(1);
-    engine.handle(now, submit(1, now), &mut Vec::new());
+    engine.handle(now, search(1, now), &mut Vec::new());
     let memory = engine.memory();
     (memory.table_bytes, memory.query_bytes)
 }
--- a/crates/query/examples/policy_bench.rs
+++ b/crates/query/examples/policy_bench/main.rs
@@ -7,33 +7,32 @@
 //! Run `cargo run --release -p rosemarybank-query --example policy_bench [modelled seconds]
 //! [part of a scenario's name]`.
 
+#[path = "../fixture/mod.rs"]
+mod fixture;
+mod tally;
+
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap, HashSet, VecDeque},
-    net::SocketAddr,
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
 use fastrand::Rng;
+use fixture::{SLOTS, configure, list, name, reply, status, submit};
 use rosemarybank_protocol::{
-    bundle::Canary,
-    platform::{InstanceEntry, InstanceState},
     prelude::*,
-    upstream::{
-        Holding, Load, RangeCount, ReplicaState, ReplicaStatus, ShardReply, UpstreamErrorKind,
-    },
+    upstream::{Load, UpstreamErrorKind},
 };
 use rosemarybank_query::{
     engine::Engine,
-    interface::{Action, AttemptOutcome, Event, Send, Submission},
+    interface::{Action, AttemptOutcome, Event, Send},
     settings::{Policy, Settings},
 };
+use tally::Tally;
 
 const SHARDS: usize = 10;
 const CENTRES: usize = 3;
 const REPLICAS: usize = SHARDS * CENTRES;
 const ENGINES: usize = 6;
-const SLOTS: usize = 2;
 const QUEUE: usize = 8;
 const MEDIAN_US: f64 = 4_000.0;
 const SIGMA: f64 = 0.3;
@@ -66,40 +65,25 @@
     send: Send,
 }
 
-impl Job {
-    /// The attempt's number, made unique over the engines.
-    fn id(&self) -> u64 {
-        global(self.engine, self.send.attempt)
-    }
-}
-
+/// Number of an attempt among those of all engines.
 fn global(engine: usize, attempt: u64) -> u64 {
     attempt * ENGINES as u64 + engine as u64
 }
 
 #[derive(Default)]
 struct Replica {
-    running: HashMap<u64, Job>,
+    running: BTreeMap<u64, Job>,
     waiting: VecDeque<Job>,
     slowdown: f64,
     is_lost: bool,
 }
 
-#[derive(Default)]
-struct Tally {
-    latencies_ms: Vec<f64>,
-    by_class: [(u32, u32); 3],
-    partial_at: Vec<f64>,
-    lost_records: u64,
-}
-
 struct Bench {
     scenario: Scenario,
     rng: Rng,
     now: Duration,
     serial: u64,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    steps: HashMap<u64, Step>,
+    steps: BTreeMap<(Duration, u64), Step>,
     places: HashMap<u64, usize>,
     cancelled: HashSet<u64>,
     engines: Vec<(Engine, Duration)>,
@@ -109,59 +93,14 @@
     end: Duration,
 }
 
-fn name(replica: usize) -> ReplicaId {
-    format!("{replica}").into()
-}
-
-fn range(shard: usize) -> KeyRange {
-    let width = u64::MAX / SHARDS as u64;
-    let last = if shard + 1 == SHARDS { u64::MAX } else { (shard as u64 + 1) * width - 1 };
-    KeyRange::new(shard as u64 * width, last).expect("the shards are in order")
-}
-
-fn bundle() -> Bundle {
-    let upstream = |it: usize| -> UpstreamId { format!("u{it}").into() };
-    let shards = (0..SHARDS).map(|it| ShardConfig { range: range(it), upstream: upstream(it) });
-    let upstreams = (0..SHARDS).map(|it| UpstreamConfig {
-        name: upstream(it),
-        slots: SLOTS as u32,
-        connections: 25,
-    });
-    Bundle {
-        format: 1,
-        services: vec![ServiceConfig {
-            name: "records".into(),
-            kind: ServiceKind::Search,
-            shards: shards.collect(),
-            timeout_ms: 400,
-            coverage: CoverageMode::Partial,
-            canary: Canary::Suspects,
-        }],
-        upstreams: upstreams.collect(),
-        callers: Vec::new(),
-        limits: Limits::default(),
-    }
-}
-
 impl Bench {
     fn new(scenario: Scenario, policy: Policy, seed: u64, seconds: u64) -> Bench {
-        let addr = SocketAddr::from(([127, 0, 0, 1], 1));
-        let list: Vec<_> = (0..REPLICAS)
-            .map(|it| InstanceEntry {
-                replica: name(it),
-                upstream: format!("u{}", it % SHARDS).into(),
-                addr,
-                data_centre: format!("dc{}", it / SHARDS).into(),
-                state: InstanceState::Live,
-            })
-            .collect();
         let mut bench = Bench {
             scenario,
             rng: Rng::with_seed(seed),
             now: Duration::ZERO,
             serial: 0,
-            queue: BinaryHeap::new(),
-            steps: HashMap::new(),
+            steps: BTreeMap::new(),
             places: HashMap::new(),
             cancelled: HashSet::new(),
             engines: Vec::new(),
@@ -180,8 +119,8 @@
             let data_centre = format!("dc{}", engine % CENTRES).into();
             let settings = Settings::builder().data_centre(data_centre).policy(policy).build();
             bench.engines.push((Engine::new(settings, seed * 100 + engine as u64), Duration::MAX));
-            bench.feed(engine, Event::Configure(Box::new(bundle())));
-            bench.feed(engine, Event::ReplicaList(list.clone()));
+            bench.feed(engine, configure(SHARDS));
+            bench.feed(engine, list(SHARDS, REPLICAS));
         }
         bench.after(Duration::from_millis(500), Step::Arrive);
         if scenario.loses_centre {
@@ -191,11 +130,9 @@
     }
 
     fn run(mut self) -> (Tally, f64) {
-        while let Some(Reverse((at, index))) = self.queue.pop() {
+        while let Some(((at, _), step)) = self.steps.pop_first() {
             self.now = at;
-            if let Some(step) = self.steps.remove(&index) {
-                self.step(step);
-            }
+            self.step(step);
         }
         let (mut first, mut extra) = (0, 0);
         for (engine, _) in &self.engines {
@@ -208,8 +145,7 @@
 
     fn after(&mut self, delay: Duration, step: Step) {
         self.serial += 1;
-        self.steps.insert(self.serial, step);
-        self.queue.push(Reverse((self.now + delay, self.serial)));
+        self.steps.insert((self.now + delay, self.serial), step);
     }
 
     fn route(&mut self, engine: usize, replica: usize) -> Duration {
@@ -225,7 +161,7 @@
             Step::Served(replica, attempt) => {
                 let Some(job) = self.replicas[replica].running.remove(&attempt) else { return };
                 self.start_next(replica);
-                let reply = self.reply(replica, &job.send);
+                let reply = reply(&job.send, self.load(replica));
                 self.respond(job.engine, replica, job.send.attempt, reply);
             }
             Step::Outcome(engine, attempt, outcome) => {
@@ -234,7 +170,7 @@
             Step::Cancel(replica, attempt) => {
                 let it = &mut self.replicas[replica];
                 let waiting = it.waiting.len();
-                it.waiting.retain(|job| job.id() != attempt);
+                it.waiting.retain(|job| global(job.engine, job.send.attempt) != attempt);
                 if it.running.remove(&attempt).is_some() {
                     self.start_next(replica);
                 } else if it.waiting.len() == waiting {
@@ -245,7 +181,13 @@
                 self.engines[engine].1 = Duration::MAX;
                 self.feed(engine, Event::Tick);
             }
-            Step::Status(engine, replica) => self.status(engine, replica),
+            Step::Status(engine, replica) => {
+                let event = match self.replicas[replica].is_lost {
+                    true => Event::PollFailed { replica: name(replica) },
+                    false => status(replica, SHARDS, self.load(replica)),
+                };
+                self.feed(engine, event);
+            }
             Step::LoseCentre => self.lose_centre(),
         }
     }
@@ -261,44 +203,33 @@
         let query = self.serial;
         self.queries.insert(query, (self.now, priority));
         let engine = self.rng.usize(..ENGINES);
-        let submission = Submission {
-            query,
-            service: "records".into(),
-            fingerprint: query,
-            priority,
-            coverage: CoverageMode::Partial,
-            limit: 20,
-            deadline: self.now + DEADLINE,
-        };
-        self.feed(engine, Event::Submit(submission));
+        self.feed(engine, submit(query, priority, self.now + DEADLINE));
     }
 
     fn request(&mut self, engine: usize, replica: usize, send: Send) {
         let attempt = send.attempt;
-        let is_cancelled = self.cancelled.remove(&global(engine, attempt));
-        let it = &mut self.replicas[replica];
-        if is_cancelled {
+        if self.cancelled.remove(&global(engine, attempt)) {
             return;
         }
-        if it.is_lost {
-            self.respond(engine, replica, attempt, AttemptOutcome::NotSent);
+        let it = &mut self.replicas[replica];
+        let outcome = if it.is_lost {
+            AttemptOutcome::NotSent
         } else if it.waiting.len() >= QUEUE {
-            let error = UpstreamErrorKind::Shed;
-            let shed = AttemptOutcome::Refused { error, snapshots: Vec::new() };
-            self.respond(engine, replica, attempt, shed);
+            AttemptOutcome::Refused { error: UpstreamErrorKind::Shed, snapshots: Vec::new() }
         } else {
             it.waiting.push_back(Job { engine, send });
-            self.start_next(replica);
-        }
+            return self.start_next(replica);
+        };
+        self.respond(engine, replica, attempt, outcome);
     }
 
     fn start_next(&mut self, replica: usize) {
         let it = &mut self.replicas[replica];
-        if it.running.len() >= SLOTS {
+        if it.running.len() >= SLOTS as usize {
             return;
         }
         let Some(job) = it.waiting.pop_front() else { return };
-        let attempt = job.id();
+        let attempt = global(job.engine, job.send.attempt);
         let slowdown = it.slowdown;
         it.running.insert(attempt, job);
         // Box-Muller.
@@ -311,13 +242,7 @@
     fn load(&self, replica: usize) -> Load {
         let it = &self.replicas[replica];
         let (in_flight, queued) = (it.running.len() as u32, it.waiting.len() as u32);
-        Load { in_flight, queued, slots: SLOTS as u32 }
-    }
-
-    fn reply(&self, replica: usize, send: &Send) -> AttemptOutcome {
-        let covered = vec![RangeCount { range: send.range, records: 1_000 }];
-        let load = self.load(replica);
-        AttemptOutcome::Reply(ShardReply { snapshot: 1, covered, hits: Vec::new(), load })
+        Load { in_flight, queued, slots: SLOTS }
     }
 
     fn respond(&mut self, engine: usize, replica: usize, attempt: u64, outcome: AttemptOutcome) {
@@ -325,22 +250,6 @@
         self.after(delay, Step::Outcome(engine, attempt, outcome));
     }
 
-    fn status(&mut self, engine: usize, replica: usize) {
-        if self.replicas[replica].is_lost {
-            self.feed(engine, Event::PollFailed { replica: name(replica) });
-            return;
-        }
-        let ranges = vec![RangeCount { range: range(replica % SHARDS), records: 1_000 }];
-        let status = ReplicaStatus {
-            replica: name(replica),
-            incarnation: 1,
-            state: ReplicaState::Serving,
-            load: self.load(replica),
-            holdings: vec![Holding { service: "records".into(), snapshot: 1, ranges }],
-        };
-        self.feed(engine, Event::ReplicaStatus(status));
-    }
-
     fn lose_centre(&mut self) {
         for replica in 0..SHARDS {
             let it = &mut self.replicas[replica];
@@ -393,17 +302,7 @@
                 if asked < Duration::from_secs(1) {
                     return;
                 }
-                let counts = &mut self.tally.by_class[class as usize];
-                counts.0 += 1;
-                let is_complete = answer.as_ref().is_ok_and(|it| it.coverage.is_complete());
-                if is_complete {
-                    counts.1 += 1;
-                    self.tally.latencies_ms.push((self.now - asked).as_secs_f64() * 1e3);
-                } else if let Ok(result) = answer {
-                    let missing = SHARDS as u64 * 1_000 - result.coverage.records_covered;
-                    self.tally.lost_records += missing;
-                    self.tally.partial_at.push(self.now.as_secs_f64());
-                }
+                self.tally.add(self.now, asked, class, &answer);
             }
             Action::SendAction(_) | Action::Dispatched { .. } | Action::Condemn { .. } => {}
         }
@@ -423,38 +322,15 @@
         Scenario { loses_centre: true, ..plain("centre lost 40%", 0.4) },
         Scenario { loses_centre: true, ..plain("centre lost 80%", 0.8) },
     ];
-    println!(
-        "scenario         policy    seed   p50 ms   p99 ms  complete  critical   extra  goodput/s  lost records, span"
-    );
+    println!("scenario         policy    seed  {}", tally::HEADER);
     for scenario in scenarios.into_iter().filter(|it| it.name.contains(&only)) {
         for (seed, policy) in
             SEEDS.iter().flat_map(|it| [(*it, Policy::Baseline), (*it, Policy::Adaptive)])
         {
-            let (mut tally, extra) = Bench::new(scenario, policy, seed, seconds).run();
-            tally.latencies_ms.sort_by(f64::total_cmp);
-            let at = |q: f64| {
-                let latencies = &tally.latencies_ms;
-                latencies.get((latencies.len() as f64 * q) as usize).copied().unwrap_or(f64::NAN)
-            };
-            let [critical, normal, low] = tally.by_class;
-            let share = |it: (u32, u32)| 100.0 * f64::from(it.1) / f64::from(it.0.max(1));
-            let all = (critical.0 + normal.0 + low.0, critical.1 + normal.1 + low.1);
-            let span = match (tally.partial_at.first(), tally.partial_at.last()) {
-                (Some(first), Some(last)) => format!("{first:.2}-{last:.2} s"),
-                _ => "none".into(),
-            };
-            println!(
-                "{:16} {:9} {seed:4} {:8.2} {:8.2} {:8.2}% {:8.2}% {:6.2}% {:10.0}  {} {span}",
-                scenario.name,
-                format!("{policy:?}"),
-                at(0.5),
-                at(0.99),
-                share(all),
-                share(critical),
-                100.0 * extra,
-                f64::from(all.1) / (seconds as f64 - 1.0),
-                tally.lost_records,
-            );
+            let (tally, extra) = Bench::new(scenario, policy, seed, seconds).run();
+            let policy = format!("{policy:?}");
+            let line = tally.line(extra, seconds);
+            println!("{:16} {policy:9} {seed:4}  {line}", scenario.name);
         }
     }
 }
--- a/crates/query/src/layout.rs
+++ b/crates/query/src/layout.rs
@@ -147,7 +147,7 @@
 
 impl Counts {
     fn new(known: &BTreeMap<KeyRange, u64>) -> Counts {
-        let mut edges: HashMap<u128, Vec<(u128, i128)>> = HashMap::new();
+        let mut edges: BTreeMap<u128, Vec<(u128, i128)>> = BTreeMap::new();
         for (range, records) in known {
             let (from, to) = (u128::from(range.first()), u128::from(range.last()) + 1);
             edges.entry(from).or_default().push((to, i128::from(*records)));
