query: hedge unless two replicas of an upstream shed

A share of sheds over all sends was ruled out: three stragglers reach the same share as a beginning overload. Hedging now stops for an upstream when two of its replicas shed within a second.

--- a/crates/query/src/admission.rs
+++ b/crates/query/src/admission.rs
@@ -35,9 +35,6 @@
 /// Hedges that may follow each other at once when the budget was saved up.
 const HEDGE_BURST: u32 = 10;
 
-/// Hedging stays off for this long after an upstream shed load.
-const SHED_MEMORY: Duration = Duration::from_secs(1);
-
 /// A query that waits: its deadline and number give the order, the value is its slab index.
 type Queue = BTreeMap<(Time, u64), u32>;
 
@@ -50,7 +47,6 @@
     cut_at: Time,
     /// Budget of hedges.
     pub(crate) hedges: Bucket,
-    shed_at: Option<Time>,
     queues: [Queue; 3],
     passed_over: [u32; 3],
     typical_us: f32,
@@ -65,7 +61,6 @@
             is_starting: true,
             cut_at: Time::ZERO,
             hedges: Bucket::new(0, HEDGE_BURST),
-            shed_at: None,
             queues: Default::default(),
             passed_over: [0; 3],
             typical_us: 0.0,
@@ -218,15 +213,6 @@
         start + from_micros(share * self.typical_us) > deadline
     }
 
-    pub(crate) fn note_shed(&mut self, now: Time) {
-        self.shed_at = Some(now);
-    }
-
-    /// Whether extra attempts would add to an overload.
-    pub(crate) fn is_overloaded(&self, now: Time) -> bool {
-        self.waiting() > 0 || self.shed_at.is_some_and(|it| it + SHED_MEMORY > now)
-    }
-
     fn has_room(&self) -> bool {
         (self.running as f32) < self.limit
     }
--- a/crates/query/src/hedge.rs
+++ b/crates/query/src/hedge.rs
@@ -96,7 +96,10 @@
         // queries run into it.
         let age = now.saturating_sub(late.sent);
         self.upstreams.note_abandoned(now, &mut self.replicas, late.replica, age);
-        if self.admission.gate(service).is_overloaded(now) {
+        let upstream = self.replicas.get(late.replica).map(|it| it.upstream);
+        if self.admission.gate(service).waiting() > 0
+            || upstream.is_none_or(|it| self.upstreams.get(it).is_overloaded(now))
+        {
             return;
         }
         let reserve = if self.is_very_late(now, late) { 0 } else { RESERVE };
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -255,7 +255,6 @@
         match error {
             UpstreamErrorKind::Shed => {
                 query.congestion += 1;
-                self.admission.gate(service).note_shed(now);
                 self.note_unavailable(now, attempt.replica, error);
                 MissingReason::Shed
             }
@@ -294,6 +293,7 @@
         match error {
             UpstreamErrorKind::Shed => {
                 replica.health.note_shed(now);
+                self.upstreams.get_mut(replica.upstream).note_shed(now, key);
                 self.counters.upstream_sheds += 1;
             }
             UpstreamErrorKind::Cold => replica.health.note_loss(now),
--- a/crates/query/src/upstreams.rs
+++ b/crates/query/src/upstreams.rs
@@ -1,5 +1,7 @@
 //! What is shared by the replicas of one upstream: slots, retry budget and latency.
 
+use std::time::Duration;
+
 use rosemarybank_protocol::prelude::*;
 
 use crate::{
@@ -16,6 +18,9 @@
 /// Quantile of the latency after which a hedge is considered.
 const HEDGE_QUANTILE: f32 = 0.97;
 
+/// Hedging stays off for this long after an upstream was overloaded.
+const SHED_MEMORY: Duration = Duration::from_secs(1);
+
 /// A probe is late after this multiple of the median service time.
 const PROBE_PATIENCE: f32 = 1.25;
 
@@ -32,6 +37,28 @@
     pub(crate) slots: u32,
     pub(crate) retries: Bucket,
     pub(crate) latency: Latency,
+    /// The last shed by the replica that shed last.
+    last_shed: Option<(ReplicaKey, Time)>,
+    overloaded_until: Time,
+}
+
+impl Upstream {
+    /// Takes note of a shed. A single replica that sheds can be a straggler with a full queue;
+    /// two at about the same time mean that the upstream has too much work.
+    pub(crate) fn note_shed(&mut self, now: Time, key: ReplicaKey) {
+        if let Some((other, at)) = self.last_shed
+            && other != key
+            && at + SHED_MEMORY > now
+        {
+            self.overloaded_until = now + SHED_MEMORY;
+        }
+        self.last_shed = Some((key, now));
+    }
+
+    /// Whether extra attempts would add to an overload.
+    pub(crate) fn is_overloaded(&self, now: Time) -> bool {
+        now < self.overloaded_until
+    }
 }
 
 /// State of all upstreams and of the routes to data centres.
@@ -61,6 +88,8 @@
             slots: 0,
             retries: Bucket::new(RETRY_BURST, RETRY_BURST),
             latency: Latency::new(),
+            last_shed: None,
+            overloaded_until: Time::ZERO,
         });
         self.floors.resize(replicas.data_centre_count(), None);
     }
