--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -96,6 +96,35 @@
 
     /// Takes an event at `now` and appends the resulting actions. Timers that are due at `now`
     /// fire as well. `now` must not go backwards.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use rosemarybank_protocol::prelude::*;
+    /// use rosemarybank_query::{
+    ///     engine::Engine,
+    ///     interface::{Action, Event, Submission},
+    ///     settings::Settings,
+    /// };
+    ///
+    /// let mut engine = Engine::new(Settings::builder().data_centre("ost".into()).build(), 1);
+    /// let now = Duration::from_secs(1);
+    /// let mut out = Vec::new();
+    /// let search = Submission {
+    ///     query: 1,
+    ///     service: "smiths".into(),
+    ///     fingerprint: 7,
+    ///     priority: Priority::Normal,
+    ///     coverage: CoverageMode::Partial,
+    ///     limit: 20,
+    ///     deadline: now + Duration::from_millis(200),
+    /// };
+    /// engine.handle(now, Event::Submit(search), &mut out);
+    /// // Without a bundle nothing can be sent, and the refusal says so.
+    /// let [Action::Answer { query: 1, answer: Err(refusal) }] = &out[..] else { panic!() };
+    /// assert_eq!((refusal.kind, refusal.execution), (ErrorKind::NotReady, Execution::NotRun));
+    /// ```
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Submit(submission) => self.submit(now, submission, out),
--- a/crates/query/src/interface.rs
+++ b/crates/query/src/interface.rs
@@ -68,7 +68,7 @@
         /// End of the quarantine; a time in the past releases it.
         until: Time,
     },
-    /// Time has passed; sent at [`next_wakeup`](crate::interface).
+    /// Time has passed; sent at [`next_wakeup`](crate::engine::Engine::next_wakeup).
     Tick,
 }
 
@@ -192,7 +192,7 @@
 /// Why an attempt is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum SendKind {
-    /// First attempt for its keys.
+    /// First attempt for its keys, or for the keys that a partial reply left open.
     First,
     /// The keys were asked for before and that attempt failed.
     Retry,
--- a/crates/query/src/views.rs
+++ b/crates/query/src/views.rs
@@ -89,6 +89,16 @@
 
 impl Engine {
     /// Counts since the start.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use rosemarybank_query::{engine::Engine, settings::Settings};
+    ///
+    /// let engine = Engine::new(Settings::builder().data_centre("ost".into()).build(), 1);
+    /// assert_eq!(engine.counters().hedges, 0);
+    /// assert!(engine.replica_table("smiths").is_empty());
+    /// ```
     #[must_use]
     pub fn counters(&self) -> Counters {
         self.counters
