--- a/crates/query/examples/decision_cost.rs
+++ b/crates/query/examples/decision_cost.rs
@@ -10,7 +10,7 @@
 
 use std::time::{Duration, Instant};
 
-use fixture::{SLOTS, configure, list, reply, status, submit};
+use fixture::{SLOTS, configure, list, name, reply, status, submit};
 use rosemarybank_protocol::{prelude::*, upstream::Load};
 use rosemarybank_query::{
     engine::Engine,
@@ -74,6 +74,18 @@
     spent.as_nanos() as f64 / requests as f64
 }
 
+/// Microseconds of the first query after a replica drained, which builds the layout anew.
+fn rebuild(shards: usize, replicas: usize) -> f64 {
+    let mut engine = engine(shards, replicas);
+    let now = Duration::from_secs(1);
+    engine.handle(now, search(1, now), &mut Vec::new());
+    engine.handle(now, Event::GoingAway { replica: name(0) }, &mut Vec::new());
+    let event = search(2, now);
+    let start = Instant::now();
+    engine.handle(now, event, &mut Vec::new());
+    start.elapsed().as_secs_f64() * 1e6
+}
+
 /// Estimated bytes of the tables, and of a query in flight.
 fn memory(shards: usize, replicas: usize) -> (usize, usize) {
     let mut engine = engine(shards, replicas);
@@ -84,18 +96,23 @@
 }
 
 fn main() {
-    println!("shards  replicas  lowest ns  middle ns  tables KB  KB per query in flight");
+    println!(
+        "shards  replicas  lowest ns  middle ns  rebuild us  tables KB  KB per query in flight"
+    );
     for shards in [10, 50, 220] {
         for replicas in [30, 300, 3_900] {
             // A shard needs a replica.
             let replicas = replicas.max(shards);
             let mut runs: Vec<_> = (0..RUNS).map(|_| measure(shards, replicas)).collect();
             runs.sort_by(f64::total_cmp);
+            let mut rebuilds: Vec<_> = (0..RUNS).map(|_| rebuild(shards, replicas)).collect();
+            rebuilds.sort_by(f64::total_cmp);
             let (tables, query) = memory(shards, replicas);
             println!(
-                "{shards:6}  {replicas:8}  {:9.0}  {:9.0}  {:9.1}  {:8.1}",
+                "{shards:6}  {replicas:8}  {:9.0}  {:9.0}  {:10.0}  {:9.1}  {:8.1}",
                 runs[0],
                 runs[RUNS / 2],
+                rebuilds[RUNS / 2],
                 tables as f64 / 1e3,
                 query as f64 / 1e3,
             );
