--- a/crates/coordination/src/quarantine/machine.rs
+++ b/crates/coordination/src/quarantine/machine.rs
@@ -115,15 +115,7 @@
                 self.load = Load::Due(now);
             }
             Event::Condemned { service, fingerprint, crashes } => {
-                let expires_unix_ms = self.expiry(now);
-                let entry = QuarantineEntry {
-                    service,
-                    fingerprint,
-                    crashes,
-                    expires_unix_ms,
-                    released: false,
-                };
-                self.originate(now, entry, out);
+                self.condemn(now, (service, fingerprint), crashes, out);
             }
             Event::Release { service, fingerprint } => self.release(now, service, fingerprint, out),
             Event::PeerEntries(entries) => {
@@ -152,6 +144,22 @@
         self.write(now, key);
     }
 
+    /// A condemnation must win over a release that is known here, also when the clock of the
+    /// instance that made the release is ahead.
+    fn condemn(&mut self, now: Time, key: EntryKey, crashes: u32, out: &mut Vec<Action>) {
+        let release = self.set.get(&key).filter(|held| held.released);
+        let above = release.map_or(0, |held| held.expires_unix_ms + 1);
+        let (service, fingerprint) = key;
+        let entry = QuarantineEntry {
+            service,
+            fingerprint,
+            crashes,
+            expires_unix_ms: self.expiry(now).max(above),
+            released: false,
+        };
+        self.originate(now, entry, out);
+    }
+
     /// A release must win over every entry made before it, also over those that other instances
     /// made at about the same time and with a later expiry, so it takes the latest expiry that
     /// such an entry can have.
