coordination: Handle a heartbeat without a look at all peers

Each instance receives as many heartbeats in an interval as it has peers, and membership, configuration and quarantine each went over all peers or entries for every one of them, so the work grew with the square of the fleet. Membership now finds the sender by its address and looks at all peers only at ticks; the configuration scans reports only for a version it lacks; the digest of the quarantine set is kept up to date instead of being computed.

A phase now changes at the next tick, at most one interval later than before.

--- a/crates/coordination/src/config/machine.rs
+++ b/crates/coordination/src/config/machine.rs
@@ -112,6 +112,11 @@
 
     /// Takes one event and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        // Reports arrive with every heartbeat, and most bring nothing new.
+        let is_news = match &event {
+            Event::PeerHolds { version, .. } => self.held.is_none() || *version > self.held,
+            _ => true,
+        };
         match event {
             Event::Start => {
                 self.last_report = now;
@@ -149,10 +154,13 @@
             Event::Watching(role) => self.role = role,
             Event::Tick => {}
         }
-        if self.fetch.as_ref().is_some_and(|f| f.until <= now) {
+        let timed_out = self.fetch.as_ref().is_some_and(|f| f.until <= now);
+        if timed_out {
             self.drop_fetch();
         }
-        self.fetch_newest(now, out);
+        if is_news || timed_out {
+            self.fetch_newest(now, out);
+        }
         self.read_if_due(now, out);
     }
 
--- a/crates/coordination/src/membership/machine.rs
+++ b/crates/coordination/src/membership/machine.rs
@@ -41,8 +41,9 @@
     settings: Settings,
     local: LocalState,
     leaving: bool,
-    /// One record for each configured address at most.
     peers: BTreeMap<InstanceId, Peer>,
+    /// The configured addresses and the instance last heard from each.
+    names: BTreeMap<SocketAddr, Option<InstanceId>>,
     started: Option<Time>,
     last_run: Time,
     next_beat: Time,
@@ -64,8 +65,10 @@
     /// Makes the machine of a starting instance.
     #[must_use]
     pub fn new(settings: Settings) -> Machine {
+        let names = settings.peers.iter().map(|addr| (*addr, None)).collect();
         Machine {
             settings,
+            names,
             local: LocalState::default(),
             leaving: false,
             peers: BTreeMap::new(),
@@ -149,7 +152,7 @@
     /// Time at which the machine needs a [`Event::Tick`], if any.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Time> {
-        // A phase changes at most half an interval late if it waits for the next heartbeat.
+        // A phase changes at most one interval late when it waits for the next heartbeat.
         self.started.map(|_| self.next_beat)
     }
 
@@ -163,6 +166,7 @@
             Event::Start if self.started.is_none() => {
                 self.started = Some(now);
                 self.next_beat = now;
+                self.update_fleet_size(now, out);
             }
             Event::Heard { from, heartbeat } => self.heard(now, from, heartbeat, out),
             Event::Local(local) => self.local = local,
@@ -170,10 +174,13 @@
                 self.leaving = true;
                 self.next_beat = now;
             }
-            Event::Start | Event::Tick => {}
+            // Only ticks look at all peers: with n peers there are n heartbeats in each interval.
+            Event::Tick => {
+                self.update_phases(now, out);
+                self.update_fleet_size(now, out);
+            }
+            Event::Start => {}
         }
-        self.update_phases(now, out);
-        self.update_fleet_size(now, out);
         self.beat_if_due(now, out);
     }
 
@@ -190,7 +197,7 @@
     }
 
     fn heard(&mut self, now: Time, from: InstanceId, beat: Heartbeat, out: &mut Vec<Action>) {
-        if from == self.settings.instance || !self.settings.peers.contains(&beat.addr) {
+        if from == self.settings.instance || !self.names.contains_key(&beat.addr) {
             return;
         }
         let incarnation = beat.incarnation;
@@ -205,11 +212,14 @@
         // A heartbeat from before the announcement can arrive after it.
         let leaving = beat.leaving || same.is_some_and(|p| p.heartbeat.leaving);
         let phase = if leaving { Phase::Leaving } else { Phase::Live };
-        if same.is_none_or(|p| p.phase != phase) {
-            out.push(Action::PeerChanged { instance: from.clone(), incarnation, phase });
-        }
+        let changed = same.is_none_or(|p| p.phase != phase);
         let heartbeat = Heartbeat { leaving, ..beat };
-        self.peers.insert(from, Peer { heartbeat, heard: now, phase });
+        self.names.insert(heartbeat.addr, Some(from.clone()));
+        self.peers.insert(from.clone(), Peer { heartbeat, heard: now, phase });
+        if changed {
+            out.push(Action::PeerChanged { instance: from, incarnation, phase });
+            self.update_fleet_size(now, out);
+        }
     }
 
     /// Removes an older instance of another name at the same address. Returns whether the
@@ -221,9 +231,8 @@
         incarnation: u64,
         out: &mut Vec<Action>,
     ) -> bool {
-        let other =
-            |(name, peer): &(&InstanceId, &Peer)| peer.heartbeat.addr == addr && *name != from;
-        let Some((name, peer)) = self.peers.iter().find(other) else { return true };
+        let Some(Some(name)) = self.names.get(&addr) else { return true };
+        let Some(peer) = self.peers.get(name).filter(|_| name != from) else { return true };
         if peer.heartbeat.incarnation >= incarnation {
             return false;
         }
@@ -262,9 +271,8 @@
         let heard = self.peers.values().filter(|p| p.phase != Phase::Dead).count();
         // Instances that start together would otherwise each take the share of the whole fleet.
         let starting = now < started + self.allowed_silence(self.settings.dead_after);
-        let known = |addr: &&SocketAddr| self.peers.values().any(|p| p.heartbeat.addr == **addr);
         let unheard = match starting {
-            true => self.settings.peers.iter().filter(|addr| !known(addr)).count(),
+            true => self.names.values().filter(|name| name.is_none()).count(),
             false => 0,
         };
         let size = u32::try_from(1 + heard + unheard).unwrap_or(u32::MAX);
--- a/crates/coordination/src/quarantine/machine.rs
+++ b/crates/coordination/src/quarantine/machine.rs
@@ -121,7 +121,10 @@
             Event::PeerEntries(entries) => {
                 self.learn(now, &entries, out);
             }
-            Event::PeerDigest { instance, digest } => self.compare(now, instance, digest, out),
+            // Arrives with every heartbeat, so it does no more than the comparison.
+            Event::PeerDigest { instance, digest } => {
+                return self.compare(now, instance, digest, out);
+            }
             Event::StoreEntries(entries) => self.loaded(now, &entries, out),
             Event::StoreUnreachable => {
                 if self.load == Load::Outstanding {
--- a/crates/coordination/src/quarantine/set.rs
+++ b/crates/coordination/src/quarantine/set.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Set {
     entries: BTreeMap<EntryKey, QuarantineEntry>,
+    /// Sum of the hashes of the entries. Kept up to date because every heartbeat needs it.
+    digest: u64,
 }
 
 impl Set {
@@ -55,7 +57,10 @@
         if self.entries.get(&key) == Some(&merged) {
             return None;
         }
-        self.entries.insert(key.clone(), merged);
+        self.digest = self.digest.wrapping_add(hash_of(&merged));
+        if let Some(old) = self.entries.insert(key.clone(), merged) {
+            self.digest = self.digest.wrapping_sub(hash_of(&old));
+        }
         self.entries.get(&key)
     }
 
@@ -78,7 +83,14 @@
 
     /// Removes the entries that have expired at `unix_ms`.
     pub fn expire(&mut self, unix_ms: u64) {
-        self.entries.retain(|_, entry| entry.expires_unix_ms > unix_ms);
+        let digest = &mut self.digest;
+        self.entries.retain(|_, entry| {
+            let keep = entry.expires_unix_ms > unix_ms;
+            if !keep {
+                *digest = digest.wrapping_sub(hash_of(entry));
+            }
+            keep
+        });
     }
 
     /// Time in milliseconds since the Unix epoch at which the next entry expires.
@@ -90,17 +102,19 @@
     /// Hash of the set. Two sets with the same digest hold the same entries, but for a chance of
     /// about 2^-64.
     #[must_use]
-    pub fn digest(&self) -> u64 {
-        let of = |e: &QuarantineEntry| {
-            let name = hash::bytes(0, e.service.as_bytes());
-            [e.fingerprint, e.expires_unix_ms, u64::from(e.crashes), u64::from(e.released)]
-                .into_iter()
-                .fold(name, |h, part| hash::mix(h.wrapping_add(hash::mix(part))))
-        };
-        self.iter().fold(0, |sum, entry| sum.wrapping_add(of(entry)))
+    pub const fn digest(&self) -> u64 {
+        self.digest
     }
 }
 
+fn hash_of(entry: &QuarantineEntry) -> u64 {
+    let QuarantineEntry { service, fingerprint, crashes, expires_unix_ms, released } = entry;
+    let name = hash::bytes(0, service.as_bytes());
+    [*fingerprint, *expires_unix_ms, u64::from(*crashes), u64::from(*released)]
+        .into_iter()
+        .fold(name, |h, part| hash::mix(h.wrapping_add(hash::mix(part))))
+}
+
 /// What an entry is about.
 #[must_use]
 pub fn key_of(entry: &QuarantineEntry) -> EntryKey {
--- a/crates/coordination/tests/model_claim.rs
+++ b/crates/coordination/tests/model_claim.rs
@@ -146,33 +146,24 @@
 
     /// Alters the input of the machine as the removed guard demands.
     fn weaken(&self, r: usize, event: Event) -> Event {
-        let (owner, nonce) = (["a", "b"][r % 2].into(), r as u64);
-        match (self.guard, event) {
-            (
-                Guard::NonceComparison,
-                Event::Store { call, reply: StoreReply::Found { mut claim, etag } },
-            ) => {
-                if matches!(claim.state, ClaimState::Sending { .. }) {
-                    claim.state = ClaimState::Sending { owner, nonce };
-                }
-                Event::Store { call, reply: StoreReply::Found { claim, etag } }
-            }
-            (
-                Guard::NoTakeOver,
-                Event::Store { call, reply: StoreReply::Found { mut claim, etag } },
-            ) => {
-                if claim.state != (ClaimState::Sending { owner, nonce })
-                    && matches!(claim.state, ClaimState::Sending { .. })
-                {
+        let ours = ClaimState::Sending { owner: ["a", "b"][r % 2].into(), nonce: r as u64 };
+        match event {
+            Event::Store { call, reply: StoreReply::Found { mut claim, etag } } => {
+                let sending = matches!(claim.state, ClaimState::Sending { .. });
+                if self.guard == Guard::NonceComparison && sending {
+                    claim.state = ours;
+                } else if self.guard == Guard::NoTakeOver && sending && claim.state != ours {
                     let outcome = ActionOutcome::NotRun { reason: "lapsed".into() };
                     claim.state = ClaimState::Ended { outcome };
                 }
                 Event::Store { call, reply: StoreReply::Found { claim, etag } }
             }
-            (Guard::UnknownIsKept, Event::Dispatched(ActionOutcome::Unknown { reason })) => {
+            Event::Dispatched(ActionOutcome::Unknown { reason })
+                if self.guard == Guard::UnknownIsKept =>
+            {
                 Event::Dispatched(ActionOutcome::NotRun { reason })
             }
-            (_, event) => event,
+            event => event,
         }
     }
 
@@ -395,6 +386,7 @@
 
     fn violation(&self) -> Option<String> {
         let effects: u8 = self.requests.iter().map(|r| r.effects).sum();
+        let done = |r: &Request| matches!(r.told, Some(Answer::Done { .. }));
         let stuck = |r: &Request| {
             r.started
                 && !r.crashed
@@ -407,7 +399,7 @@
             Some("an action took effect twice")
         } else if self.requests.iter().any(|r| is_not_run(&r.told) && r.effects > 0) {
             Some("a request that was told not run took effect")
-        } else if self.requests.iter().any(|r| is_done(&r.told)) && effects != 1 {
+        } else if effects != 1 && self.requests.iter().any(done) {
             Some("a request was told done without an effect")
         } else if self.requests.iter().any(stuck) {
             Some("a request is never answered")
@@ -422,10 +414,6 @@
     matches!(told, Some(Answer::NotRun { .. } | Answer::KeyConflict))
 }
 
-fn is_done(told: &Option<Answer>) -> bool {
-    matches!(told, Some(Answer::Done { .. }))
-}
-
 fn call_of(action: &Action) -> u32 {
     match action {
         Action::Create { call, .. }
