--- a/crates/coordination/src/membership/machine.rs
+++ b/crates/coordination/src/membership/machine.rs
@@ -61,6 +61,14 @@
     pub phase: Phase,
 }
 
+impl Peer {
+    /// Whether a heartbeat of the given incarnation is out of date. A dead peer may come back with
+    /// a lower one, because its clock can have been set back before it was started again.
+    fn is_newer(&self, incarnation: u64) -> bool {
+        self.phase != Phase::Dead && self.heartbeat.incarnation > incarnation
+    }
+}
+
 impl Machine {
     /// Makes the machine of a starting instance.
     #[must_use]
@@ -205,7 +213,7 @@
             return;
         }
         let known = self.peers.get(&from);
-        if known.is_some_and(|p| p.heartbeat.incarnation > incarnation) {
+        if known.is_some_and(|p| p.is_newer(incarnation)) {
             return;
         }
         let same = known.filter(|p| p.heartbeat.incarnation == incarnation);
@@ -233,7 +241,7 @@
     ) -> bool {
         let Some(Some(name)) = self.names.get(&addr) else { return true };
         let Some(peer) = self.peers.get(name).filter(|_| name != from) else { return true };
-        if peer.heartbeat.incarnation >= incarnation {
+        if peer.heartbeat.incarnation == incarnation || peer.is_newer(incarnation) {
             return false;
         }
         let (instance, incarnation) = (name.clone(), peer.heartbeat.incarnation);
