daemon: coordinate instances

Cause: an instance must not depend on the store alone, and one instance's knowledge of configuration and crashing requests must reach the others. Ruled out: a task for each machine; their events depend on each other, so one coordinator feeds them from a queue and tasks only do the calls. Peers' versions are taken from answers to own heartbeats only, because only these are known to be sent after the start. Change: peer port and links, the configuration, membership and quarantine machines, the status object, the list and release of quarantine entries, counted platform calls, and the source address for outgoing connections. Before: each instance followed the store by itself. Conclusion: a roll-out, a start without the store, a forged bundle, a quarantine with its release and a leaving instance behave as the design says.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,12 +1,18 @@
-//! The control thread: the platform's store, the configuration, the list of replicas and the
-//! claims of actions.
+//! The control thread: the platform's store, peers, and the machines that coordinate instances.
 
 mod actions;
+mod bundles;
 mod claims;
-mod configuration;
+mod coordinator;
+mod input;
+mod links;
 mod lookups;
+mod peer_port;
 mod replicas;
 mod run;
 mod shared;
+mod status;
+mod store_calls;
+mod upkeep;
 
 pub use run::{ControlRings, ControlSetup, run};
--- a/crates/daemon/src/control/replicas.rs
+++ b/crates/daemon/src/control/replicas.rs
@@ -63,6 +63,11 @@
         shared.upstreams.send(self.list.borrow().values().map(target).collect());
     }
 
+    /// Number of replicas in the list.
+    pub(super) fn len(&self) -> usize {
+        self.list.borrow().len()
+    }
+
     fn apply(&self, path: &str, value: Option<&[u8]>) {
         let mut list = self.list.borrow_mut();
         let Some(value) = value else {
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -1,18 +1,36 @@
 use std::{
     cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    pin::pin,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
+use rosemarybank_coordination::{membership, quarantine};
 use rosemarybank_platform::PlatformClient;
-use rosemarybank_query::interface::Event;
 use rosemarybank_ring::{Receiver, Sender};
 use slog::{Logger, info};
-use tokio::task::spawn_local;
+use tokio::{
+    net::TcpListener,
+    sync::mpsc,
+    task::spawn_local,
+    time::{interval, sleep_until, timeout},
+};
+use tokio_util::sync::CancellationToken;
 
-use super::{actions::Actions, configuration, lookups, replicas::Replicas, shared::Shared};
+use super::{
+    actions::Actions,
+    coordinator::{Coordinator, UPKEEP_INTERVAL},
+    input::Event,
+    lookups, peer_port,
+    replicas::Replicas,
+    shared::Shared,
+    upkeep::Upkeep,
+};
 use crate::{
-    clock::Clock,
+    clock::{Clock, unix_ms},
     in_flight::InFlight,
     lifecycle::{Phase, PhaseWatch, Readiness},
     message::{ControlToEngine, ControlToFront, EngineToControl, FrontToControl, Targets},
@@ -21,6 +39,9 @@
     telemetry::{AdminToControl, Recorder},
 };
 
+/// Time allowed for closing the peer port.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Rings of the control thread.
 pub struct ControlRings {
     /// From the front.
@@ -43,6 +64,8 @@
     pub clock: Clock,
     /// Settings of the instance.
     pub settings: Arc<Settings>,
+    /// The bound peer port.
+    pub listener: std::net::TcpListener,
     /// Whether the instance has what it needs to take requests.
     pub readiness: Readiness,
     /// Requests in flight.
@@ -57,21 +80,21 @@
 
 /// Runs control until the phase [`Phase::Finishing`], and then until no action is in progress. Must
 /// run within a tokio `LocalSet`.
-pub async fn run(setup: ControlSetup, rings: ControlRings) {
-    let ControlSetup { clock, settings, readiness, in_flight, recorder, log, mut phase } = setup;
-    let ControlRings {
-        mut from_front,
-        to_front,
-        mut from_engine,
-        to_engine,
-        to_upstreams,
-        mut from_admin,
-    } = rings;
-    let (engine, front) = (Outbox::new(to_engine), Outbox::new(to_front));
-    let upstreams = Outbox::new(to_upstreams);
+///
+/// # Errors
+///
+/// Fails when the listener can't be used.
+pub async fn run(setup: ControlSetup, rings: ControlRings) -> io::Result<()> {
+    let ControlSetup { clock, settings, listener, readiness, in_flight, recorder, log, mut phase } =
+        setup;
+    let (engine, front) = (Outbox::new(rings.to_engine), Outbox::new(rings.to_front));
+    let upstreams = Outbox::new(rings.to_upstreams);
     spawn_local(engine.clone().pump());
     spawn_local(front.clone().pump());
     spawn_local(upstreams.clone().pump());
+    let listener = TcpListener::from_std(listener)?;
+    let peer_addr = listener.local_addr()?;
+    info!(log, "the peer port is open"; "addr" => %peer_addr);
     let shared = Rc::new(Shared {
         platform: platform_client(&settings),
         settings,
@@ -86,12 +109,27 @@
         in_force: RefCell::default(),
         fleet_size: Cell::new(1),
     });
-    shared.engine_event(Event::FleetSize(1));
     let replicas = Replicas::new(Rc::clone(&shared));
     let actions = Actions::new(Rc::clone(&shared));
     spawn_local(replicas.clone().follow());
-    spawn_local(configuration::follow(Rc::clone(&shared), replicas));
+
+    let (inputs_tx, mut inputs) = mpsc::unbounded_channel();
+    let stop_peers = CancellationToken::new();
+    let instance = shared.settings.instance.clone();
+    let port = peer_port::run(listener, instance, inputs_tx.clone(), stop_peers.clone());
+    let mut port = spawn_local(port);
+    let membership = membership_settings(&shared.settings, peer_addr);
+    let mut coordinator =
+        Coordinator::new(Rc::clone(&shared), replicas.clone(), inputs_tx, membership);
+    let mut upkeep = Upkeep::default();
+    let mut upkeep_timer = interval(UPKEEP_INTERVAL);
+    let mut leaving = phase.clone();
+    let mut has_left = false;
+    let ControlRings { mut from_front, mut from_engine, mut from_admin, .. } = rings;
+    let mut finished = pin!(finishing(&mut phase, &actions));
+    coordinator.start();
     loop {
+        let wakeup = coordinator.next_wakeup().map(|at| clock.instant(at));
         tokio::select! {
             Some(message) = from_front.recv() => match message {
                 FrontToControl::Act(request) => actions.start(request),
@@ -104,17 +142,28 @@
                     actions.dispatched(dispatch, outcome);
                 }
                 EngineToControl::Condemn { service, fingerprint, crashes } => {
-                    info!(shared.log, "a request crashes upstreams"; "service" => %service,
-                        "fingerprint" => format!("{fingerprint:016x}"), "crashes" => crashes);
+                    let event = quarantine::Event::Condemned { service, fingerprint, crashes };
+                    coordinator.run(Event::Quarantine(event));
                 }
             },
-            Some(message) = from_admin.recv() => match message {
-                AdminToControl::List { reply } => drop(reply.send(Vec::new())),
-                AdminToControl::Release { reply, .. } => drop(reply.send(false)),
-            },
-            () = finishing(&mut phase, &actions) => return,
+            Some(message) = from_admin.recv() => administer(&mut coordinator, message),
+            Some(input) = inputs.recv() => coordinator.input(input),
+            () = sleep_until_some(wakeup) => coordinator.tick(),
+            _ = upkeep_timer.tick() => {
+                coordinator.tick();
+                upkeep.run(&coordinator, &replicas, &actions);
+            }
+            () = leaving.reached(Phase::Unready), if !has_left => {
+                has_left = true;
+                coordinator.leave();
+            }
+            () = &mut finished => break,
         }
     }
+    stop_peers.cancel();
+    // A peer that is slow to take its answer must not hold the stop.
+    let _ = timeout(CLOSE_TIMEOUT, &mut port).await;
+    Ok(())
 }
 
 /// Waits until the callers' port is closed and no action is in progress.
@@ -123,10 +172,48 @@
     actions.finished().await;
 }
 
+fn administer(coordinator: &mut Coordinator, message: AdminToControl) {
+    match message {
+        AdminToControl::List { reply } => {
+            let entries = coordinator.quarantine.entries().iter().cloned().collect();
+            // The operator may hang up before the answer.
+            let _ = reply.send(entries);
+        }
+        AdminToControl::Release { service, fingerprint, reply } => {
+            let key = (service.clone(), fingerprint);
+            let is_held = coordinator.quarantine.entries().get(&key).is_some();
+            if is_held {
+                let event = quarantine::Event::Release { service, fingerprint };
+                coordinator.run(Event::Quarantine(event));
+            }
+            let _ = reply.send(is_held);
+        }
+    }
+}
+
+async fn sleep_until_some(at: Option<std::time::Instant>) {
+    match at {
+        Some(at) => sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn membership_settings(settings: &Settings, addr: SocketAddr) -> membership::Settings {
+    membership::Settings::builder()
+        .instance(settings.instance.clone())
+        // The wall clock grows from start to start, also on a replaced machine.
+        .incarnation(unix_ms())
+        .data_centre(settings.data_centre.clone())
+        .addr(addr)
+        .peers(settings.peers.others.clone())
+        .build()
+}
+
 fn platform_client(settings: &Settings) -> PlatformClient {
     let platform = &settings.platform;
     let settings = rosemarybank_platform::Settings::builder()
         .addr(platform.addr)
+        .maybe_source(settings.source)
         .seed(fastrand::u64(..))
         .call_timeout(platform.timeout)
         .watch_wait(platform.watch_wait)
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -69,6 +69,8 @@
     pub in_flight: InFlight,
     /// Address of the callers' port.
     pub callers: SocketAddr,
+    /// Address of the peer port.
+    pub peers: SocketAddr,
     /// Address of the admin port.
     pub admin: SocketAddr,
     /// The daemon's time.
@@ -93,9 +95,11 @@
         let in_flight = InFlight::default();
         let dropped = Arc::new(AtomicU64::new(0));
         let callers = bind(settings.callers.addr, "callers.addr")?;
+        let peers = bind(settings.peers.addr, "peers.addr")?;
         let admin = bind(settings.admin.addr, "admin.addr")?;
         let daemon = Daemon {
             callers: callers.local_addr()?,
+            peers: peers.local_addr()?,
             admin: admin.local_addr()?,
             lifecycle,
             in_flight: in_flight.clone(),
@@ -140,6 +144,7 @@
         let setup = UpstreamsSetup {
             clock,
             connect_timeout: settings.upstreams.connect_timeout,
+            source: settings.source,
             recorder: recorder(),
             phase: phase(),
         };
@@ -156,6 +161,7 @@
         let setup = ControlSetup {
             clock,
             settings: Arc::clone(&settings),
+            listener: peers,
             readiness: readiness.clone(),
             in_flight: in_flight.clone(),
             recorder: recorder(),
@@ -171,8 +177,10 @@
             from_admin: control_from_admin,
         };
         let runtime = io_runtime()?;
+        let thread_log = log.clone();
         spawn(ThreadKind::Control, notices, move || {
-            LocalSet::new().block_on(&runtime, control::run(setup, rings));
+            let result = LocalSet::new().block_on(&runtime, control::run(setup, rings));
+            report(&thread_log, "control", result);
         })?;
 
         let setup = FrontSetup {
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -1,4 +1,7 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use rosemarybank_bundle::{PublicKey, TrustedKeys};
 use rosemarybank_protocol::id::{DataCentre, InstanceId};
@@ -11,6 +14,8 @@
     pub instance: InstanceId,
     /// Data centre in which it runs.
     pub data_centre: DataCentre,
+    /// Local address to connect from; the system chooses when absent.
+    pub source: Option<IpAddr>,
     /// The callers' port.
     pub callers: Callers,
     /// The port for peers, and the peers.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -61,6 +61,7 @@
 fn read(mut top: Fields<'_>) -> Settings {
     let instance = name(&mut top, "instance");
     let data_centre = name(&mut top, "data_centre");
+    let source = top.optional("source", None, "write an IP address of this machine, or null");
     let callers = callers(top.section("callers"));
     let peers = peers(top.section("peers"));
     let admin = admin(top.section("admin"));
@@ -78,6 +79,7 @@
     Settings {
         instance,
         data_centre,
+        source,
         callers,
         peers,
         admin,
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -1,6 +1,12 @@
 //! The upstreams thread: sends the engine's attempts to replicas and reports how they end.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use compact_str::format_compact;
 use rosemarybank_protocol::{
@@ -44,6 +50,8 @@
     pub clock: Clock,
     /// Time allowed for opening a connection.
     pub connect_timeout: Duration,
+    /// Local address to connect from; the system chooses when absent.
+    pub source: Option<IpAddr>,
     /// Records for telemetry.
     pub recorder: Recorder,
     /// Phases of the process.
@@ -52,9 +60,10 @@
 
 /// Sends attempts until the phase [`Phase::Ending`]. Must run within a tokio `LocalSet`.
 pub async fn run(setup: UpstreamsSetup, mut rings: UpstreamsRings) {
-    let UpstreamsSetup { clock, connect_timeout, recorder, mut phase } = setup;
+    let UpstreamsSetup { clock, connect_timeout, source, recorder, mut phase } = setup;
     let (notices_tx, mut notices) = mpsc::unbounded_channel();
-    let settings = PoolSettings::builder().connect_timeout(connect_timeout).build();
+    let settings =
+        PoolSettings::builder().connect_timeout(connect_timeout).maybe_source(source).build();
     let to_engine = Outbox::new(rings.to_engine);
     spawn_local(to_engine.clone().pump());
     let upstreams = Upstreams {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -19,9 +19,13 @@
 use rosemarybank_protocol::{key_range::KeyRange, platform::CONFIG_PATH};
 use rosemarybank_standins::{
     client::HttpClient,
-    platform::{PlatformService, Store},
+    platform::{PlatformService, Store, faults::PlatformFaults},
     server,
-    upstream::{HoldingSpec, Replica, ReplicaSpec, ServiceTime, run},
+    upstream::{
+        ControlService, HoldingSpec, Network, ReplicaSpec, ServiceTime,
+        faults::{FaultOrder, StandingFaults},
+        run,
+    },
 };
 use serde_json::Value;
 use slog::{Discard, Logger, o};
@@ -66,14 +70,14 @@
     pub runtime: Runtime,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// The platform and the orders to its connections.
+    platform_control: (PlatformService, watch::Sender<server::ConnOrders>),
     /// Replicas, ledgers last.
-    pub replicas: Vec<Replica>,
+    pub upstreams: ControlService,
     /// Signs bundles.
     pub key: KeyPair,
     /// HTTP/1.1 client.
     pub client: HttpClient,
-    /// Orders to the platform's connections.
-    pub platform_orders: watch::Sender<server::ConnOrders>,
 }
 
 impl Bench {
@@ -87,18 +91,18 @@
     /// Starts the stand-ins without a configuration.
     pub fn start_without_bundle() -> Bench {
         let runtime = Runtime::new().unwrap();
-        let (platform, platform_orders, replicas) = runtime.block_on(async {
+        let (platform, platform_control, upstreams) = runtime.block_on(async {
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
             let addr = listener.local_addr().unwrap();
             let orders = watch::Sender::default();
             let service = PlatformService::new(Store::default());
-            tokio::spawn(server::serve(listener, orders.subscribe(), service));
-            (addr, orders, run::start_all(specs(), 1).await.unwrap())
+            tokio::spawn(server::serve(listener, orders.subscribe(), service.clone()));
+            (addr, (service, orders), run::start_all(specs(), Network::default(), 1).await.unwrap())
         });
         let key = KeyPair::generate("ops-1").unwrap();
         let client = HttpClient::http1();
-        let bench = Bench { runtime, platform, replicas, key, client, platform_orders };
-        for replica in &bench.replicas {
+        let bench = Bench { runtime, platform, platform_control, upstreams, key, client };
+        for replica in bench.upstreams.replicas() {
             let entry = run::instance_entry(&replica.spec);
             let body = serde_json::to_string(&entry).unwrap();
             bench.put(&format!("instances/{}", entry.replica), body);
@@ -200,9 +204,23 @@
         });
     }
 
-    /// Sum of the requests that replicas have run.
+    /// Replaces the faults of the platform.
+    pub fn platform_faults(&self, faults: PlatformFaults) {
+        let (service, orders) = &self.platform_control;
+        service.faults().set(faults);
+        orders.send_modify(|it| it.resets += 1);
+    }
+
+    /// Replaces the faults of replicas.
+    pub fn upstream_faults(&self, replicas: &[&str], faults: StandingFaults) {
+        let replicas = replicas.iter().map(|it| (*it).into()).collect();
+        let order = FaultOrder { replicas, set: Some(faults), run: Vec::new() };
+        self.upstreams.carry_out(&order).unwrap();
+    }
+
+    /// Number of actions that took effect.
     pub fn effects(&self) -> usize {
-        self.replicas[0].effects.all().len()
+        self.upstreams.replicas()[0].effects.all().len()
     }
 }
 
--- a/crates/transport/src/upstream/connection.rs
+++ b/crates/transport/src/upstream/connection.rs
@@ -1,10 +1,20 @@
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use h2::client::{self, SendRequest};
-use tokio::{net::TcpStream, time};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time,
+};
 
-use super::frames::{FrameLog, Observed};
+use super::{
+    frames::{FrameLog, Observed},
+    pool::PoolSettings,
+};
 
 /// Stream and connection windows that let a reply arrive without a round trip for flow control.
 const STREAM_WINDOW: u32 = 1 << 20;
@@ -25,11 +35,11 @@
     /// Connects and completes the h2 handshake.
     pub(super) async fn open(
         addr: SocketAddr,
-        within: Duration,
+        settings: PoolSettings,
         on_end: impl FnOnce() + Send + 'static,
     ) -> io::Result<Connection> {
         let opening = async {
-            let socket = TcpStream::connect(addr).await?;
+            let socket = connect(addr, settings.source).await?;
             socket.set_nodelay(true)?;
             let log = Arc::new(FrameLog::default());
             let observed = Observed::new(socket, Arc::clone(&log));
@@ -42,7 +52,7 @@
                 .map_err(io::Error::other)?;
             io::Result::Ok((requests, driver, log))
         };
-        let (requests, driver, log) = time::timeout(within, opening).await??;
+        let (requests, driver, log) = time::timeout(settings.connect_timeout, opening).await??;
         let ended = Arc::clone(&log);
         tokio::spawn(async move {
             // The streams of the connection learn of its error; the driver has nothing to add.
@@ -58,3 +68,11 @@
         !self.log.is_finished() && !self.log.is_going_away()
     }
 }
+
+async fn connect(addr: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(source) = source {
+        socket.bind((source, 0).into())?;
+    }
+    socket.connect(addr).await
+}
--- a/crates/transport/src/upstream/pool.rs
+++ b/crates/transport/src/upstream/pool.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -23,6 +23,8 @@
     /// Time allowed for opening a connection.
     #[builder(default = Duration::from_millis(500))]
     pub connect_timeout: Duration,
+    /// Local address to connect from; the system chooses when absent.
+    pub source: Option<IpAddr>,
     /// Largest reply body in bytes; a larger one counts as failed.
     #[builder(default = 4 << 20)]
     pub reply_bytes: usize,
--- a/crates/transport/src/upstream/replica.rs
+++ b/crates/transport/src/upstream/replica.rs
@@ -87,7 +87,7 @@
             }
             let this = Arc::clone(&self);
             let on_end = move || this.changed.notify_waiters();
-            match Connection::open(self.addr, settings.connect_timeout, on_end).await {
+            match Connection::open(self.addr, settings, on_end).await {
                 Ok(conn) => {
                     wait = RETRY_MIN;
                     self.install(conn.clone());
