--- a/crates/daemon/src/front/run.rs
+++ b/crates/daemon/src/front/run.rs
@@ -67,7 +67,8 @@
         tokio::spawn(actions(shared.clone(), rings.from_control)),
     ];
     info!(log, "the callers' port is open"; "addr" => %listener.local_addr()?);
-    let service = FrontService { shared: shared.clone(), router: router(), in_flight };
+    let service =
+        FrontService { shared: shared.clone(), router: router(), in_flight, phase: phase.clone() };
     http_server::serve(listener, limits, service, Connections(recorder), phase, log.clone()).await;
     info!(log, "the callers' port is closed"; "unanswered" => shared.waiting());
     pumps.iter().chain(&inbound).for_each(JoinHandle::abort);
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -2,15 +2,16 @@
 
 use compact_str::{CompactString, format_compact};
 use gotham::{helpers::http::Body, router::Router, service::call_handler, state::State};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
-use rosemarybank_protocol::prelude::*;
+use rosemarybank_protocol::{error::ErrorKind, id::ServiceId};
 use slog::error;
 
 use super::{answer, fail::Fail, router::RequestContext, shared::Shared};
 use crate::{
     http_server::Handler,
     in_flight::{InFlight, Request as RequestInFlight},
+    lifecycle::{Phase, PhaseWatch},
     telemetry::{Hop, Record, RequestRecord, Span},
     trace::{TRACEPARENT, TraceContext},
 };
@@ -24,6 +25,8 @@
     pub(super) router: Router,
     /// Requests in flight.
     pub(super) in_flight: InFlight,
+    /// Phases of the process.
+    pub(super) phase: PhaseWatch,
 }
 
 impl Handler for FrontService {
@@ -35,20 +38,25 @@
         let shared = &self.shared;
         let arrived = shared.clock.now();
         let trace = TraceContext::continue_from(req.headers().get(TRACEPARENT));
-        let method = req.method().clone();
+        let (method, version) = (req.method().clone(), req.version());
         let path = CompactString::from(req.uri().path());
         let what = format_compact!("{method} {path}");
         let _in_flight = self.in_flight.enter(RequestInFlight { what, trace, since: arrived });
         let mut state = State::from_request(req, peer);
         state.put(RequestContext { shared: shared.clone(), trace, arrived });
         let router = self.router.clone();
-        let response = match call_handler(router, AssertUnwindSafe(state)).await {
+        let mut response = match call_handler(router, AssertUnwindSafe(state)).await {
             Ok(response) => answer::complete(response, trace),
             Err(err) => {
                 error!(shared.log, "a handler failed"; "error" => %err);
                 answer::error(Fail::new(ErrorKind::Internal, "the handler failed"), trace)
             }
         };
+        if version <= Version::HTTP_11 && self.phase.now() > Phase::Running {
+            // The caller then sends its next request on another connection, to another instance.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
         let end = shared.clock.now();
         let status = response.status().as_u16();
         let service = known_service(shared, &path);
