--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -97,7 +97,11 @@
             let orders = watch::Sender::default();
             let service = PlatformService::new(Store::default());
             tokio::spawn(server::serve(listener, orders.subscribe(), service.clone()));
-            (addr, (service, orders), run::start_all(specs(), Network::default(), 1).await.unwrap())
+            (
+                addr,
+                (service, orders),
+                run::start_controlled(specs(), Network::default(), 1).await.unwrap(),
+            )
         });
         let key = KeyPair::generate("ops-1").unwrap();
         let client = HttpClient::http1();
