daemon: share the upstreams between threads, bound actions and waits

Change: upstreams.threads (default 2) threads share the replicas by a hash of their name. callers.actions bounds the actions in progress, which was a setting without effect. The front answers by itself one second after the deadline if another thread is stuck. /status counts only fingerprints that are refused now.

--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -98,6 +98,13 @@
         membership.chain(self.config.next_wakeup()).chain(self.quarantine.next_wakeup()).min()
     }
 
+    /// Number of fingerprints that are refused now.
+    pub(super) fn quarantined(&self) -> usize {
+        let now = self.shared.clock.now();
+        let entries = self.quarantine.entries().iter();
+        entries.filter(|it| self.quarantine.is_quarantined(now, &quarantine::key_of(it))).count()
+    }
+
     /// Lets the machines see that time has passed.
     pub(super) fn tick(&mut self) {
         self.run(Event::Membership(membership::Event::Tick));
@@ -253,7 +260,7 @@
                 }
             }
         }
-        self.shared.gauge(Gauge::Quarantined, self.quarantine.entries().iter().count() as u64);
+        self.shared.gauge(Gauge::Quarantined, self.quarantined() as u64);
     }
 
     fn message(&mut self, from: InstanceId, message: PeerMessage) -> PeerMessage {
--- a/crates/daemon/src/control/replicas.rs
+++ b/crates/daemon/src/control/replicas.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 
 use super::shared::Shared;
-use crate::telemetry::Gauge;
+use crate::{message::upstreams_thread, telemetry::Gauge};
 
 /// The platform's lagging list of replicas. Clones share it.
 #[derive(Clone)]
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Tells the upstreams thread which connections to keep and how many it may hold.
+    /// Tells the upstreams threads which connections to keep and how many it may hold.
     pub(super) fn connect(&self) {
         let shared = &self.shared;
         let target = |it: &InstanceEntry| Target {
@@ -60,7 +60,14 @@
             addr: it.addr,
             share: shared.share_of(shared.cap_of(&it.upstream)),
         };
-        shared.upstreams.send(self.list.borrow().values().map(target).collect());
+        let threads = shared.upstreams.len();
+        let mut targets = vec![Vec::new(); threads];
+        for entry in self.list.borrow().values() {
+            targets[upstreams_thread(&entry.replica, threads)].push(target(entry));
+        }
+        for (ring, targets) in shared.upstreams.iter().zip(targets) {
+            ring.send(targets);
+        }
     }
 
     /// Number of replicas in the list.
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -52,8 +52,8 @@
     pub from_engine: Receiver<EngineToControl>,
     /// To the engine.
     pub to_engine: Sender<ControlToEngine>,
-    /// To the upstreams.
-    pub to_upstreams: Sender<Targets>,
+    /// To the upstreams threads.
+    pub to_upstreams: Vec<Sender<Targets>>,
     /// From the admin port.
     pub from_admin: Receiver<AdminToControl>,
 }
@@ -88,10 +88,10 @@
     let ControlSetup { clock, settings, listener, readiness, in_flight, recorder, log, mut phase } =
         setup;
     let (engine, front) = (Outbox::new(rings.to_engine), Outbox::new(rings.to_front));
-    let upstreams = Outbox::new(rings.to_upstreams);
+    let upstreams: Vec<_> = rings.to_upstreams.into_iter().map(Outbox::new).collect();
     spawn_local(engine.clone().pump());
     spawn_local(front.clone().pump());
-    spawn_local(upstreams.clone().pump());
+    upstreams.iter().for_each(|it| drop(spawn_local(it.clone().pump())));
     let listener = TcpListener::from_std(listener)?;
     let peer_addr = listener.local_addr()?;
     info!(log, "the peer port is open"; "addr" => %peer_addr);
--- a/crates/daemon/src/control/shared.rs
+++ b/crates/daemon/src/control/shared.rs
@@ -31,8 +31,8 @@
     pub(super) engine: Outbox<ControlToEngine>,
     /// Ring to the front.
     pub(super) front: Outbox<ControlToFront>,
-    /// Ring to the upstreams.
-    pub(super) upstreams: Outbox<Targets>,
+    /// Rings to the upstreams threads.
+    pub(super) upstreams: Vec<Outbox<Targets>>,
     /// Requests in flight.
     pub(super) in_flight: InFlight,
     /// Records for telemetry.
--- a/crates/daemon/src/control/upkeep.rs
+++ b/crates/daemon/src/control/upkeep.rs
@@ -28,7 +28,7 @@
             fleet_size: of.membership.fleet_size(),
             peers: of.membership.peers().map(|(name, peer)| peer_status(name, peer)).collect(),
             replicas: replicas.len(),
-            quarantined: of.quarantine.entries().iter().count(),
+            quarantined: of.quarantined(),
             actions: actions.len(),
             platform_calls: calls,
         };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,8 +8,11 @@
 };
 
 use eyre::{Result, WrapErr};
-use rosemarybank_query::settings::{Policy, Settings as QuerySettings};
-use rosemarybank_ring::channel;
+use rosemarybank_query::{
+    interface::Event,
+    settings::{Policy, Settings as QuerySettings},
+};
+use rosemarybank_ring::{Receiver, Sender, channel};
 use slog::{Logger, error};
 use tokio::{
     runtime::{Builder, Runtime},
@@ -23,6 +26,7 @@
     front::{self, FrontRings, FrontSetup},
     in_flight::InFlight,
     lifecycle::{Lifecycle, Readiness},
+    message::{EngineToUpstreams, Targets},
     settings::{QueryPolicy, Settings},
     telemetry::{self, Recorder, TelemetrySetup},
     upstreams::{self, UpstreamsRings, UpstreamsSetup},
@@ -44,7 +48,7 @@
     Front,
     /// Decisions.
     Engine,
-    /// Connections to upstreams.
+    /// Connections to upstreams; there can be several threads of this kind.
     Upstreams,
     /// Store, peers and coordination.
     Control,
@@ -73,6 +77,8 @@
     pub peers: SocketAddr,
     /// Address of the admin port.
     pub admin: SocketAddr,
+    /// Number of upstreams threads.
+    pub upstreams_threads: usize,
     /// The daemon's time.
     pub clock: Clock,
 }
@@ -103,6 +109,7 @@
             admin: admin.local_addr()?,
             lifecycle,
             in_flight: in_flight.clone(),
+            upstreams_threads: settings.upstreams.threads as usize,
             clock,
         };
         let phase = || daemon.lifecycle.watch();
@@ -111,11 +118,11 @@
         let (engine_to_front, front_from_engine) = channel(REQUEST_RING);
         let (front_to_control, control_from_front) = channel(REQUEST_RING);
         let (control_to_front, front_from_control) = channel(REQUEST_RING);
-        let (engine_to_upstreams, upstreams_from_engine) = channel(ATTEMPT_RING);
-        let (upstreams_to_engine, engine_from_upstreams) = channel(ATTEMPT_RING);
+        let mut upstreams = UpstreamsChannels::default();
+        let upstreams_rings: Vec<_> =
+            (0..settings.upstreams.threads).map(|_| upstreams.add_thread()).collect();
         let (control_to_engine, engine_from_control) = channel(CONTROL_RING);
         let (engine_to_control, control_from_engine) = channel(CONTROL_RING);
-        let (control_to_upstreams, upstreams_from_control) = channel(CONTROL_RING);
         let (admin_to_control, control_from_admin) = channel(CONTROL_RING);
         let mut records = Vec::new();
         let mut recorder = || {
@@ -134,29 +141,26 @@
         let rings = EngineRings {
             from_front: engine_from_front,
             to_front: engine_to_front,
-            from_upstreams: engine_from_upstreams,
-            to_upstreams: engine_to_upstreams,
+            from_upstreams: upstreams.to_engine,
+            to_upstreams: upstreams.from_engine,
             from_control: engine_from_control,
             to_control: engine_to_control,
         };
         spawn(ThreadKind::Engine, notices, move || engine::run(engine, rings))?;
 
-        let setup = UpstreamsSetup {
-            clock,
-            connect_timeout: settings.upstreams.connect_timeout,
-            source: settings.source,
-            recorder: recorder(),
-            phase: phase(),
-        };
-        let rings = UpstreamsRings {
-            from_engine: upstreams_from_engine,
-            to_engine: upstreams_to_engine,
-            from_control: upstreams_from_control,
-        };
-        let runtime = io_runtime()?;
-        spawn(ThreadKind::Upstreams, notices, move || {
-            LocalSet::new().block_on(&runtime, upstreams::run(setup, rings));
-        })?;
+        for rings in upstreams_rings {
+            let setup = UpstreamsSetup {
+                clock,
+                connect_timeout: settings.upstreams.connect_timeout,
+                source: settings.source,
+                recorder: recorder(),
+                phase: phase(),
+            };
+            let runtime = io_runtime()?;
+            spawn(ThreadKind::Upstreams, notices, move || {
+                LocalSet::new().block_on(&runtime, upstreams::run(setup, rings));
+            })?;
+        }
 
         let setup = ControlSetup {
             clock,
@@ -173,7 +177,7 @@
             to_front: control_to_front,
             from_engine: control_from_engine,
             to_engine: control_to_engine,
-            to_upstreams: control_to_upstreams,
+            to_upstreams: upstreams.from_control,
             from_admin: control_from_admin,
         };
         let runtime = io_runtime()?;
@@ -223,6 +227,26 @@
     }
 }
 
+/// The other ends of the rings of the upstreams threads.
+#[derive(Default)]
+struct UpstreamsChannels {
+    from_engine: Vec<Sender<EngineToUpstreams>>,
+    to_engine: Vec<Receiver<Event>>,
+    from_control: Vec<Sender<Targets>>,
+}
+
+impl UpstreamsChannels {
+    fn add_thread(&mut self) -> UpstreamsRings {
+        let (engine_tx, from_engine) = channel(ATTEMPT_RING);
+        let (to_engine, engine_rx) = channel(ATTEMPT_RING);
+        let (control_tx, from_control) = channel(CONTROL_RING);
+        self.from_engine.push(engine_tx);
+        self.to_engine.push(engine_rx);
+        self.from_control.push(control_tx);
+        UpstreamsRings { from_engine, to_engine, from_control }
+    }
+}
+
 fn bind(addr: SocketAddr, key: &str) -> Result<TcpListener> {
     let listener =
         TcpListener::bind(addr).wrap_err_with(|| format!("{key}: {addr} can't be bound"))?;
--- a/crates/daemon/src/engine/run.rs
+++ b/crates/daemon/src/engine/run.rs
@@ -23,10 +23,10 @@
     pub from_front: Receiver<FrontToEngine>,
     /// To the front.
     pub to_front: Sender<EngineToFront>,
-    /// From the upstreams.
-    pub from_upstreams: Receiver<Event>,
-    /// To the upstreams.
-    pub to_upstreams: Sender<EngineToUpstreams>,
+    /// From the upstreams threads.
+    pub from_upstreams: Vec<Receiver<Event>>,
+    /// To the upstreams threads.
+    pub to_upstreams: Vec<Sender<EngineToUpstreams>>,
     /// From control.
     pub from_control: Receiver<ControlToEngine>,
     /// To control.
@@ -53,7 +53,7 @@
     let mut thread = EngineThread {
         driver: Driver::new(settings, seed, recorder.clone()),
         out: Outgoing::default(),
-        held: Held::default(),
+        held: Held::new(rings.to_upstreams.len()),
         rings,
         clock,
     };
@@ -78,20 +78,40 @@
 }
 
 /// Messages that wait for space in a ring.
-#[derive(Default)]
 struct Held {
     front: VecDeque<EngineToFront>,
-    upstreams: VecDeque<EngineToUpstreams>,
+    upstreams: Vec<VecDeque<EngineToUpstreams>>,
     control: VecDeque<EngineToControl>,
 }
 
+impl Held {
+    fn new(upstreams_threads: usize) -> Held {
+        let upstreams = (0..upstreams_threads).map(|_| VecDeque::new()).collect();
+        Held { front: VecDeque::new(), upstreams, control: VecDeque::new() }
+    }
+
+    fn push_upstreams(&mut self, message: EngineToUpstreams) {
+        let threads = self.upstreams.len();
+        match (message.thread(threads), message) {
+            (Some(thread), message) => self.upstreams[thread].push_back(message),
+            (None, EngineToUpstreams::Cancel { attempt }) => {
+                for held in &mut self.upstreams {
+                    held.push_back(EngineToUpstreams::Cancel { attempt });
+                }
+            }
+            // Only a cancellation has no thread of its own.
+            (None, message) => self.upstreams[0].push_back(message),
+        }
+    }
+}
+
 impl EngineThread {
     fn register(&self, waker: &Waker) {
         self.rings.from_front.set_waker(waker);
-        self.rings.from_upstreams.set_waker(waker);
+        self.rings.from_upstreams.iter().for_each(|it| it.set_waker(waker));
         self.rings.from_control.set_waker(waker);
         self.rings.to_front.set_waker(waker);
-        self.rings.to_upstreams.set_waker(waker);
+        self.rings.to_upstreams.iter().for_each(|it| it.set_waker(waker));
         self.rings.to_control.set_waker(waker);
     }
 
@@ -100,9 +120,11 @@
         let EngineThread { driver, out, rings, clock, .. } = self;
         let mut taken = 0;
         // Outcomes go first, because they free slots that new searches need.
-        for event in std::iter::from_fn(|| rings.from_upstreams.try_recv()).take(BATCH) {
-            driver.event(clock.now(), event, out);
-            taken += 1;
+        for ring in &mut rings.from_upstreams {
+            for event in std::iter::from_fn(|| ring.try_recv()).take(BATCH) {
+                driver.event(clock.now(), event, out);
+                taken += 1;
+            }
         }
         for message in std::iter::from_fn(|| rings.from_control.try_recv()).take(BATCH) {
             driver.control(clock.now(), message, out);
@@ -123,10 +145,12 @@
     fn flush(&mut self) {
         let EngineThread { out, held, rings, .. } = self;
         held.front.extend(out.front.drain(..));
-        held.upstreams.extend(out.upstreams.drain(..));
+        out.upstreams.drain(..).for_each(|message| held.push_upstreams(message));
         held.control.extend(out.control.drain(..));
         push(&mut rings.to_front, &mut held.front);
-        push(&mut rings.to_upstreams, &mut held.upstreams);
+        for (ring, held) in rings.to_upstreams.iter_mut().zip(&mut held.upstreams) {
+            push(ring, held);
+        }
         push(&mut rings.to_control, &mut held.control);
     }
 
--- a/crates/daemon/src/front/action.rs
+++ b/crates/daemon/src/front/action.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use gotham::state::State;
 use http::HeaderMap;
 use rosemarybank_coordination::{
@@ -5,14 +7,17 @@
     key::{self, KeyError},
 };
 use rosemarybank_protocol::{prelude::*, upstream::UpstreamAction};
+use tokio::time::timeout_at;
 
 use super::{auth, body, fail::Fail, fingerprint, router::RequestParts, search};
 use crate::{
     clock::unix_ms,
-    message::{ActRequest, CompactText, FrontToControl, LookupRequest},
+    message::{ActRequest, CompactText, FrontToControl, LookupRequest, StoreUnreachable},
 };
 
 const KEY_HEADER: &str = "idempotency-key";
+/// Time after which a caller that found too many actions in progress may try again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// `POST /v1/services/{service}/actions`
 pub(super) async fn act(state: &mut State) -> Result<ActionAnswer, Fail> {
@@ -26,6 +31,10 @@
     let request: ActionRequest = body::parse(&bytes)?;
     let deadline = search::deadline(&shared, arrived, request.timeout_ms, service)?;
 
+    if shared.actions.len() >= shared.settings.actions as usize {
+        let message = "the instance has too many actions in progress";
+        return Err(Fail::new(ErrorKind::Overloaded, message).retry_after(RETRY_AFTER));
+    }
     let (id, answer) = shared.actions.register();
     let fingerprint = fingerprint::of_action(&service.name, &request.body);
     let action =
@@ -36,9 +45,12 @@
         shared.actions.forget(id);
         return Err(shared.ring_full());
     }
-    // A caller that hangs up does not stop its action: the claim decides what becomes of it.
-    let answer = answer.await.map_err(|_| {
-        Fail::new(ErrorKind::OutcomeUnknown, "the instance stopped before the action ended")
+    // A caller that hangs up does not stop its action: the claim decides what becomes of it. The
+    // action then still counts towards the limit until control answers.
+    let answer = timeout_at(search::answer_by(&shared, deadline), answer).await;
+    let answer = answer.ok().and_then(Result::ok).ok_or_else(|| {
+        shared.actions.forget(id);
+        Fail::new(ErrorKind::OutcomeUnknown, "the instance did not learn how the action ended")
     })?;
     let outcome = outcome_of(answer)?;
     Ok(ActionAnswer { key, outcome, trace_id: trace.trace_id_text() })
@@ -64,11 +76,14 @@
         shared.lookups.forget(id);
         return Err(shared.ring_full());
     }
-    let found = found.await.map_err(|_| Fail::new(ErrorKind::Internal, "control has stopped"))?;
+    let found = timeout_at(search::answer_by(&shared, deadline), found).await;
+    let found = found.ok().and_then(Result::ok).unwrap_or(Err(StoreUnreachable));
     match found {
         Ok(Some(outcome)) => Ok(ActionAnswer { key, outcome, trace_id: trace.trace_id_text() }),
         Ok(None) => Err(Fail::new(ErrorKind::NotFound, "no action has this key")),
-        Err(_) => Err(Fail::new(ErrorKind::StoreUnavailable, "the action can't be looked up now")),
+        Err(StoreUnreachable) => {
+            Err(Fail::new(ErrorKind::StoreUnavailable, "the action can't be looked up now"))
+        }
     }
 }
 
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -3,6 +3,7 @@
 use gotham::state::State;
 use rosemarybank_protocol::{prelude::*, search::MAX_LIMIT};
 use rosemarybank_query::interface::{QueryId, Submission};
+use tokio::time::{Instant, timeout_at};
 
 use super::{auth, fail::Fail, fingerprint, router::RequestParts, shared::Shared};
 use crate::{
@@ -10,6 +11,10 @@
     message::{FrontToEngine, SearchText},
 };
 
+/// Time beyond the deadline after which the front answers for a thread that does not. The other
+/// threads answer at the deadline, so this passes only when one of them is stuck.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+
 /// `POST /v1/services/{service}/search`
 pub(super) async fn handle(state: &mut State) -> Result<SearchAnswer, Fail> {
     let RequestParts { shared, headers, path, trace, arrived, body } = RequestParts::take(state);
@@ -43,9 +48,10 @@
         shared.searches.forget(query);
         return Err(shared.ring_full());
     }
-    let answer = answer.await;
+    let answer = timeout_at(answer_by(&shared, deadline), answer).await;
     drop(guard);
     let result = answer
+        .map_err(|_| Fail::new(ErrorKind::Internal, "the engine did not answer in time"))?
         .map_err(|_| Fail::new(ErrorKind::Internal, "the engine has stopped"))?
         .map_err(Fail::from_refusal)?;
     Ok(SearchAnswer {
@@ -57,6 +63,11 @@
     })
 }
 
+/// Time after which an answer of another thread is no longer awaited.
+pub(super) fn answer_by(shared: &Shared, deadline: Time) -> Instant {
+    shared.clock.instant(deadline + ANSWER_GRACE).into()
+}
+
 /// Time by which the caller needs its answer, counted from the head of its request.
 pub(super) fn deadline(
     shared: &Shared,
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -106,6 +106,39 @@
     },
 }
 
+impl EngineToUpstreams {
+    /// The thread among `threads` that carries the message out; `None` when all of them must see
+    /// it, because the message does not name its replica.
+    #[must_use]
+    pub fn thread(&self, threads: usize) -> Option<usize> {
+        match self {
+            EngineToUpstreams::Search { replica, .. }
+            | EngineToUpstreams::Act { replica, .. }
+            | EngineToUpstreams::Poll { replica, .. } => Some(upstreams_thread(replica, threads)),
+            EngineToUpstreams::Cancel { .. } => None,
+        }
+    }
+}
+
+/// The one of `threads` upstreams threads that holds the connection to a replica.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_daemon::message::upstreams_thread;
+///
+/// assert!(upstreams_thread("lots-1", 3) < 3);
+/// assert_eq!(upstreams_thread("lots-1", 1), 0);
+/// ```
+#[must_use]
+pub fn upstreams_thread(replica: &str, threads: usize) -> usize {
+    // FNV-1a; its high bits depend on all characters.
+    let hash = replica.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
+    });
+    (hash >> 32) as usize % threads.max(1)
+}
+
 /// From `control` to `upstreams`: the replicas to which connections are kept.
 pub type Targets = Vec<Target>;
 
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -89,6 +89,8 @@
 /// Connections to upstreams.
 #[derive(Clone, Debug)]
 pub struct Upstreams {
+    /// Threads that share the connections.
+    pub threads: u32,
     /// Time allowed for opening a connection.
     pub connect_timeout: Duration,
     /// Routing policy.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -133,6 +133,7 @@
 
 fn upstreams(mut at: Fields<'_>) -> Upstreams {
     let upstreams = Upstreams {
+        threads: at.number("threads", 2, (1, 64)),
         connect_timeout: millis(&mut at, "connect_timeout_ms", 500),
         policy: at.optional("policy", QueryPolicy::Adaptive, "write adaptive or baseline"),
     };
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -63,10 +63,12 @@
         if let Err(ending) = self.pause(unready_until) {
             return ending;
         }
+        let mut last = vec![ThreadKind::Engine, ThreadKind::Telemetry];
+        last.resize(last.len() + self.daemon.upstreams_threads, ThreadKind::Upstreams);
         let steps: [(Phase, &[ThreadKind]); 3] = [
             (Phase::Draining, &[ThreadKind::Front]),
             (Phase::Finishing, &[ThreadKind::Control]),
-            (Phase::Ending, &[ThreadKind::Engine, ThreadKind::Upstreams, ThreadKind::Telemetry]),
+            (Phase::Ending, &last),
         ];
         for (phase, threads) in steps {
             lifecycle.enter(phase);
@@ -90,7 +92,8 @@
         while !left.is_empty() {
             match self.notices.recv_timeout(self.by.saturating_duration_since(Instant::now())) {
                 Ok(Notice::Ended(thread)) if left.contains(&thread) => {
-                    left.retain(|it| *it != thread);
+                    let at = left.iter().position(|it| *it == thread);
+                    at.map(|at| left.swap_remove(at));
                 }
                 Ok(Notice::StopAsked) | Err(RecvTimeoutError::Timeout) => {
                     return Err(Ending::Forced);
--- a/crates/daemon/tests/actions.rs
+++ b/crates/daemon/tests/actions.rs
@@ -98,6 +98,24 @@
     assert_eq!(bench.effects(), 1);
 }
 
+/// Guards against actions without bound in memory while the store is slow.
+#[test]
+fn too_many_actions_are_refused_as_overloaded() {
+    let bench = Bench::start();
+    let instance = bench.limited_instance("actions: 2");
+    bench.platform_faults(PlatformFaults { slow_ms: 300, ..PlatformFaults::default() });
+    let callers = instance.daemon.callers;
+    let statuses = thread::scope(|scope| {
+        let act = || act(&bench, callers, &key(), "reserve 12").0;
+        let running: Vec<_> = (0..5).map(|_| scope.spawn(act)).collect();
+        let mut statuses: Vec<_> = running.into_iter().map(|it| it.join().unwrap()).collect();
+        statuses.sort_unstable();
+        statuses
+    });
+    assert_eq!(statuses, [200, 200, 503, 503, 503]);
+    assert_eq!(bench.effects(), 2);
+}
+
 /// Guards against an action that stops halfway because its caller hung up.
 #[test]
 fn an_action_outlives_its_caller() {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -162,25 +162,31 @@
         instance
     }
 
-    /// Starts an instance with further lines of settings.
+    /// Starts an instance with a further setting of the callers' port.
+    pub fn limited_instance(&self, limit: &str) -> Instance {
+        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[], limit);
+        self.await_ready(&instance);
+        instance
+    }
+
+    /// Starts an instance, with a further setting of the callers' port if it is not empty.
     pub fn unready_instance(
         &self,
         name: &str,
         peer_addr: &str,
         others: &[SocketAddr],
-        extra: &str,
+        limit: &str,
     ) -> Instance {
         let public = self.key.public_key();
         let others: Vec<_> = others.iter().map(ToString::to_string).collect();
         let text = format!(
             "instance: {name}
 data_centre: maun
-callers: {{ addr: 127.0.0.1:0, head_timeout_ms: 1000, body_timeout_ms: 1000 }}
+callers: {{ addr: 127.0.0.1:0, head_timeout_ms: 1000, body_timeout_ms: 1000, {limit} }}
 peers: {{ addr: {peer_addr}, others: [{}] }}
 admin: {{ addr: 127.0.0.1:0 }}
 platform: {{ addr: {}, timeout_ms: 500, watch_wait_ms: 5000 }}
 trusted_keys: [{{ name: {}, public_key: {} }}]
-{extra}
 ",
             others.join(", "),
             self.platform,
