standins: Test searches and actions through real processes

Ruled out: free ports asked from the system for the instances, because they keep their addresses over restarts; each site uses its own loopback network instead. A store slowed only before the call is carried out, because a test could not freeze an instance between its claim and the confirmation; half of the time now passes after it. Change: the fleet module starts the built binaries and ends them by id; four tests of searches and five of actions. Stand-ins count requests for work, and the platform's control address lists objects whatever the faults. Before: no test ran the binaries together.

--- a/crates/standins/src/bin/standin_platform/flags.rs
+++ b/crates/standins/src/bin/standin_platform/flags.rs
@@ -9,7 +9,8 @@
     cmd standin-platform {
         /// Address of the object API; port 0 picks a free one.
         required --listen addr: SocketAddr
-        /// Address for `POST /faults`, `POST /instances` and `GET /counts`; port 0 picks a free one.
+        /// Address for `POST /faults`, `POST /instances`, `GET /counts`, and `GET /list` whatever the
+        /// faults; port 0 picks a free one.
         optional --control addr: SocketAddr
         /// Directory of JSON files that are loaded as objects.
         optional --objects dir: PathBuf
--- /dev/null
+++ b/crates/standins/src/fleet/site.rs
@@ -0,0 +1,257 @@
+//! A small site: a platform, two copies of each shard, a ledger, and entry instances.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Command, Output},
+    sync::atomic::{AtomicU8, Ordering},
+};
+
+use compact_str::format_compact;
+use sha2::{Digest, Sha256};
+use tempfile::TempDir;
+
+use super::{
+    instance::InstanceProcess,
+    process::binary_path,
+    stand_ins::{PlatformProcess, UpstreamProcess},
+};
+use crate::upstream::{HoldingSpec, ReplicaSpec, ServiceTime, topology::equal_part};
+
+/// Bearer token of the caller `desk`.
+pub const TOKEN: &str = "desk-token";
+
+/// Records of `order-desk`.
+pub const RECORDS: u64 = 4_000;
+
+/// Shards of `order-desk`.
+pub const SHARDS: u16 = 4;
+
+/// A running site. All its processes end when it is dropped.
+pub struct Site {
+    /// Entry instances.
+    pub instances: Vec<InstanceProcess>,
+    /// One replica of each shard, in data centre `maun`.
+    pub first: UpstreamProcess,
+    /// Another replica of each shard, in data centre `rundu`.
+    pub second: UpstreamProcess,
+    /// Two replicas of the ledger.
+    pub ledger: UpstreamProcess,
+    /// The platform.
+    pub platform: PlatformProcess,
+    dir: TempDir,
+    network: [u8; 2],
+}
+
+impl Site {
+    /// Starts everything but the entry instances, and rolls version 1 of the bundle out.
+    pub async fn start() -> Site {
+        let dir = tempfile::tempdir().expect("a temporary directory can be made");
+        let path = dir.path();
+        let platform = PlatformProcess::start(path).await;
+        let first = UpstreamProcess::start(path, "first", &shard_replicas("maun")).await;
+        let second = UpstreamProcess::start(path, "second", &shard_replicas("rundu")).await;
+        let ledgers = [ledger_replica("maun"), ledger_replica("rundu")];
+        let ledger = UpstreamProcess::start(path, "ledger", &ledgers).await;
+        for upstream in [&first, &second, &ledger] {
+            platform.set_instances(&upstream.entries).await;
+        }
+        let network = own_network();
+        let site = Site { instances: Vec::new(), first, second, ledger, platform, dir, network };
+        let keygen = site.operate(&["bundle", "keygen", "ops-1"]);
+        assert!(keygen.status.success(), "{keygen:?}");
+        let roll_out = site.roll_out(&bundle(1_000));
+        assert!(roll_out.status.success(), "{roll_out:?}");
+        site
+    }
+
+    /// Starts everything with this number of entry instances, and waits until each of them
+    /// answers completely.
+    pub async fn with_instances(count: usize) -> Site {
+        let mut site = Site::start().await;
+        site.start_instances(count);
+        for instance in &site.instances {
+            instance.ready().await;
+            instance.complete().await;
+        }
+        site
+    }
+
+    /// Starts entry instances, which know each other, without waiting for them.
+    pub fn start_instances(&mut self, count: usize) {
+        let peers: Vec<_> = (0..count).map(|it| self.addr(it, 7100)).collect();
+        for (number, peer) in peers.iter().enumerate() {
+            let others: Vec<_> =
+                peers.iter().filter(|it| *it != peer).map(ToString::to_string).collect();
+            let name = format!("entry-{number}");
+            let (callers, admin) = (self.addr(number, 8080), self.addr(number, 9100));
+            let data_centre = if number % 2 == 0 { "maun" } else { "rundu" };
+            let text = format!(
+                "instance: {name}
+data_centre: {data_centre}
+callers: {{ addr: {callers} }}
+peers: {{ addr: {peer}, others: [{}] }}
+admin: {{ addr: {admin} }}
+platform: {{ addr: {}, timeout_ms: 500, watch_wait_ms: 5000 }}
+trusted_keys: [{}]
+",
+                others.join(", "),
+                self.platform.addr,
+                self.public_key(),
+            );
+            let settings = self.dir.path().join(format!("{name}.yaml"));
+            fs::write(&settings, text).expect("the directory is writable");
+            self.instances.push(InstanceProcess::start(&name, callers, admin, &settings));
+        }
+    }
+
+    /// Rolls a bundle out without waiting for the instances.
+    #[must_use]
+    pub fn roll_out(&self, bundle: &str) -> Output {
+        self.operate(&self.roll_out_args(bundle))
+    }
+
+    /// Prepares the operators' command to roll a bundle out, for races between operators.
+    #[must_use]
+    pub fn roll_out_command(&self, bundle: &str) -> Command {
+        self.command(&self.roll_out_args(bundle))
+    }
+
+    /// Runs the operators' command to its end.
+    #[must_use]
+    pub fn operate(&self, args: &[impl AsRef<str>]) -> Output {
+        self.command(args).output().expect("the operators' command runs")
+    }
+
+    fn command(&self, args: &[impl AsRef<str>]) -> Command {
+        let mut command = Command::new(binary_path("rosemarybank"));
+        command.args(args.iter().map(AsRef::as_ref)).current_dir(self.dir.path());
+        command.env("ROSEMARYBANK_PLATFORM", self.platform.addr.to_string());
+        command
+    }
+
+    fn roll_out_args(&self, bundle: &str) -> Vec<String> {
+        let file = self.write_bundle(bundle);
+        let file = file.to_string_lossy();
+        let args = ["bundle", "roll-out", &file, "--key", "ops-1.key", "--no-wait"];
+        args.iter().map(|it| (*it).to_owned()).collect()
+    }
+
+    fn write_bundle(&self, bundle: &str) -> PathBuf {
+        let hash = Sha256::digest(bundle);
+        let file = self.dir.path().join(format!("bundle-{:02x}{:02x}.yaml", hash[0], hash[1]));
+        fs::write(&file, bundle).expect("the directory is writable");
+        file
+    }
+
+    /// The file of the operators' public key as one flow mapping.
+    fn public_key(&self) -> String {
+        let file: &Path = &self.dir.path().join("ops-1.pub");
+        let text = fs::read_to_string(file).expect("keygen has written the key");
+        let fields: Vec<_> = text.lines().collect();
+        format!("{{ {} }}", fields.join(", "))
+    }
+
+    fn addr(&self, number: usize, port: u16) -> SocketAddr {
+        let [a, b] = self.network;
+        let host = u8::try_from(number + 1).expect("a site has less than 255 instances");
+        (Ipv4Addr::new(127, a, b, host), port).into()
+    }
+}
+
+/// A bundle for the site; different timeouts give different bundles.
+#[must_use]
+pub fn bundle(timeout_ms: u32) -> String {
+    let hash = Sha256::digest(TOKEN).iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    });
+    let mut shards = String::new();
+    let mut upstreams = String::new();
+    for shard in 0..SHARDS {
+        let range = equal_part(shard, SHARDS);
+        let (first, last) = (range.first(), range.last());
+        let range = format!("{{ first: {first:016x}, last: {last:016x} }}");
+        let name = format!("order-desk-{shard:02}");
+        let _ = writeln!(shards, "      - {{ range: {range}, upstream: {name} }}");
+        let _ = writeln!(upstreams, "  - {{ name: {name}, slots: 2, connections: 25 }}");
+    }
+    format!(
+        "format: 1
+services:
+  - name: order-desk
+    kind: search
+    timeout_ms: {timeout_ms}
+    shards:
+{shards}  - name: lot-ledger
+    kind: ledger
+    timeout_ms: 3000
+    shards:
+      - {{ range: {{ first: 0000000000000000, last: ffffffffffffffff }}, upstream: lot-ledger }}
+upstreams:
+{upstreams}  - {{ name: lot-ledger, slots: 2, connections: 100 }}
+callers:
+  - {{ name: desk, token_sha256: {hash}, priority: normal, services: [order-desk, lot-ledger] }}
+"
+    )
+}
+
+/// An idempotency key that is new now.
+#[must_use]
+pub fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// One shard of a snapshot of `order-desk`.
+#[must_use]
+pub fn holding(snapshot: u64, shard: u16) -> HoldingSpec {
+    HoldingSpec {
+        service: "order-desk".into(),
+        snapshot,
+        records: RECORDS,
+        ranges: vec![equal_part(shard, SHARDS)],
+    }
+}
+
+fn shard_replicas(data_centre: &str) -> Vec<ReplicaSpec> {
+    let replica = |shard| ReplicaSpec {
+        holdings: vec![holding(1, shard)],
+        ..replica(&format!("order-desk-{shard:02}"), data_centre)
+    };
+    (0..SHARDS).map(replica).collect()
+}
+
+fn ledger_replica(data_centre: &str) -> ReplicaSpec {
+    let ledgers = vec!["lot-ledger".into()];
+    ReplicaSpec { ledgers, connections: 100, ..replica("lot-ledger", data_centre) }
+}
+
+fn replica(upstream: &str, data_centre: &str) -> ReplicaSpec {
+    ReplicaSpec {
+        replica: format_compact!("{upstream}-{data_centre}"),
+        upstream: upstream.into(),
+        data_centre: data_centre.into(),
+        addr: (Ipv4Addr::LOCALHOST, 0).into(),
+        slots: 2,
+        queue: 8,
+        connections: 25,
+        connect_ms: 0,
+        cold_start_ms: 0,
+        service_time: ServiceTime { median_us: 3_000, sigma: 0.3 },
+        holdings: Vec::new(),
+        ledgers: Vec::new(),
+    }
+}
+
+/// A loopback network that no other site uses: settings need fixed ports, because instances name
+/// each other's addresses and keep theirs over restarts.
+fn own_network() -> [u8; 2] {
+    static SITES: AtomicU8 = AtomicU8::new(0);
+    // 127.0 to 127.15 are left to others; the process id tells test processes apart.
+    let process = u16::try_from(std::process::id() % (112 * 32)).expect("less than 3584");
+    let site = SITES.fetch_add(1, Ordering::Relaxed) % 8;
+    let [high, low] = (process << 3 | u16::from(site)).to_be_bytes();
+    [16 + high, low]
+}
--- a/crates/standins/src/platform/control.rs
+++ b/crates/standins/src/platform/control.rs
@@ -18,7 +18,7 @@
 /// Largest order in bytes; a list of 3,900 instances takes about 1 MB.
 const MAX_ORDER_LEN: usize = 4 << 20;
 
-/// Answers `POST /faults`, `POST /instances` and `GET /counts`.
+/// Answers `POST /faults`, `POST /instances`, `GET /counts`, and `GET /list` whatever the faults.
 #[derive(Clone)]
 pub struct PlatformControl {
     service: PlatformService,
@@ -62,6 +62,7 @@
             (Method::POST, "/faults") => order(body, |it| self.set_faults(it)).await,
             (Method::POST, "/instances") => order(body, |it| self.set_instances(it)).await,
             (Method::GET, "/counts") => json(StatusCode::OK, &self.service.counts()),
+            (Method::GET, "/list") => self.service.list(head.uri.query().unwrap_or_default()),
             _ => empty(StatusCode::NOT_FOUND),
         })
     }
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -15,7 +15,8 @@
     pub down: bool,
     /// Calls are taken, not carried out and never answered.
     pub silent: bool,
-    /// Time by which each call is late, in milliseconds.
+    /// Time by which each call is late, in milliseconds; one half passes before the call is carried
+    /// out and the other before its reply.
     pub slow_ms: u64,
     /// Replies to changes that are lost after the change was applied.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -82,11 +82,6 @@
         let (head, body) = req.into_parts();
         let query = head.uri.query().unwrap_or_default();
         let path = percent_decode(head.uri.path());
-        self.counters.add(&head.method, &path);
-        if self.faults.get().silent {
-            return std::future::pending().await;
-        }
-        tokio::time::sleep(self.faults.delay()).await;
         if let Some(path) = path.strip_prefix("/objects/") {
             let reply = match head.method {
                 Method::GET => return Ok(self.get(path)),
@@ -150,7 +145,9 @@
         }
     }
 
-    fn list(&self, query: &str) -> Reply {
+    /// Answers a list call, whatever the faults.
+    #[must_use]
+    pub fn list(&self, query: &str) -> Reply {
         let prefix = query_value(query, "prefix").unwrap_or_default();
         let store = self.lock();
         let reply = ListReply { revision: store.revision(), objects: store.list(&prefix) };
@@ -190,7 +187,15 @@
 
 impl Handler for PlatformService {
     async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Result<Reply, NoReply> {
-        self.answer(req).await
+        self.counters.add(req.method(), req.uri().path());
+        if self.faults.get().silent {
+            return std::future::pending().await;
+        }
+        let half = self.faults.delay() / 2;
+        tokio::time::sleep(half).await;
+        let reply = self.answer(req).await;
+        tokio::time::sleep(half).await;
+        reply
     }
 
     fn limits(&self, _peer: SocketAddr) -> ConnLimits {
--- a/crates/standins/src/upstream/control.rs
+++ b/crates/standins/src/upstream/control.rs
@@ -1,6 +1,6 @@
 //! The control address of a process: faults, effects and true states of its replicas.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
@@ -19,7 +19,7 @@
 /// Largest order in bytes.
 const MAX_ORDER_LEN: usize = 1 << 20;
 
-/// Answers `POST /faults`, `GET /effects` and `GET /replicas`.
+/// Answers `POST /faults`, `GET /effects`, `GET /replicas` and `GET /received`.
 #[derive(Clone)]
 pub struct ControlService {
     replicas: Vec<Replica>,
@@ -123,6 +123,11 @@
                 let all: Vec<_> = self.replicas.iter().map(Replica::status).collect();
                 json(StatusCode::OK, &all)
             }
+            (Method::GET, "/received") => {
+                let count = |it: &Replica| (it.spec.replica.clone(), it.received());
+                let all: BTreeMap<_, _> = self.replicas.iter().map(count).collect();
+                json(StatusCode::OK, &all)
+            }
             _ => empty(StatusCode::NOT_FOUND),
         })
     }
--- a/crates/standins/src/upstream/replica.rs
+++ b/crates/standins/src/upstream/replica.rs
@@ -1,7 +1,10 @@
 //! State of one replica.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -31,6 +34,7 @@
     pub effects: Effects,
     /// Orders to its connections; a reset also ends the actions that are running.
     pub orders: watch::Sender<ConnOrders>,
+    received: Arc<AtomicU64>,
     state: Arc<Mutex<State>>,
 }
 
@@ -62,10 +66,22 @@
             spec: Arc::new(spec),
             effects,
             orders: watch::Sender::default(),
+            received: Arc::default(),
             state: Arc::new(Mutex::new(state)),
         }
     }
 
+    /// Counts a request for work.
+    pub fn count_request(&self) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Requests for work since the start, including those that were refused.
+    #[must_use]
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
     /// Whether it takes new work.
     #[must_use]
     pub fn state(&self) -> ReplicaState {
--- a/crates/standins/src/upstream/service.rs
+++ b/crates/standins/src/upstream/service.rs
@@ -127,6 +127,9 @@
 
 impl Handler for UpstreamService {
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Result<Reply, NoReply> {
+        if req.method() == Method::POST {
+            self.replica.count_request();
+        }
         let faults = self.replica.faults();
         if faults.silent {
             return std::future::pending().await;
--- /dev/null
+++ b/crates/standins/tests/process_actions.rs
@@ -0,0 +1,152 @@
+//! One-time actions through real processes that fail on the way.
+
+use rosemarybank_standins::{
+    fleet::{Signal, Site, new_key, until},
+    platform::{LoseReplies, PlatformFaults},
+    upstream::StandingFaults,
+};
+use serde_json::Value;
+
+/// How often the action took effect.
+async fn effects(site: &Site, key: &str) -> usize {
+    site.ledger.effects().await.iter().filter(|it| it.key == key).count()
+}
+
+/// What a caller was told: done, not run, or unknown.
+fn told(status: u16, answer: &Value) -> &str {
+    let state = answer["outcome"]["state"].as_str().or_else(|| answer["execution"].as_str());
+    match state {
+        Some("done") => "done",
+        Some("not_run") => "not_run",
+        Some("unknown") => "unknown",
+        _ => panic!("neither an outcome nor an error: {status} {answer}"),
+    }
+}
+
+/// Fails unless the effects agree with what the caller was told.
+fn check(told: &str, effects: usize) {
+    let allowed = match told {
+        "done" => 1..=1,
+        "not_run" => 0..=0,
+        _ => 0..=1,
+    };
+    assert!(allowed.contains(&effects), "the caller was told {told} of {effects} effects");
+}
+
+/// Lets each action take about 600 ms, so that a test can meet it in progress.
+async fn slow_ledger(site: &Site) {
+    site.ledger.set_faults(StandingFaults { straggler: 200.0, ..StandingFaults::default() }).await;
+}
+
+/// Guards against a second effect, and against a lost one, when the store's replies are lost after
+/// its writes took effect.
+#[tokio::test]
+async fn lost_store_replies_do_not_repeat_an_action() {
+    let site = Site::with_instances(2).await;
+    for count in 1..=4 {
+        let lose_replies = Some(LoseReplies { prefix: "claims/".into(), count });
+        let faults = PlatformFaults { lose_replies, ..PlatformFaults::default() };
+        site.platform.set_faults(faults).await;
+        let key = new_key();
+        let (status, answer) = site.instances[0].submit(&key, "reserve lot 1").await.unwrap();
+        check(told(status, &answer), effects(&site, &key).await);
+
+        site.platform.set_faults(PlatformFaults::default()).await;
+        let (status, answer) = site.instances[1].submit(&key, "reserve lot 1").await.unwrap();
+        check(told(status, &answer), effects(&site, &key).await);
+    }
+}
+
+/// Guards against a retry that runs the action again after the instance that ran it was killed.
+#[tokio::test]
+async fn a_killed_instance_does_not_repeat_an_action() {
+    let mut site = Site::with_instances(2).await;
+    slow_ledger(&site).await;
+    let key = new_key();
+    {
+        let first = site.instances[0].submit(&key, "reserve lot 2");
+        let killed = async {
+            until("the action runs", async || (site.ledger.load().await == 1).then_some(())).await;
+            site.instances[0].process.signal(Signal::Kill);
+        };
+        let (first, ()) = tokio::join!(first, killed);
+        assert!(first.is_err(), "{first:?}");
+    }
+    let (status, answer) = site.instances[1].submit(&key, "reserve lot 2").await.unwrap();
+    assert_eq!(told(status, &answer), "unknown", "{answer}");
+
+    site.instances[0].restart().await;
+    site.instances[0].ready().await;
+    let (status, answer) = site.instances[0].submit(&key, "reserve lot 2").await.unwrap();
+    assert_eq!(told(status, &answer), "unknown", "{answer}");
+    assert_eq!(effects(&site, &key).await, 1);
+}
+
+/// Guards against an instance that was frozen while it held a claim, and sends the action when it
+/// runs on, although its caller's time is over or another instance has answered.
+#[tokio::test]
+async fn a_frozen_instance_does_not_repeat_an_action() {
+    let site = Site::with_instances(2).await;
+    let slow = PlatformFaults { slow_ms: 400, ..PlatformFaults::default() };
+    site.platform.set_faults(slow).await;
+    let key = new_key();
+    let first = site.instances[0].submit(&key, "reserve lot 3");
+    let others = async {
+        // The claim exists, and its confirmation comes 200 ms later.
+        let claims = async || site.platform.list("claims/").await.pop();
+        until("the claim exists", claims).await;
+        site.instances[0].process.signal(Signal::Stop);
+        site.platform.set_faults(PlatformFaults::default()).await;
+        let (status, answer) = site.instances[1].submit(&key, "reserve lot 3").await.unwrap();
+        check(told(status, &answer), effects(&site, &key).await);
+        assert_ne!(told(status, &answer), "not_run", "{answer}");
+        site.instances[0].process.signal(Signal::Cont);
+    };
+    let (first, ()) = tokio::join!(first, others);
+    let (status, answer) = first.unwrap();
+    check(told(status, &answer), effects(&site, &key).await);
+    // The caller's 3 s passed while its instance was frozen.
+    assert_eq!(effects(&site, &key).await, 0);
+    let (status, answer) = site.instances[1].submit(&key, "reserve lot 3").await.unwrap();
+    check(told(status, &answer), effects(&site, &key).await);
+}
+
+/// Guards against effects of an instance that was frozen while it ran an action and meanwhile saw
+/// its retry through another instance.
+#[tokio::test]
+async fn a_retry_during_a_freeze_has_one_effect() {
+    let site = Site::with_instances(2).await;
+    slow_ledger(&site).await;
+    let key = new_key();
+    let first = site.instances[0].submit(&key, "reserve lot 4");
+    let others = async {
+        until("the action runs", async || (site.ledger.load().await == 1).then_some(())).await;
+        site.instances[0].process.signal(Signal::Stop);
+        let (status, answer) = site.instances[1].submit(&key, "reserve lot 4").await.unwrap();
+        assert_eq!(told(status, &answer), "unknown", "{answer}");
+        site.instances[0].process.signal(Signal::Cont);
+    };
+    let (first, ()) = tokio::join!(first, others);
+    let (status, answer) = first.unwrap();
+    check(told(status, &answer), effects(&site, &key).await);
+    assert_eq!(effects(&site, &key).await, 1);
+}
+
+/// Guards against an action that is run without a claim while the store cannot be reached.
+#[tokio::test]
+async fn an_action_without_the_store_is_not_run() {
+    let site = Site::with_instances(1).await;
+    site.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() }).await;
+    let key = new_key();
+    let (status, answer) = site.instances[0].submit(&key, "reserve lot 5").await.unwrap();
+    assert_eq!(told(status, &answer), "not_run", "{answer}");
+    assert_eq!(effects(&site, &key).await, 0);
+
+    site.platform.set_faults(PlatformFaults::default()).await;
+    until("the retry is done", async || {
+        let (status, answer) = site.instances[0].submit(&key, "reserve lot 5").await.unwrap();
+        (told(status, &answer) == "done").then_some(())
+    })
+    .await;
+    assert_eq!(effects(&site, &key).await, 1);
+}
--- /dev/null
+++ b/crates/standins/tests/process_search.rs
@@ -0,0 +1,138 @@
+//! Searches through real processes.
+
+use std::collections::BTreeSet;
+
+use rosemarybank_protocol::key_range::KeyRange;
+use rosemarybank_standins::{
+    fleet::{
+        Signal, Site,
+        site::{RECORDS, SHARDS, holding},
+        until,
+    },
+    upstream::{Command, records::Records},
+};
+use serde_json::Value;
+
+const QUERY: &str = r#"{"query":"cherry","limit":10,"timeout_ms":2000}"#;
+
+fn keys(answer: &Value) -> Vec<String> {
+    let hits = answer["hits"].as_array().expect("an answer has hits");
+    hits.iter().map(|it| it["key"].as_str().expect("a key is text").to_owned()).collect()
+}
+
+fn expected_keys() -> Vec<String> {
+    let records = Records { service: "order-desk", snapshot: 1, count: RECORDS };
+    let hits = records.search(KeyRange::ALL, "cherry", 10);
+    hits.iter().map(|it| format!("{:016x}", it.key)).collect()
+}
+
+/// Guards against answers that are wrong, or that claim coverage which they do not have.
+#[tokio::test]
+async fn an_answer_covers_what_it_states() {
+    let mut site = Site::with_instances(1).await;
+    let (status, answer) = site.instances[0].search(QUERY).await.unwrap();
+    assert_eq!((status, &answer["complete"]), (200, &Value::Bool(true)), "{answer}");
+    assert_eq!(answer["coverage"]["records_covered"], RECORDS);
+    assert_eq!(answer["coverage"]["records_total"]["exact"], RECORDS);
+    assert_eq!(keys(&answer), expected_keys());
+
+    // Without the first and the second copy, nothing is covered, and the answer must say so.
+    site.first.process.signal(Signal::Kill);
+    site.second.process.signal(Signal::Kill);
+    site.first.process.ended().await;
+    site.second.process.ended().await;
+    let (status, answer) = site.instances[0].search(QUERY).await.unwrap();
+    if status == 200 {
+        assert_eq!(answer["complete"], false, "{answer}");
+        assert_eq!(answer["coverage"]["records_covered"], 0, "{answer}");
+    } else {
+        assert!(status >= 500, "{status} {answer}");
+    }
+}
+
+/// Guards against answers that are lost or incomplete when one replica of each shard is killed
+/// while another one lives.
+#[tokio::test]
+async fn searches_survive_a_killed_replica() {
+    let mut site = Site::with_instances(1).await;
+    let instance = &site.instances[0];
+    let expected = expected_keys();
+    let mut incomplete = 0;
+    for round in 0..60 {
+        if round == 20 {
+            site.first.process.signal(Signal::Kill);
+        }
+        let (status, answer) = instance.search(QUERY).await.unwrap();
+        assert_eq!(status, 200, "{answer}");
+        if answer["complete"] == true {
+            assert_eq!(keys(&answer), expected);
+        } else {
+            incomplete += 1;
+        }
+    }
+    // The retry budget may not cover all four shards that broke in one moment.
+    assert!(incomplete <= 3, "{incomplete} of 60 answers are incomplete");
+    site.first.process.ended().await;
+    assert_eq!(instance.search(QUERY).await.unwrap().1["complete"], true);
+}
+
+/// Guards against new work for replicas that leave, and against answers that suffer from it.
+#[tokio::test]
+async fn draining_replicas_get_no_new_work() {
+    let site = Site::with_instances(2).await;
+    site.first.run(Command::Drain).await;
+    let search = async |round: usize| {
+        let (status, answer) = site.instances[round % 2].search(QUERY).await.unwrap();
+        assert_eq!((status, &answer["complete"]), (200, &Value::Bool(true)), "{answer}");
+    };
+    until("the searches stop asking the leaving replicas", async || {
+        let before = site.first.received().await;
+        for round in 0..10 {
+            search(round).await;
+        }
+        (site.first.received().await == before).then_some(())
+    })
+    .await;
+    let before = site.first.received().await;
+    for round in 0..40 {
+        search(round).await;
+    }
+    assert_eq!(site.first.received().await, before);
+}
+
+/// Guards against hits of two index versions in one answer.
+#[tokio::test]
+async fn no_answer_mixes_snapshots() {
+    let site = Site::with_instances(1).await;
+    let instance = &site.instances[0];
+    let seen = async |answer: &Value| {
+        let hits = answer["hits"].as_array().expect("an answer has hits");
+        let text = |it: &Value| it["record"].as_str().expect("a record is text").to_owned();
+        let snapshots: BTreeSet<_> =
+            hits.iter().map(|it| text(it).rsplit_once(" s").unwrap().1.to_owned()).collect();
+        let stated = answer["snapshot"].to_string();
+        assert!(snapshots.iter().all(|it| *it == stated), "{answer}");
+        stated
+    };
+    for (upstream, data_centre) in [(&site.first, "maun"), (&site.second, "rundu")] {
+        for shard in 0..SHARDS {
+            let replica = format!("order-desk-{shard:02}-{data_centre}");
+            upstream.add_snapshot(&replica, holding(2, shard)).await;
+            let (_, answer) = instance.search(QUERY).await.unwrap();
+            seen(&answer).await;
+        }
+    }
+    until("the new snapshot is used", async || {
+        let (status, answer) = instance.search(QUERY).await.unwrap();
+        assert_eq!(status, 200, "{answer}");
+        (seen(&answer).await == "2").then_some(())
+    })
+    .await;
+    for upstream in [&site.first, &site.second] {
+        let service = "order-desk".into();
+        upstream.run(Command::RetireSnapshot { service, snapshot: 1 }).await;
+    }
+    let (status, answer) = instance.search(QUERY).await.unwrap();
+    assert_eq!((status, &answer["complete"]), (200, &Value::Bool(true)), "{answer}");
+    assert_eq!(seen(&answer).await, "2");
+}
