--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -85,8 +85,11 @@
         let failed = |err: std::io::Error| CallError::Connect(err.to_string().into());
         let stream = self.connect().await.map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
+        // A watch may wait long on a connection that has died without a trace; pings find out.
         let handshake = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
+            .keep_alive_interval(self.settings.call_timeout)
+            .keep_alive_timeout(self.settings.call_timeout)
             .handshake(TokioIo::new(stream))
             .await;
         let (sender, conn) = handshake.map_err(|err| CallError::Connect(describe(&err)))?;
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -19,7 +19,10 @@
     platform::{PlatformService, Store},
     server::{self, ConnOrders, Handler},
 };
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 const KEPT_CHANGES: usize = 20;
 
@@ -217,3 +220,34 @@
     let WatchEvent::Listed(listing) = next(&mut watch).await else { panic!("a list is due") };
     assert_eq!(listing.objects.len(), 1);
 }
+
+/// Guards against a watch that waits its whole time on a connection whose other end has vanished.
+#[tokio::test]
+async fn a_dead_connection_interrupts_a_watch() {
+    let platform = Platform::start().await;
+    let relay = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = client_of(relay.local_addr().unwrap());
+    let cut = relay_to(relay, platform.addr);
+    let mut watch = client.watch("w/");
+    assert!(matches!(next(&mut watch).await, WatchEvent::Listed(_)));
+    cut.send_replace(true);
+    let event = tokio::time::timeout(Duration::from_secs(5), watch.next()).await;
+    let event = event.expect("the watch ends long before its 20 s");
+    assert!(matches!(event, WatchEvent::Interrupted(CallError::Lost(_))), "{event:?}");
+}
+
+/// Passes bytes on until the returned switch is set; then it keeps connections and passes nothing.
+fn relay_to(listener: TcpListener, to: SocketAddr) -> watch::Sender<bool> {
+    let cut = watch::Sender::new(false);
+    let mut switch = cut.subscribe();
+    tokio::spawn(async move {
+        let (mut near, _) = listener.accept().await.unwrap();
+        let mut far = TcpStream::connect(to).await.unwrap();
+        tokio::select! {
+            _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+            _ = async { switch.wait_for(|it| *it).await.is_ok() } => {}
+        }
+        std::future::pending::<()>().await;
+    });
+    cut
+}
--- a/crates/standins/src/bin/standin_upstream/flags.rs
+++ b/crates/standins/src/bin/standin_upstream/flags.rs
@@ -14,8 +14,8 @@
         optional --topology file: PathBuf
         /// Serves only the replicas of this data centre.
         optional --data-centre name: String
-        /// Address for `POST /faults`, `GET /effects`, `GET /replicas` and `GET /received`, the
-        /// requests for work by replica; port 0 picks a free one.
+        /// Address for `POST /faults`, `GET /effects`, `GET /replicas` and `GET /counters`;
+        /// port 0 picks a free one.
         optional --control addr: SocketAddr
         /// File that gets the platform's list entries of the replicas, as JSON.
         optional --instances-out file: PathBuf
--- a/crates/standins/src/fleet/instance.rs
+++ b/crates/standins/src/fleet/instance.rs
@@ -66,8 +66,17 @@
 
     /// Version of the configuration in force, as the admin port states it.
     pub async fn version(&self) -> Option<u64> {
+        self.status().await?["version"].as_u64()
+    }
+
+    /// Calls of the platform since the start, as the admin port states them.
+    pub async fn platform_calls(&self) -> Option<u64> {
+        self.status().await?["platform_calls"].as_u64()
+    }
+
+    async fn status(&self) -> Option<Value> {
         let reply = self.client.send(Method::GET, self.admin, "/status", &[], "").await.ok()?;
-        serde_json::from_slice::<Value>(reply.body()).ok()?["version"].as_u64()
+        serde_json::from_slice(reply.body()).ok()
     }
 
     /// Searches `order-desk`.
--- a/crates/standins/src/fleet/stand_ins.rs
+++ b/crates/standins/src/fleet/stand_ins.rs
@@ -12,7 +12,9 @@
 use crate::{
     client::HttpClient,
     platform::PlatformFaults,
-    upstream::{Command, Effect, FaultOrder, HoldingSpec, ReplicaSpec, StandingFaults},
+    upstream::{
+        Command, Effect, FaultOrder, HoldingSpec, ReplicaCounters, ReplicaSpec, StandingFaults,
+    },
 };
 
 /// The platform as a process.
@@ -106,17 +108,20 @@
         parse(&send(Method::GET, self.control, "/effects", "").await)
     }
 
-    /// Incarnations of its replicas.
-    pub async fn incarnations(&self) -> Vec<u64> {
-        let all: Vec<Value> = parse(&send(Method::GET, self.control, "/replicas", "").await);
-        all.iter().filter_map(|it| it["incarnation"].as_u64()).collect()
-    }
-
     /// Requests for work that its replicas have received.
     pub async fn received(&self) -> u64 {
-        let all: BTreeMap<String, u64> =
-            parse(&send(Method::GET, self.control, "/received", "").await);
-        all.values().sum()
+        self.counters().await.iter().map(|it| it.received).sum()
+    }
+
+    /// Crashes of its replicas.
+    pub async fn crashes(&self) -> u64 {
+        self.counters().await.iter().map(|it| it.crashes).sum()
+    }
+
+    async fn counters(&self) -> Vec<ReplicaCounters> {
+        let all: BTreeMap<String, ReplicaCounters> =
+            parse(&send(Method::GET, self.control, "/counters", "").await);
+        all.into_values().collect()
     }
 
     /// Requests that its replicas execute or queue now.
--- a/crates/standins/src/upstream/control.rs
+++ b/crates/standins/src/upstream/control.rs
@@ -19,7 +19,7 @@
 /// Largest order in bytes.
 const MAX_ORDER_LEN: usize = 1 << 20;
 
-/// Answers `POST /faults`, `GET /effects`, `GET /replicas` and `GET /received`.
+/// Answers `POST /faults`, `GET /effects`, `GET /replicas` and `GET /counters`.
 #[derive(Clone)]
 pub struct ControlService {
     replicas: Vec<Replica>,
@@ -123,8 +123,8 @@
                 let all: Vec<_> = self.replicas.iter().map(Replica::status).collect();
                 json(StatusCode::OK, &all)
             }
-            (Method::GET, "/received") => {
-                let count = |it: &Replica| (it.spec.replica.clone(), it.received());
+            (Method::GET, "/counters") => {
+                let count = |it: &Replica| (it.spec.replica.clone(), it.counters());
                 let all: BTreeMap<_, _> = self.replicas.iter().map(count).collect();
                 json(StatusCode::OK, &all)
             }
--- a/crates/standins/src/upstream/mod.rs
+++ b/crates/standins/src/upstream/mod.rs
@@ -19,7 +19,7 @@
 pub use effects::{Effect, Effects};
 pub use faults::{Command, CrashPoint, CrashRule, FaultOrder, Lie, StandingFaults};
 pub use network::Network;
-pub use replica::Replica;
+pub use replica::{Replica, ReplicaCounters};
 pub use service::UpstreamService;
 pub use spec::{HoldingSpec, ReplicaSpec, ServiceTime};
 pub use topology::Topology;
--- a/crates/standins/src/upstream/replica.rs
+++ b/crates/standins/src/upstream/replica.rs
@@ -12,6 +12,7 @@
     id::SnapshotId,
     upstream::{ReplicaState, ReplicaStatus},
 };
+use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::Instant};
 
 use super::{
@@ -35,9 +36,19 @@
     /// Orders to its connections; a reset also ends the actions that are running.
     pub orders: watch::Sender<ConnOrders>,
     received: Arc<AtomicU64>,
+    crashes: Arc<AtomicU64>,
     state: Arc<Mutex<State>>,
 }
 
+/// Counts of one replica since the start of its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaCounters {
+    /// Requests for work, including those that were refused.
+    pub received: u64,
+    /// Crashes.
+    pub crashes: u64,
+}
+
 struct State {
     incarnation: u64,
     started: Instant,
@@ -67,6 +78,7 @@
             effects,
             orders: watch::Sender::default(),
             received: Arc::default(),
+            crashes: Arc::default(),
             state: Arc::new(Mutex::new(state)),
         }
     }
@@ -76,10 +88,13 @@
         self.received.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Requests for work since the start, including those that were refused.
+    /// Counts since the start of the process.
     #[must_use]
-    pub fn received(&self) -> u64 {
-        self.received.load(Ordering::Relaxed)
+    pub fn counters(&self) -> ReplicaCounters {
+        ReplicaCounters {
+            received: self.received.load(Ordering::Relaxed),
+            crashes: self.crashes.load(Ordering::Relaxed),
+        }
     }
 
     /// Whether it takes new work.
@@ -180,6 +195,7 @@
             state.draining = false;
             state.reported = None;
         }
+        self.crashes.fetch_add(1, Ordering::Relaxed);
         self.orders.send_modify(|it| it.resets += 1);
     }
 
--- /dev/null
+++ b/crates/standins/tests/process_config.rs
@@ -0,0 +1,112 @@
+//! Roll-outs and outages of the store through real processes.
+
+use rosemarybank_standins::{
+    fleet::{Signal, Site, site::bundle, until},
+    platform::PlatformFaults,
+};
+
+/// Exit code of the operators' command when another change came first.
+const CONFLICT: i32 = 3;
+
+async fn reaches_all(site: &Site, version: u64) {
+    for instance in &site.instances {
+        until(&format!("{} has version {version}", instance.name), async || {
+            let now = instance.version().await?;
+            assert!(now <= version, "{now} was never rolled out");
+            (now == version).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Guards against a roll-out that misses an instance, or reverts when instances are killed or
+/// restarted.
+#[tokio::test]
+async fn a_roll_out_reaches_all_and_survives_restarts() {
+    let mut site = Site::with_instances(3).await;
+    reaches_all(&site, 1).await;
+    assert!(site.roll_out(&bundle(1_500)).status.success());
+    reaches_all(&site, 2).await;
+    for (number, signal) in [Signal::Kill, Signal::Term, Signal::Kill].into_iter().enumerate() {
+        site.instances[number].process.signal(signal);
+        site.instances[number].restart().await;
+        site.instances[number].ready().await;
+        let version = until("a version is shown", async || site.instances[number].version().await);
+        assert_eq!(version.await, 2);
+    }
+    reaches_all(&site, 2).await;
+}
+
+/// Guards against two operators who both believe that their bundle came next.
+#[tokio::test]
+async fn one_of_two_racing_operators_wins() {
+    let site = Site::with_instances(2).await;
+    for version in 1..=3 {
+        let race = [2_000, 3_000].map(|timeout| {
+            let mut command = site.roll_out_command(&bundle(timeout + version));
+            command.args(["--expect", &version.to_string()]).spawn().expect("the command runs")
+        });
+        let codes = race.map(|mut it| it.wait().expect("the command is ours").code());
+        assert!(codes.contains(&Some(0)) && codes.contains(&Some(CONFLICT)), "{codes:?}");
+        reaches_all(&site, u64::from(version) + 1).await;
+    }
+}
+
+/// Guards against an instance that serves without a confirmed configuration, or never becomes
+/// ready after the store has come back.
+#[tokio::test]
+async fn the_store_is_down_at_the_start() {
+    let mut site = Site::start().await;
+    site.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() }).await;
+    site.start_instances(2);
+    for instance in &site.instances {
+        until("the instance has tried the store", async || {
+            (instance.platform_calls().await? >= 3).then_some(())
+        })
+        .await;
+        assert!(!instance.is_ready().await);
+        assert_eq!(instance.version().await, None);
+    }
+    site.platform.set_faults(PlatformFaults::default()).await;
+    for instance in &site.instances {
+        instance.ready().await;
+        instance.complete().await;
+    }
+}
+
+/// Guards against searches that need the store, and against a configuration that changes or stays
+/// behind because of its outage.
+#[tokio::test]
+async fn the_store_is_down_midway() {
+    let site = Site::with_instances(3).await;
+    reaches_all(&site, 1).await;
+    for faults in [
+        PlatformFaults { down: true, ..PlatformFaults::default() },
+        PlatformFaults { silent: true, ..PlatformFaults::default() },
+    ] {
+        site.platform.set_faults(faults).await;
+        for round in 0..30 {
+            let instance = &site.instances[round % 3];
+            let (status, answer) = instance.search(r#"{"query":"cherry"}"#).await.unwrap();
+            assert_eq!((status, &answer["complete"]), (200, &true.into()), "{answer}");
+            assert_eq!(instance.version().await, Some(1));
+        }
+        assert!(!site.roll_out(&bundle(1_500)).status.success());
+        site.platform.set_faults(PlatformFaults::default()).await;
+    }
+    assert!(site.roll_out(&bundle(1_500)).status.success());
+    reaches_all(&site, 2).await;
+}
+
+/// Guards against a restarted instance that needs the store although a majority of its peers knows
+/// the version in force.
+#[tokio::test]
+async fn a_restarted_instance_learns_the_version_from_its_peers() {
+    let mut site = Site::with_instances(3).await;
+    reaches_all(&site, 1).await;
+    site.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() }).await;
+    site.instances[0].process.signal(Signal::Kill);
+    site.instances[0].restart().await;
+    site.instances[0].ready().await;
+    reaches_all(&site, 1).await;
+}
--- /dev/null
+++ b/crates/standins/tests/process_stop.rs
@@ -0,0 +1,51 @@
+//! Planned stops of the real process.
+
+use futures_util::future::join_all;
+use rosemarybank_standins::{
+    fleet::{Signal, Site, new_key, until},
+    upstream::StandingFaults,
+};
+
+/// Guards against a stop that cuts off requests in flight, keeps taking new ones, or does not end.
+#[tokio::test]
+async fn a_stop_under_load_cuts_off_nothing() {
+    let mut site = Site::with_instances(1).await;
+    // About 300 ms for each request, so that all of them are in flight at the signal.
+    let slow = StandingFaults { straggler: 100.0, ..StandingFaults::default() };
+    for upstream in [&site.first, &site.second, &site.ledger] {
+        upstream.set_faults(slow.clone()).await;
+    }
+    {
+        let site = &site;
+        let searches = join_all((0..4).map(async |_| {
+            let body = r#"{"query":"cherry","timeout_ms":10000,"coverage":"complete"}"#;
+            site.instances[0].search(body).await
+        }));
+        let actions = join_all((0..4).map(async |number| {
+            let text = format!("reserve lot {number}");
+            site.instances[0].submit(&new_key(), &text).await
+        }));
+        let stop = async {
+            // Each search takes 4 shards; those that wait for a free replica inside the instance
+            // are in flight as well.
+            until("requests are in flight", async || {
+                let searching = site.first.load().await + site.second.load().await;
+                (searching >= 12 && site.ledger.load().await >= 4).then_some(())
+            })
+            .await;
+            site.instances[0].process.signal(Signal::Term);
+        };
+        let (searches, actions, ()) = tokio::join!(searches, actions, stop);
+        for answer in searches {
+            let (status, answer) = answer.expect("a search in flight is answered");
+            assert_eq!((status, &answer["complete"]), (200, &true.into()), "{answer}");
+        }
+        for answer in actions {
+            let (status, answer) = answer.expect("an action in flight is answered");
+            assert_eq!((status, &answer["outcome"]["state"]), (200, &"done".into()), "{answer}");
+        }
+    }
+    let status = site.instances[0].process.ended().await;
+    assert!(status.success(), "{status}");
+    assert_eq!(site.ledger.effects().await.len(), 4);
+}
