--- a/crates/standins/src/upstream/replica.rs
+++ b/crates/standins/src/upstream/replica.rs
@@ -1,7 +1,10 @@
 //! State of one replica.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -9,6 +12,7 @@
     id::SnapshotId,
     upstream::{ReplicaState, ReplicaStatus},
 };
+use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::Instant};
 
 use super::{
@@ -31,9 +35,20 @@
     pub effects: Effects,
     /// Orders to its connections; a reset also ends the actions that are running.
     pub orders: watch::Sender<ConnOrders>,
+    received: Arc<AtomicU64>,
+    crashes: Arc<AtomicU64>,
     state: Arc<Mutex<State>>,
 }
 
+/// Counts of one replica since the start of its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaCounters {
+    /// Requests for work, including those that were refused.
+    pub received: u64,
+    /// Crashes.
+    pub crashes: u64,
+}
+
 struct State {
     incarnation: u64,
     started: Instant,
@@ -62,10 +77,26 @@
             spec: Arc::new(spec),
             effects,
             orders: watch::Sender::default(),
+            received: Arc::default(),
+            crashes: Arc::default(),
             state: Arc::new(Mutex::new(state)),
         }
     }
 
+    /// Counts a request for work.
+    pub fn count_request(&self) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts since the start of the process.
+    #[must_use]
+    pub fn counters(&self) -> ReplicaCounters {
+        ReplicaCounters {
+            received: self.received.load(Ordering::Relaxed),
+            crashes: self.crashes.load(Ordering::Relaxed),
+        }
+    }
+
     /// Whether it takes new work.
     #[must_use]
     pub fn state(&self) -> ReplicaState {
@@ -164,6 +195,7 @@
             state.draining = false;
             state.reported = None;
         }
+        self.crashes.fetch_add(1, Ordering::Relaxed);
         self.orders.send_modify(|it| it.resets += 1);
     }
 
