--- a/crates/bundle/tests/parse.rs
+++ b/crates/bundle/tests/parse.rs
@@ -83,3 +83,14 @@
     let long = parse(&" ".repeat(MAX_BUNDLE_LEN + 1)).unwrap_err();
     assert!(long[0].message.contains("900001 bytes"), "{}", long[0]);
 }
+
+/// Guards against bundles of the demo that can't be rolled out.
+#[test]
+fn the_bundles_of_the_two_users_have_no_faults() {
+    for text in
+        [include_str!("../../../config/kavango.yaml"), include_str!("../../../config/rwanda.yaml")]
+    {
+        let bundle = parse(text).unwrap();
+        assert_eq!(bundle.services[0].shards.len(), 10);
+    }
+}
--- a/crates/cli/src/commands/load.rs
+++ b/crates/cli/src/commands/load.rs
@@ -42,7 +42,7 @@
     cmd load-run {
         /// Name of the search service.
         required service: String
-        /// Text to search for; several are used in turn. `oak` if absent.
+        /// Text to search for; several are used in turn. `walnut` if absent.
         repeated --query text: String
         /// Requests per second; 50 if absent.
         optional --rate requests: f64
@@ -207,7 +207,7 @@
     fn requests(&self) -> Result<Vec<SearchRequest>, CliError> {
         let coverage = coverage(self).map_err(|e| CliError::Usage(e.to_string()))?;
         let queries = match self.query.is_empty() {
-            true => vec!["oak".to_owned()],
+            true => vec!["walnut".to_owned()],
             false => self.query.clone(),
         };
         let limit = self.limit.unwrap_or(DEFAULT_LIMIT);
--- a/crates/cli/src/commands/search.rs
+++ b/crates/cli/src/commands/search.rs
@@ -38,12 +38,12 @@
     const EXAMPLES: &'static [Example] = &[
         Example {
             about: "Search; exit code 1 means that the answer does not cover all records.",
-            args: &["order-desk", "oak", "--limit", "5"],
+            args: &["order-desk", "walnut", "--limit", "5"],
             needs: Needs::Servers,
         },
         Example {
             about: "Accept only an answer over all records, within 300 ms.",
-            args: &["order-desk", "oak", "--coverage", "complete", "--timeout-ms", "300"],
+            args: &["order-desk", "walnut", "--coverage", "complete", "--timeout-ms", "300"],
             needs: Needs::Servers,
         },
     ];
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -18,8 +18,8 @@
         let config = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../config");
         fs::create_dir(dir.path().join("config")).unwrap();
         fs::create_dir(dir.path().join("keys")).unwrap();
-        for entry in fs::read_dir(config).unwrap() {
-            let path = entry.unwrap().path();
+        let files = fs::read_dir(config).unwrap().map(|entry| entry.unwrap().path());
+        for path in files.filter(|path| path.is_file()) {
             fs::copy(&path, dir.path().join("config").join(path.file_name().unwrap())).unwrap();
         }
         let workspace = Workspace(dir);
