--- /dev/null
+++ b/crates/cli/tests/docs.rs
@@ -0,0 +1,70 @@
+//! The documents that repeat what the code defines.
+
+#[allow(dead_code)]
+mod support;
+
+use std::{fs, path::Path};
+
+use rosemarybank_protocol::{coverage::MissingReason, error::ErrorKind};
+use serde::Serialize;
+use support::Workspace;
+
+fn document(name: &str) -> String {
+    fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs").join(name)).unwrap()
+}
+
+fn word(value: impl Serialize) -> String {
+    serde_json::to_value(value).unwrap().as_str().unwrap().to_owned()
+}
+
+/// Guards against error kinds, statuses and remedies that differ from those of the code.
+#[test]
+fn the_interface_lists_every_error_kind() {
+    let mut table = "| error | status | execution | help |\n|---|---|---|---|\n".to_owned();
+    for kind in ErrorKind::ALL {
+        let row = kind.answer();
+        let (status, execution) = (row.status, word(row.execution));
+        table.push_str(&format!(
+            "| `{}` | {status} | `{execution}` | {} |\n",
+            word(kind),
+            row.help
+        ));
+    }
+    let document = document("api.md");
+    let (_, rest) = document.split_once("<!-- errors: begin -->\n").unwrap();
+    let (shown, _) = rest.split_once("<!-- errors: end -->").unwrap();
+    assert_eq!(shown.trim(), table.trim(), "docs/api.md must hold:\n{table}");
+}
+
+/// Guards against reasons that the interface does not explain.
+#[test]
+fn the_interface_lists_every_reason_of_a_missing_range() {
+    let reasons = [
+        MissingReason::NoReplica,
+        MissingReason::Deadline,
+        MissingReason::Shed,
+        MissingReason::Failed,
+        MissingReason::SnapshotRetired,
+        MissingReason::Quarantined,
+    ];
+    let document = document("api.md");
+    for reason in reasons {
+        assert!(document.contains(&format!("\n| `{}` |", word(reason))), "{reason:?}");
+    }
+}
+
+/// Guards against exit codes and commands that the operators' document does not have.
+#[test]
+fn the_operators_document_lists_commands_and_exit_codes() {
+    let help = Workspace::new().stdout(&["help"]);
+    let document = document("operations.md");
+    let (commands, codes) = help.split_once("EXIT CODES:\n").unwrap();
+    for line in codes.lines().filter(|line| !line.trim().is_empty()) {
+        let (code, meaning) = line.trim().split_once("  ").unwrap();
+        assert!(document.contains(&format!("| {code} | {meaning} |")), "{line}");
+    }
+    for line in commands.lines().filter_map(|line| line.strip_prefix("    ")) {
+        let name = line.split("  ").next().unwrap();
+        assert!(document.contains(&format!("`rosemarybank {name}")), "{name}");
+    }
+}
