Read record keys that look like infinite floats

Ruled out: a wrong position of the scalar; the library gives the right place, but hands a float that is not finite on as the text `.inf`.

Change: the reader takes the source text for `.inf`, `-.inf` and `.nan`, as it does for other plain numbers.

Before: the new cases fail, and the new property test finds 1e310.

Conclusion: every key of up to 16 hexadecimal digits can be written plain.

--- a/crates/bundle/src/reader.rs
+++ b/crates/bundle/src/reader.rs
@@ -158,6 +158,11 @@
 
     fn scalar(&self, item: &Item<'_>) -> Option<String> {
         match &item.node.value {
+            // The library gives floats that are not finite as these texts, so the record key
+            // 1e66666666666665 arrives as `.inf`.
+            Node::Text(text) if [".inf", "-.inf", ".nan"].contains(&text.as_str()) => {
+                Some(self.source(item.node.defined))
+            }
             Node::Text(text) => Some(text.clone()),
             Node::Plain => Some(self.source(item.node.defined)),
             Node::List(_) | Node::Map(_) => None,
--- a/crates/bundle/tests/parse.rs
+++ b/crates/bundle/tests/parse.rs
@@ -1,5 +1,6 @@
 //! Reading and checking bundles.
 
+use proptest::{prelude::*, test_runner::RngSeed};
 use rosemarybank_bundle::{MAX_BUNDLE_LEN, parse};
 use rosemarybank_protocol::bundle::{Bundle, Limits};
 
@@ -64,14 +65,36 @@
     insta::assert_snapshot!(report.join("---\n"));
 }
 
-/// Guards against keys that YAML reads as octal numbers, floats or exponents.
+/// Guards against keys that YAML reads as octal numbers, floats, exponents or infinity.
 #[test]
 fn plain_scalars_keep_their_text() {
-    let text = EXAMPLE.replace("7fffffffffffffff", "00000000000001e3");
-    let text = text.replace("8000000000000000", "00000000000001e4");
-    let bundle = parse(&text).unwrap();
-    assert_eq!(bundle.services[0].shards[0].range.last(), 0x1e3);
-    assert_eq!(bundle.services[0].shards[1].range.first(), 0x1e4);
+    for text in ["00000000000001e3", "1e66666666666665", "0000000000000010", "5e99999999999999"] {
+        let key = u64::from_str_radix(text, 16).unwrap();
+        let next = format!("{:016x}", key + 1);
+        let text = EXAMPLE.replace("7fffffffffffffff", text).replace("8000000000000000", &next);
+        let shards = parse(&text).unwrap().services.remove(0).shards;
+        assert_eq!((shards[0].range.last(), shards[1].range.first()), (key, key + 1));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against further forms of keys that YAML reads as something else. A digit, an `e` and
+    /// digits are the forms most like a number, so they are drawn more often than by chance.
+    #[test]
+    fn any_key_can_be_a_bound(text in "[0-9]{0,7}e?[0-9a-f]{0,8}") {
+        let key = u64::from_str_radix(&text, 16).unwrap_or_default();
+        let last = if text.is_empty() { "0" } else { &text };
+        let next = format!("{:x}", key + 1);
+        let text = EXAMPLE.replace("7fffffffffffffff", last).replace("8000000000000000", &next);
+        let shards = parse(&text).unwrap().services.remove(0).shards;
+        prop_assert_eq!((shards[0].range.last(), shards[1].range.first()), (key, key + 1));
+    }
 }
 
 /// Guards against a silent choice between two values and against unbounded input.
