--- a/crates/cli/src/load/table.rs
+++ b/crates/cli/src/load/table.rs
@@ -39,9 +39,15 @@
         ("complete", |it| it.complete_share),
         ("coverage", |it| it.coverage_share),
     ];
+    let mut values: Vec<_> =
+        columns.map(|(column, value)| (column, runs.iter().map(value).collect::<Vec<_>>())).into();
+    let extra_load: Vec<_> = runs.iter().filter_map(|it| it.extra_load).collect();
+    if !extra_load.is_empty() {
+        values.push(("extra load", extra_load));
+    }
     let mut rows = vec![["RUN", "COLUMN", "MEDIAN", "MIN", "MAX"].map(str::to_owned).to_vec()];
-    for (column, value) in columns {
-        let (median, min, max) = spread(runs.iter().map(value).collect());
+    for (column, values) in values {
+        let (median, min, max) = spread(values);
         rows.push(vec![
             name.to_owned(),
             column.to_owned(),
--- a/crates/cli/src/load/tests.rs
+++ b/crates/cli/src/load/tests.rs
@@ -60,7 +60,7 @@
     assert_eq!(spread(vec![5.0, 1.0, 3.0]), (3.0, 1.0, 5.0));
     assert_eq!(spread(vec![4.0, 1.0]), (2.5, 1.0, 4.0));
     assert_eq!(spread(Vec::new()), (0.0, 0.0, 0.0));
-    let runs: Vec<Figures> = [1, 3, 2]
+    let mut runs: Vec<Figures> = [1, 3, 2]
         .map(|ms| {
             let mut tally = Tally::new();
             let outcome = Outcome::Answered { complete: true, covered: 1.0 };
@@ -68,6 +68,7 @@
             tally.figures(SECOND)
         })
         .into();
+    runs[0].extra_load = Some(1.25);
     insta::assert_snapshot!(median_lines("entry", &runs));
 }
 
