--- a/crates/daemon/tests/actions.rs
+++ b/crates/daemon/tests/actions.rs
@@ -102,7 +102,7 @@
 #[test]
 fn too_many_actions_are_refused_as_overloaded() {
     let bench = Bench::start();
-    let instance = bench.limited_instance("actions: 2");
+    let instance = bench.limited_instance(2);
     bench.platform_faults(PlatformFaults { slow_ms: 300, ..PlatformFaults::default() });
     let callers = instance.daemon.callers;
     let statuses = thread::scope(|scope| {
--- /dev/null
+++ b/crates/daemon/tests/admin.rs
@@ -0,0 +1,91 @@
+//! The admin port: metrics, statsd, traces and status.
+
+mod common;
+
+use std::{net::UdpSocket, time::Duration};
+
+use common::{Bench, eventually};
+use http::Method;
+use serde_json::Value;
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+
+/// Guards against hops that are missing from a trace, or that do not hang together.
+#[test]
+fn a_trace_links_the_spans_of_every_hop() {
+    let bench = Bench::start();
+    let instance = bench.instance();
+    let parent = format!("00-{TRACE}-b7ad6b7169203331-01");
+    let headers = [("traceparent", parent.as_str())];
+    let path = "/v1/services/stock/search";
+    bench.ask(Method::POST, instance.daemon.callers, path, &headers, r#"{"query":"plum"}"#);
+    let mut spans = Vec::new();
+    eventually("four spans are kept", || {
+        let path = format!("/traces/{TRACE}");
+        let reply = bench.send(Method::GET, instance.daemon.admin, &path, &[], "");
+        let trace: Value = serde_json::from_slice(reply.body()).unwrap();
+        spans = trace["spans"].as_array().cloned().unwrap_or_default();
+        spans.len() >= 4
+    });
+    let hop = |name: &str| spans.iter().filter(|it| it["hop"] == name).collect::<Vec<_>>();
+    let (front, engine, attempts) = (hop("front"), hop("engine"), hop("attempt"));
+    assert_eq!(front[0]["parent_id"], "b7ad6b7169203331");
+    assert_eq!(engine[0]["parent_id"], front[0]["span_id"]);
+    assert!(attempts.len() >= 2, "one for each shard");
+    assert!(attempts.iter().all(|it| it["parent_id"] == engine[0]["span_id"]));
+    let missing = bench.send(Method::GET, instance.daemon.admin, "/traces/12", &[], "");
+    assert_eq!(missing.status(), 404);
+}
+
+/// Guards against metrics that are not counted or do not reach the statsd address.
+#[test]
+fn metrics_are_served_and_sent() {
+    let bench = Bench::start();
+    let statsd = UdpSocket::bind("127.0.0.1:0").unwrap();
+    statsd.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let metrics = format!("metrics: {{ statsd: {} }}", statsd.local_addr().unwrap());
+    let instance = bench.instance_with(&metrics);
+    let mut sent = Vec::new();
+    let mut buf = [0; 2_048];
+    while !sent.iter().any(|it: &String| it.starts_with("rosemarybank.requests_total:1|c")) {
+        let n = statsd.recv(&mut buf).unwrap();
+        sent.push(String::from_utf8(buf[..n].to_vec()).unwrap());
+    }
+    eventually("the counters are served", || {
+        let reply = bench.send(Method::GET, instance.daemon.admin, "/metrics", &[], "");
+        let text = String::from_utf8(reply.body().to_vec()).unwrap();
+        let at_least_one = |name: &str| {
+            let line = text.lines().find_map(|it| it.strip_prefix(name));
+            line.and_then(|it| it.trim().parse::<u64>().ok()).is_some_and(|n| n > 0)
+        };
+        [
+            r#"rosemarybank_requests_total{service="stock",status="200"}"#,
+            "rosemarybank_platform_calls_total",
+            "rosemarybank_attempts_total",
+            "rosemarybank_connections_total",
+            "rosemarybank_replicas",
+            "rosemarybank_version",
+        ]
+        .iter()
+        .all(|name| at_least_one(name))
+    });
+}
+
+/// Guards against a status page without the state that operators look for.
+#[test]
+fn the_status_names_version_and_replicas() {
+    let bench = Bench::start();
+    let instance = bench.instance();
+    eventually("the status is complete", || {
+        let reply = bench.send(Method::GET, instance.daemon.admin, "/status", &[], "");
+        let status: Value = serde_json::from_slice(reply.body()).unwrap();
+        status["instance"] == "entry-1"
+            && status["version"] == 1
+            && status["replicas"] == 6
+            && status["fleet_size"] == 1
+            && status["is_watcher"] == true
+            && status["platform_calls"].as_u64().unwrap() > 0
+    });
+    let health = bench.send(Method::GET, instance.daemon.admin, "/health", &[], "");
+    assert_eq!(health.status(), 200);
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -157,43 +157,57 @@
 
     /// Starts an instance and waits until it is ready.
     pub fn instance(&self) -> Instance {
-        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[], "");
+        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[]);
         self.await_ready(&instance);
         instance
     }
 
-    /// Starts an instance with a further setting of the callers' port.
-    pub fn limited_instance(&self, limit: &str) -> Instance {
-        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[], limit);
+    /// Starts an instance that takes this number of actions at once.
+    pub fn limited_instance(&self, actions: u32) -> Instance {
+        let mut settings = self.settings("entry-1", "127.0.0.1:0", &[], "");
+        settings.callers.actions = actions;
+        let instance = Instance::start(settings);
         self.await_ready(&instance);
         instance
     }
 
-    /// Starts an instance, with a further setting of the callers' port if it is not empty.
-    pub fn unready_instance(
+    /// Starts an instance with further settings.
+    pub fn instance_with(&self, extra: &str) -> Instance {
+        let instance = Instance::start(self.settings("entry-1", "127.0.0.1:0", &[], extra));
+        self.await_ready(&instance);
+        instance
+    }
+
+    /// Starts an instance without waiting for it.
+    pub fn unready_instance(&self, name: &str, peer_addr: &str, others: &[SocketAddr]) -> Instance {
+        Instance::start(self.settings(name, peer_addr, others, ""))
+    }
+
+    fn settings(
         &self,
         name: &str,
         peer_addr: &str,
         others: &[SocketAddr],
-        limit: &str,
-    ) -> Instance {
+        extra: &str,
+    ) -> settings::Settings {
         let public = self.key.public_key();
         let others: Vec<_> = others.iter().map(ToString::to_string).collect();
         let text = format!(
             "instance: {name}
 data_centre: maun
-callers: {{ addr: 127.0.0.1:0, head_timeout_ms: 1000, body_timeout_ms: 1000, {limit} }}
+callers: {{ addr: 127.0.0.1:0, head_timeout_ms: 1000, body_timeout_ms: 1000 }}
 peers: {{ addr: {peer_addr}, others: [{}] }}
 admin: {{ addr: 127.0.0.1:0 }}
 platform: {{ addr: {}, timeout_ms: 500, watch_wait_ms: 5000 }}
 trusted_keys: [{{ name: {}, public_key: {} }}]
+{extra}
 ",
             others.join(", "),
             self.platform,
             public.name,
             public.public_key,
         );
-        Instance::start(settings::parse(&text).unwrap())
+        settings::parse(&text).unwrap()
     }
 
     /// Waits until the admin port says that the instance is ready, and its replicas are polled.
--- a/crates/daemon/tests/errors.rs
+++ b/crates/daemon/tests/errors.rs
@@ -93,7 +93,7 @@
 #[test]
 fn an_instance_without_configuration_is_not_ready() {
     let bench = Bench::start_without_bundle();
-    let instance = bench.unready_instance("entry-1", "127.0.0.1:0", &[], "");
+    let instance = bench.unready_instance("entry-1", "127.0.0.1:0", &[]);
     let (status, body) =
         bench.ask(Method::POST, instance.daemon.callers, SEARCH, &[], r#"{"query":"a"}"#);
     assert_eq!(
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -18,7 +18,7 @@
     let start = |i: usize| {
         let others: Vec<_> = addrs.iter().copied().filter(|it| *it != addrs[i]).collect();
         let name = format!("entry-{}", i + 1);
-        bench.unready_instance(&name, &addrs[i].to_string(), &others, "")
+        bench.unready_instance(&name, &addrs[i].to_string(), &others)
     };
     (0..n).map(start).collect()
 }
@@ -99,7 +99,7 @@
         |i: usize| -> Vec<_> { addrs.iter().copied().filter(|it| *it != addrs[i]).collect() };
     let start = |i: usize| {
         let name = format!("entry-{}", i + 1);
-        bench.unready_instance(&name, &addrs[i].to_string(), &others(i), "")
+        bench.unready_instance(&name, &addrs[i].to_string(), &others(i))
     };
     let first: Vec<_> = (0..2).map(start).collect();
     first.iter().for_each(|it| bench.await_ready(it));
