--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -61,6 +61,7 @@
 fn read(mut top: Fields<'_>) -> Settings {
     let instance = name(&mut top, "instance");
     let data_centre = name(&mut top, "data_centre");
+    let source = top.optional("source", None, "write an IP address of this machine, or null");
     let callers = callers(top.section("callers"));
     let peers = peers(top.section("peers"));
     let admin = admin(top.section("admin"));
@@ -78,6 +79,7 @@
     Settings {
         instance,
         data_centre,
+        source,
         callers,
         peers,
         admin,
@@ -131,6 +133,7 @@
 
 fn upstreams(mut at: Fields<'_>) -> Upstreams {
     let upstreams = Upstreams {
+        threads: at.number("threads", 2, (1, 64)),
         connect_timeout: millis(&mut at, "connect_timeout_ms", 500),
         policy: at.optional("policy", QueryPolicy::Adaptive, "write adaptive or baseline"),
     };
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -19,9 +19,13 @@
 use rosemarybank_protocol::{key_range::KeyRange, platform::CONFIG_PATH};
 use rosemarybank_standins::{
     client::HttpClient,
-    platform::{PlatformService, Store},
+    platform::{PlatformService, Store, faults::PlatformFaults},
     server,
-    upstream::{HoldingSpec, Replica, ReplicaSpec, ServiceTime, run},
+    upstream::{
+        ControlService, HoldingSpec, Network, ReplicaSpec, ServiceTime,
+        faults::{FaultOrder, StandingFaults},
+        run,
+    },
 };
 use serde_json::Value;
 use slog::{Discard, Logger, o};
@@ -66,14 +70,14 @@
     pub runtime: Runtime,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// The platform and the orders to its connections.
+    platform_control: (PlatformService, watch::Sender<server::ConnOrders>),
     /// Replicas, ledgers last.
-    pub replicas: Vec<Replica>,
+    pub upstreams: ControlService,
     /// Signs bundles.
     pub key: KeyPair,
     /// HTTP/1.1 client.
     pub client: HttpClient,
-    /// Orders to the platform's connections.
-    pub platform_orders: watch::Sender<server::ConnOrders>,
 }
 
 impl Bench {
@@ -87,18 +91,22 @@
     /// Starts the stand-ins without a configuration.
     pub fn start_without_bundle() -> Bench {
         let runtime = Runtime::new().unwrap();
-        let (platform, platform_orders, replicas) = runtime.block_on(async {
+        let (platform, platform_control, upstreams) = runtime.block_on(async {
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
             let addr = listener.local_addr().unwrap();
             let orders = watch::Sender::default();
             let service = PlatformService::new(Store::default());
-            tokio::spawn(server::serve(listener, orders.subscribe(), service));
-            (addr, orders, run::start_all(specs(), 1).await.unwrap())
+            tokio::spawn(server::serve(listener, orders.subscribe(), service.clone()));
+            (
+                addr,
+                (service, orders),
+                run::start_controlled(specs(), Network::default(), 1).await.unwrap(),
+            )
         });
         let key = KeyPair::generate("ops-1").unwrap();
         let client = HttpClient::http1();
-        let bench = Bench { runtime, platform, replicas, key, client, platform_orders };
-        for replica in &bench.replicas {
+        let bench = Bench { runtime, platform, platform_control, upstreams, key, client };
+        for replica in bench.upstreams.replicas() {
             let entry = run::instance_entry(&replica.spec);
             let body = serde_json::to_string(&entry).unwrap();
             bench.put(&format!("instances/{}", entry.replica), body);
@@ -149,19 +157,39 @@
 
     /// Starts an instance and waits until it is ready.
     pub fn instance(&self) -> Instance {
-        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[], "");
+        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[]);
         self.await_ready(&instance);
         instance
     }
 
-    /// Starts an instance with further lines of settings.
-    pub fn unready_instance(
+    /// Starts an instance that takes this number of actions at once.
+    pub fn limited_instance(&self, actions: u32) -> Instance {
+        let mut settings = self.settings("entry-1", "127.0.0.1:0", &[], "");
+        settings.callers.actions = actions;
+        let instance = Instance::start(settings);
+        self.await_ready(&instance);
+        instance
+    }
+
+    /// Starts an instance with further settings.
+    pub fn instance_with(&self, extra: &str) -> Instance {
+        let instance = Instance::start(self.settings("entry-1", "127.0.0.1:0", &[], extra));
+        self.await_ready(&instance);
+        instance
+    }
+
+    /// Starts an instance without waiting for it.
+    pub fn unready_instance(&self, name: &str, peer_addr: &str, others: &[SocketAddr]) -> Instance {
+        Instance::start(self.settings(name, peer_addr, others, ""))
+    }
+
+    fn settings(
         &self,
         name: &str,
         peer_addr: &str,
         others: &[SocketAddr],
         extra: &str,
-    ) -> Instance {
+    ) -> settings::Settings {
         let public = self.key.public_key();
         let others: Vec<_> = others.iter().map(ToString::to_string).collect();
         let text = format!(
@@ -179,7 +207,7 @@
             public.name,
             public.public_key,
         );
-        Instance::start(settings::parse(&text).unwrap())
+        settings::parse(&text).unwrap()
     }
 
     /// Waits until the admin port says that the instance is ready, and its replicas are polled.
@@ -200,9 +228,23 @@
         });
     }
 
-    /// Sum of the requests that replicas have run.
+    /// Replaces the faults of the platform.
+    pub fn platform_faults(&self, faults: PlatformFaults) {
+        let (service, orders) = &self.platform_control;
+        service.faults().set(faults);
+        orders.send_modify(|it| it.resets += 1);
+    }
+
+    /// Replaces the faults of replicas.
+    pub fn upstream_faults(&self, replicas: &[&str], faults: StandingFaults) {
+        let replicas = replicas.iter().map(|it| (*it).into()).collect();
+        let order = FaultOrder { replicas, set: Some(faults), run: Vec::new() };
+        self.upstreams.carry_out(&order).unwrap();
+    }
+
+    /// Number of actions that took effect.
     pub fn effects(&self) -> usize {
-        self.replicas[0].effects.all().len()
+        self.upstreams.replicas()[0].effects.all().len()
     }
 }
 
