standins: Keep the operators' output out of the race test

Cause: the losing operator's error line looked like a failure in logs. Change: the two commands of the race write to no output. Conclusion: a log of the tests shows errors only when a test fails.

--- a/crates/standins/tests/process_config.rs
+++ b/crates/standins/tests/process_config.rs
@@ -1,5 +1,7 @@
 //! Roll-outs and outages of the store through real processes.
 
+use std::process::Stdio;
+
 use rosemarybank_standins::{
     fleet::{Signal, Site, site::bundle, until},
     platform::PlatformFaults,
@@ -44,7 +46,8 @@
     for version in 1..=3 {
         let race = [2_000, 3_000].map(|timeout| {
             let mut command = site.roll_out_command(&bundle(timeout + version));
-            command.args(["--expect", &version.to_string()]).spawn().expect("the command runs")
+            command.args(["--expect", &version.to_string()]);
+            command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("the command runs")
         });
         let codes = race.map(|mut it| it.wait().expect("the command is ours").code());
         assert!(codes.contains(&Some(0)) && codes.contains(&Some(CONFLICT)), "{codes:?}");
