--- a/crates/query/src/layout.rs
+++ b/crates/query/src/layout.rs
@@ -76,6 +76,11 @@
         Layout { snapshot, segments, is_full }
     }
 
+    pub(crate) fn bytes(&self) -> usize {
+        let keys = self.segments.iter().map(|it| it.replicas.capacity() * size_of::<ReplicaKey>());
+        self.segments.capacity() * size_of::<LayoutSegment>() + keys.sum::<usize>()
+    }
+
     /// Records that are served, as far as they are known, then keys that are served.
     pub(crate) fn extent(&self) -> (u64, u128) {
         let served = self.segments.iter().filter(|it| !it.replicas.is_empty());
@@ -142,7 +147,7 @@
 
 impl Counts {
     fn new(known: &BTreeMap<KeyRange, u64>) -> Counts {
-        let mut edges: HashMap<u128, Vec<(u128, i128)>> = HashMap::new();
+        let mut edges: BTreeMap<u128, Vec<(u128, i128)>> = BTreeMap::new();
         for (range, records) in known {
             let (from, to) = (u128::from(range.first()), u128::from(range.last()) + 1);
             edges.entry(from).or_default().push((to, i128::from(*records)));
