--- a/crates/query/src/layout.rs
+++ b/crates/query/src/layout.rs
@@ -42,6 +42,11 @@
 }
 
 impl Layout {
+    /// The layout of a service of which no snapshot is known: all keys are missing.
+    pub(crate) fn unserved() -> Layout {
+        Layout::build(0, std::iter::empty(), &BTreeMap::new())
+    }
+
     /// Builds the layout from what the usable replicas hold. `known` has every count reported for
     /// the snapshot, also by replicas that are gone, so that missing ranges can be counted.
     pub(crate) fn build<'a>(
--- a/crates/query/src/query.rs
+++ b/crates/query/src/query.rs
@@ -228,7 +228,7 @@
     fn start(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
         let query = &mut self.queries[index as usize];
         let layout = self.replicas.choose_layout(query.service);
-        query.layout = layout.unwrap_or_default();
+        query.layout = layout.unwrap_or_else(|| Arc::new(Layout::unserved()));
         query.segments = Segments::new(&query.layout);
         if query.submission.coverage == CoverageMode::Complete && !query.layout.is_full {
             query.segments.give_up_unserved(&query.layout);
--- a/crates/query/tests/coverage.rs
+++ b/crates/query/tests/coverage.rs
@@ -153,6 +153,23 @@
     assert!(refusal.retry_after.is_some());
 }
 
+/// Guards against a refusal that states that nothing is missing because no replica is known.
+#[test]
+fn without_replicas_all_keys_are_missing() {
+    let mut engine = engine(settings(), 2, 0);
+    for (query, coverage) in [(1, CoverageMode::Partial), (2, CoverageMode::Complete)] {
+        let mut submission = submission(query, ms(200));
+        submission.coverage = coverage;
+        let out = feed(&mut engine, ms(1), Event::Submit(submission));
+        let refusal = answer(&out).unwrap().unwrap_err();
+        assert_eq!((refusal.kind, refusal.execution), (ErrorKind::NoReplica, Execution::NotRun));
+        let coverage = refusal.coverage.unwrap();
+        assert_eq!(coverage.records_total, RecordTotal::AtLeast(0));
+        let all = MissingRange { range: KeyRange::ALL, reason: MissingReason::NoReplica };
+        assert_eq!(coverage.missing, [all]);
+    }
+}
+
 /// Guards against a new snapshot that is used before every shard has it.
 #[test]
 fn the_newest_full_snapshot_is_used() {
