Report a conflict when another operator rolled out the same bundle

Cause: in a trial with four racing roll-outs of one text with one key, all four reported success, because signatures are deterministic and the bundle in force equalled their own.

Ruled out: a nonce in the signed bundle, which would change the format for all instances. A conflict without an earlier lost reply already proves that the own update had no effect.

Change: the bundle in force is compared with the own one only after a reply was lost; any other conflict is reported with both versions.

Conclusion: one operator wins also among equals. After a lost reply an equal bundle counts as the own one; what is in force is then what both wanted.

--- a/crates/cli/src/rollout/update.rs
+++ b/crates/cli/src/rollout/update.rs
@@ -89,6 +89,7 @@
         };
         match change {
             Change::Applied { .. } => return Ok(()),
+            Change::Conflict { .. } if lost.is_none() => return Err(conflict(store, signed).await),
             Change::Conflict { .. } => return winner(store, signed).await,
             // An earlier attempt may still take effect, so only the first failure is a certain one.
             Change::NotApplied(e) if lost.is_none() => return Err(CliError::Platform(e)),
@@ -122,9 +123,23 @@
             return Ok(());
         }
     }
-    Err(CliError::RollOutConflict {
+    Err(lost_to(&now, signed))
+}
+
+/// The error of an update that certainly had no effect. An equal bundle in force is another
+/// operator's, who signed the same text with the same key.
+async fn conflict(store: &impl ObjectStore, signed: &SignedBundle) -> CliError {
+    match read_base(store).await {
+        Ok(Some((_, now))) => lost_to(&now, signed),
+        Ok(None) => CliError::NoConfiguration,
+        Err(e) => e,
+    }
+}
+
+fn lost_to(now: &SignedBundle, signed: &SignedBundle) -> CliError {
+    CliError::RollOutConflict {
         planned: signed.version,
         in_force: now.version,
         signer: now.signer.to_string(),
-    })
+    }
 }
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -90,3 +90,26 @@
     );
     insta::assert_snapshot!(text);
 }
+
+/// Guards against two operators who both roll out over the version that they have seen.
+#[test]
+fn of_racing_operators_exactly_one_wins() {
+    let platform = platform(Store::default()).to_string();
+    let workspace = Workspace::new();
+    let first =
+        ["bundle", "roll-out", "config/bundle.yaml", "--key", "keys/ops-1.key", "--no-wait"];
+    assert!(workspace.run_at(&platform, &first).status.success());
+    let codes: Vec<_> = std::thread::scope(|scope| {
+        let racers: Vec<_> = (0..4)
+            .map(|_| {
+                scope.spawn(|| {
+                    let args = [&first[..], &["--expect", "1"]].concat();
+                    workspace.run_at(&platform, &args).status.code()
+                })
+            })
+            .collect();
+        racers.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+    assert_eq!(codes.iter().filter(|code| **code == Some(0)).count(), 1, "{codes:?}");
+    assert_eq!(codes.iter().filter(|code| **code == Some(3)).count(), 3, "{codes:?}");
+}
