Keep the exit code when the reader of the output closes the pipe

Cause: `print!` panics when a reader such as `head` ends early, and a group's name alone said only that there is no such command.

Change: output is written without regard to failures; an unknown command names the commands of its group.

Before: a closed pipe ended with a panic.

Conclusion: scripts can cut the output off.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -1,5 +1,6 @@
 use std::{
     ffi::{OsStr, OsString},
+    io::{self, Write},
     process::ExitCode,
 };
 
@@ -30,16 +31,16 @@
     match run(&args) {
         Ok(report) => {
             let text = if json { format!("{}\n", report.json) } else { report.text };
-            print!("{text}");
+            write_all(&mut io::stdout(), &text);
             report.status.into()
         }
         Err(e) => {
             if json {
                 let code = e.exit().code();
                 let body = json!({ "error": e.to_string(), "help": e.help(), "exit": code });
-                println!("{body}");
+                write_all(&mut io::stdout(), &format!("{body}\n"));
             } else {
-                eprintln!("error: {e}\nhelp: {}", e.help());
+                write_all(&mut io::stderr(), &format!("error: {e}\nhelp: {}\n", e.help()));
             }
             e.exit().into()
         }
@@ -73,9 +74,7 @@
         return help(args.get(1..).unwrap_or_default());
     }
     let Some(entry) = find(args) else {
-        let typed: Vec<_> = args.iter().take(2).map(|it| it.to_string_lossy()).collect();
-        let message = format!("there is no command `{}`", typed.join(" "));
-        return Err(CliError::Usage(message));
+        return Err(unknown_command(args));
     };
     match (entry.parse)(args[entry.name.len()..].to_vec()) {
         Ok(start) => start(&Context),
@@ -91,6 +90,23 @@
     })
 }
 
+fn unknown_command(args: &[OsString]) -> CliError {
+    let group = |entry: &&Entry| args.first().is_some_and(|it| OsStr::new(entry.name[0]) == it);
+    let below: Vec<_> = COMMANDS.iter().filter(group).map(Entry::title).collect();
+    let typed: Vec<_> = args.iter().take(2).map(|it| it.to_string_lossy()).collect();
+    let mut message = format!("there is no command `{}`", typed.join(" "));
+    if !below.is_empty() {
+        message.push_str(&format!("; there are: {}", below.join(", ")));
+    }
+    CliError::Usage(message)
+}
+
+/// Writes without regard to failures: a reader that has seen enough, such as `head`, closes the
+/// pipe, which must not change the exit code.
+pub(crate) fn write_all(out: &mut impl Write, text: &str) {
+    let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+}
+
 /// Takes `--json`, which every command has, out of the arguments before `--`.
 fn take_json(args: Vec<OsString>) -> (Vec<OsString>, bool) {
     let end = args.iter().position(|it| it == "--").unwrap_or(args.len());
@@ -109,10 +125,7 @@
     }
     match find(words) {
         Some(entry) => Ok(command_help(entry)),
-        None => {
-            let typed: Vec<_> = words.iter().map(|it| it.to_string_lossy()).collect();
-            Err(CliError::Usage(format!("there is no command `{}`", typed.join(" "))))
-        }
+        None => Err(unknown_command(words)),
     }
 }
 
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -7,7 +7,7 @@
 
 use tokio::runtime::Builder;
 
-use crate::error::CliError;
+use crate::{app::write_all, error::CliError};
 
 /// Variable that replaces `--platform`.
 const PLATFORM_VARIABLE: &str = "ROSEMARYBANK_PLATFORM";
@@ -27,7 +27,7 @@
     /// Tells the operator something before the command ends. It goes to standard error, so that
     /// standard output holds only the result.
     pub(crate) fn note(&self, text: impl AsRef<str>) {
-        eprintln!("{}", text.as_ref());
+        write_all(&mut std::io::stderr(), &format!("{}\n", text.as_ref()));
     }
 
     /// The platform's address.
