--- /dev/null
+++ b/crates/cli/src/commands/trace/show.rs
@@ -0,0 +1,47 @@
+use std::{ffi::OsString, net::SocketAddr};
+
+use serde_json::Value;
+
+use crate::{
+    admin::Admin,
+    command::{Command, Example, Needs},
+    context::Context,
+    error::CliError,
+    report::Report,
+};
+
+xflags::xflags! {
+    cmd trace-show {
+        /// Identifier of the trace, 32 hexadecimal digits.
+        required id: String
+        /// Admin port of the instance that answered; $ROSEMARYBANK_ADMIN if absent.
+        optional --admin addr: SocketAddr
+    }
+}
+
+impl Command for TraceShow {
+    const NAME: &'static [&'static str] = &["trace", "show"];
+    const ABOUT: &'static str = "Shows the spans of one request, as its instance kept them.";
+    const EXAMPLES: &'static [Example] = &[Example {
+        about: "Show where the time of a request went; its answer names the trace.",
+        args: &["4bf92f3577b34da6a3ce929d0e0e4736"],
+        needs: Needs::Servers,
+    }];
+
+    fn parse(args: Vec<OsString>) -> xflags::Result<TraceShow> {
+        let flags = TraceShow::from_vec(args)?;
+        if flags.id.len() != 32 || !flags.id.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(xflags::Error::new("a trace id has 32 hexadecimal digits"));
+        }
+        Ok(flags)
+    }
+
+    fn run(self, cx: &Context) -> Result<Report, CliError> {
+        let admin = Admin::new(cx.admin(self.admin)?);
+        let path = format!("/traces/{}", self.id);
+        let trace = cx.block_on(admin.get::<Value>(&path))??;
+        let addr = admin.addr();
+        let trace = trace.ok_or(CliError::NoTrace { addr, id: self.id })?;
+        Ok(Report::new(format!("{trace:#}\n"), &trace))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/run.rs
@@ -0,0 +1,222 @@
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use rosemarybank_coordination::{membership, quarantine};
+use rosemarybank_platform::PlatformClient;
+use rosemarybank_ring::{Receiver, Sender};
+use slog::{Logger, info};
+use tokio::{
+    net::TcpListener,
+    sync::mpsc,
+    task::spawn_local,
+    time::{interval, sleep_until, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    actions::Actions,
+    coordinator::{Coordinator, UPKEEP_INTERVAL},
+    input::Event,
+    lookups, peer_port,
+    replicas::Replicas,
+    shared::Shared,
+    upkeep::Upkeep,
+};
+use crate::{
+    clock::{Clock, unix_ms},
+    in_flight::InFlight,
+    lifecycle::{Phase, PhaseWatch, Readiness},
+    message::{ControlToEngine, ControlToFront, EngineToControl, FrontToControl, Targets},
+    outbox::Outbox,
+    settings::Settings,
+    telemetry::{AdminToControl, Recorder},
+};
+
+/// Time allowed for closing the peer port.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Rings of the control thread.
+pub struct ControlRings {
+    /// From the front.
+    pub from_front: Receiver<FrontToControl>,
+    /// To the front.
+    pub to_front: Sender<ControlToFront>,
+    /// From the engine.
+    pub from_engine: Receiver<EngineToControl>,
+    /// To the engine.
+    pub to_engine: Sender<ControlToEngine>,
+    /// To the upstreams threads.
+    pub to_upstreams: Vec<Sender<Targets>>,
+    /// From the admin port.
+    pub from_admin: Receiver<AdminToControl>,
+}
+
+/// What the control thread needs besides its rings.
+pub struct ControlSetup {
+    /// The daemon's time.
+    pub clock: Clock,
+    /// Settings of the instance.
+    pub settings: Arc<Settings>,
+    /// The bound peer port.
+    pub listener: std::net::TcpListener,
+    /// Whether the instance has what it needs to take requests.
+    pub readiness: Readiness,
+    /// Requests in flight.
+    pub in_flight: InFlight,
+    /// Records for telemetry.
+    pub recorder: Recorder,
+    /// Log.
+    pub log: Logger,
+    /// Phases of the process.
+    pub phase: PhaseWatch,
+}
+
+/// Runs control until the phase [`Phase::Finishing`], and then until no action is in progress. Must
+/// run within a tokio `LocalSet`.
+///
+/// # Errors
+///
+/// Fails when the listener can't be used.
+pub async fn run(setup: ControlSetup, rings: ControlRings) -> io::Result<()> {
+    let ControlSetup { clock, settings, listener, readiness, in_flight, recorder, log, mut phase } =
+        setup;
+    let (engine, front) = (Outbox::new(rings.to_engine), Outbox::new(rings.to_front));
+    let upstreams: Vec<_> = rings.to_upstreams.into_iter().map(Outbox::new).collect();
+    spawn_local(engine.clone().pump());
+    spawn_local(front.clone().pump());
+    upstreams.iter().for_each(|it| drop(spawn_local(it.clone().pump())));
+    let listener = TcpListener::from_std(listener)?;
+    let peer_addr = listener.local_addr()?;
+    info!(log, "the peer port is open"; "addr" => %peer_addr);
+    let shared = Rc::new(Shared {
+        platform: platform_client(&settings),
+        settings,
+        clock,
+        engine,
+        front,
+        upstreams,
+        in_flight,
+        recorder,
+        readiness,
+        log,
+        in_force: RefCell::default(),
+        fleet_size: Cell::new(1),
+    });
+    let replicas = Replicas::new(Rc::clone(&shared));
+    let actions = Actions::new(Rc::clone(&shared));
+    spawn_local(replicas.clone().follow());
+
+    let (inputs_tx, mut inputs) = mpsc::unbounded_channel();
+    let stop_peers = CancellationToken::new();
+    let instance = shared.settings.instance.clone();
+    let port = peer_port::run(listener, instance, inputs_tx.clone(), stop_peers.clone());
+    let mut port = spawn_local(port);
+    let membership = membership_settings(&shared.settings, peer_addr);
+    let mut coordinator =
+        Coordinator::new(Rc::clone(&shared), replicas.clone(), inputs_tx, membership);
+    let mut upkeep = Upkeep::default();
+    let mut upkeep_timer = interval(UPKEEP_INTERVAL);
+    let mut leaving = phase.clone();
+    let mut has_left = false;
+    let ControlRings { mut from_front, mut from_engine, mut from_admin, .. } = rings;
+    let mut finished = pin!(finishing(&mut phase, &actions));
+    coordinator.start();
+    loop {
+        let wakeup = coordinator.next_wakeup().map(|at| clock.instant(at));
+        tokio::select! {
+            Some(message) = from_front.recv() => match message {
+                FrontToControl::Act(request) => actions.start(request),
+                FrontToControl::Lookup(request) => {
+                    spawn_local(lookups::look_up(Rc::clone(&shared), request));
+                }
+            },
+            Some(message) = from_engine.recv() => match message {
+                EngineToControl::Dispatched { dispatch, outcome } => {
+                    actions.dispatched(dispatch, outcome);
+                }
+                EngineToControl::Condemn { service, fingerprint, crashes } => {
+                    let event = quarantine::Event::Condemned { service, fingerprint, crashes };
+                    coordinator.run(Event::Quarantine(event));
+                }
+            },
+            Some(message) = from_admin.recv() => administer(&mut coordinator, message),
+            Some(input) = inputs.recv() => coordinator.input(input),
+            () = sleep_until_some(wakeup) => coordinator.tick(),
+            _ = upkeep_timer.tick() => {
+                coordinator.tick();
+                upkeep.run(&coordinator, &replicas, &actions);
+            }
+            () = leaving.reached(Phase::Unready), if !has_left => {
+                has_left = true;
+                coordinator.leave();
+            }
+            () = &mut finished => break,
+        }
+    }
+    stop_peers.cancel();
+    // A peer that is slow to take its answer must not hold the stop.
+    let _ = timeout(CLOSE_TIMEOUT, &mut port).await;
+    Ok(())
+}
+
+/// Waits until the callers' port is closed and no action is in progress.
+async fn finishing(phase: &mut PhaseWatch, actions: &Actions) {
+    phase.reached(Phase::Finishing).await;
+    actions.finished().await;
+}
+
+fn administer(coordinator: &mut Coordinator, message: AdminToControl) {
+    match message {
+        AdminToControl::List { reply } => {
+            let entries = coordinator.quarantine.entries().iter().cloned().collect();
+            // The operator may hang up before the answer.
+            let _ = reply.send(entries);
+        }
+        AdminToControl::Release { service, fingerprint, reply } => {
+            let key = (service.clone(), fingerprint);
+            let is_held = coordinator.quarantine.entries().get(&key).is_some();
+            if is_held {
+                let event = quarantine::Event::Release { service, fingerprint };
+                coordinator.run(Event::Quarantine(event));
+            }
+            let _ = reply.send(is_held);
+        }
+    }
+}
+
+async fn sleep_until_some(at: Option<std::time::Instant>) {
+    match at {
+        Some(at) => sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn membership_settings(settings: &Settings, addr: SocketAddr) -> membership::Settings {
+    membership::Settings::builder()
+        .instance(settings.instance.clone())
+        // The wall clock grows from start to start, also on a replaced machine.
+        .incarnation(unix_ms())
+        .data_centre(settings.data_centre.clone())
+        .addr(addr)
+        .peers(settings.peers.others.clone())
+        .build()
+}
+
+fn platform_client(settings: &Settings) -> PlatformClient {
+    let platform = &settings.platform;
+    let settings = rosemarybank_platform::Settings::builder()
+        .addr(platform.addr)
+        .maybe_source(settings.source)
+        .seed(fastrand::u64(..))
+        .call_timeout(platform.timeout)
+        .watch_wait(platform.watch_wait)
+        .build();
+    PlatformClient::new(settings)
+}
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -1,6 +1,29 @@
 //! Pure decisions of the query path: routing, hedging, retries, admission and coverage.
 //!
-//! [`interface`] has the events and actions of the engine. The engine performs no I/O and reads no
-//! clock, so the daemon, a property test and a test bench drive the same code.
+//! [`interface`] has the events and actions of the [`Engine`](engine::Engine). The engine performs
+//! no I/O and reads no clock, so the daemon, a property test and a test bench drive the same code.
 
+pub mod engine;
 pub mod interface;
+pub mod settings;
+pub mod views;
+
+mod admission;
+mod attempts;
+mod budget;
+mod choice;
+mod crash;
+mod dispatch;
+mod health;
+mod hedge;
+mod latency;
+mod layout;
+mod merge;
+mod query;
+mod replicas;
+mod segments;
+mod services;
+mod shard;
+mod suspects;
+mod timers;
+mod upstreams;
