coordination: Keep the watcher and status duties of an instance up to date

The daemon asks for the role and the status object after every event, and each question ranked all live instances of the data centre. The choice is now made when a peer changes and kept.

--- a/crates/coordination/src/membership/machine.rs
+++ b/crates/coordination/src/membership/machine.rs
@@ -48,6 +48,9 @@
     last_run: Time,
     next_beat: Time,
     fleet_size: u32,
+    /// Kept because drivers ask after every event, and the choice looks at all peers.
+    role: Role,
+    writes_status: bool,
 }
 
 /// What is known of a peer.
@@ -74,7 +77,7 @@
     #[must_use]
     pub fn new(settings: Settings) -> Machine {
         let names = settings.peers.iter().map(|addr| (*addr, None)).collect();
-        Machine {
+        let mut machine = Machine {
             settings,
             names,
             local: LocalState::default(),
@@ -84,7 +87,11 @@
             last_run: Time::ZERO,
             next_beat: Time::ZERO,
             fleet_size: 0,
-        }
+            role: Role::Follower,
+            writes_status: false,
+        };
+        machine.choose_duties();
+        machine
     }
 
     /// Number of instances that share connections and budgets, this one included.
@@ -112,15 +119,13 @@
     /// Whether this instance watches the store for its data centre.
     #[must_use]
     pub fn role(&self) -> Role {
-        let live = self.live_here();
-        let chosen = config::watchers(&self.settings.data_centre, live);
-        if chosen.contains(&&self.settings.instance) { Role::Watcher } else { Role::Follower }
+        self.role
     }
 
     /// The status object that this instance must keep up to date; `None` when another one does.
     #[must_use]
     pub fn status(&self) -> Option<DataCentreStatus> {
-        if config::status_writer(self.live_here()) != Some(&self.settings.instance) {
+        if !self.writes_status {
             return None;
         }
         let own = self.heartbeat();
@@ -181,6 +186,7 @@
             Event::Leave => {
                 self.leaving = true;
                 self.next_beat = now;
+                self.choose_duties();
             }
             // Only ticks look at all peers: with n peers there are n heartbeats in each interval.
             Event::Tick => {
@@ -226,6 +232,7 @@
         self.peers.insert(from.clone(), Peer { heartbeat, heard: now, phase });
         if changed {
             out.push(Action::PeerChanged { instance: from, incarnation, phase });
+            self.choose_duties();
             self.update_fleet_size(now, out);
         }
     }
@@ -253,6 +260,7 @@
     fn update_phases(&mut self, now: Time, out: &mut Vec<Action>) {
         let suspect = self.allowed_silence(self.settings.suspect_after);
         let dead = self.allowed_silence(self.settings.dead_after);
+        let known = out.len();
         for (instance, peer) in &mut self.peers {
             let silence = now.saturating_sub(peer.heard);
             let phase = match peer.phase {
@@ -266,6 +274,19 @@
                 out.push(Action::PeerChanged { instance, incarnation, phase });
             }
         }
+        if out.len() > known {
+            self.choose_duties();
+        }
+    }
+
+    /// Chooses the watchers and the status writer of this data centre among its live instances.
+    fn choose_duties(&mut self) {
+        let own = &self.settings.instance;
+        let live = self.live_here();
+        let watchers = config::watchers(&self.settings.data_centre, live.iter().copied());
+        let role = if watchers.contains(&own) { Role::Watcher } else { Role::Follower };
+        let writes_status = config::status_writer(live) == Some(own);
+        (self.role, self.writes_status) = (role, writes_status);
     }
 
     /// Time without a heartbeat after which `missed` of them count as missed. Half an interval is
--- a/crates/coordination/tests/prop_membership.rs
+++ b/crates/coordination/tests/prop_membership.rs
@@ -4,7 +4,10 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use rosemarybank_coordination::membership::{Action, Event, Machine, Phase, Settings};
+use rosemarybank_coordination::{
+    config::{Role, status_writer, watchers},
+    membership::{Action, Event, Machine, Phase, Settings},
+};
 use rosemarybank_protocol::{peer::Heartbeat, prelude::*};
 
 const PEERS: usize = 3;
@@ -161,6 +164,13 @@
     fn check_invariants(test: &Membership, account: &Account) {
         assert_eq!(test.machine.fleet_size() as usize, account.fleet_size(), "fleet size");
         assert_eq!(test.announced, test.machine.fleet_size(), "announced size");
+        let live = test.machine.live_here();
+        let own = InstanceId::from("self");
+        assert_eq!(
+            test.machine.role() == Role::Watcher,
+            watchers("north-1", live.iter().copied()).contains(&&own)
+        );
+        assert_eq!(test.machine.status().is_some(), status_writer(live) == Some(&own));
         for i in 0..PEERS {
             let name = format!("peer-{i}");
             let peer = test.machine.peers().find(|(instance, _)| **instance == *name);
@@ -216,7 +226,7 @@
 fn a_leaving_instance_hands_its_duties_over() {
     let (mut machine, mut out) = (Machine::new(settings()), Vec::new());
     machine.handle(Time::ZERO, Event::Start, &mut out);
-    assert_eq!(machine.role(), rosemarybank_coordination::config::Role::Watcher);
+    assert_eq!(machine.role(), Role::Watcher);
     assert!(machine.status().is_some());
     out.clear();
     machine.handle(Time::from_millis(10), Event::Leave, &mut out);
@@ -224,6 +234,6 @@
         matches!(&out[..], [Action::SendHeartbeats { heartbeat, .. }] if heartbeat.leaving),
         "{out:?}"
     );
-    assert_eq!(machine.role(), rosemarybank_coordination::config::Role::Follower);
+    assert_eq!(machine.role(), Role::Follower);
     assert_eq!(machine.status(), None);
 }
