daemon: split the start of the threads, test frozen and killed instances

Cause: the start of all threads was one function of 150 lines; the failure table promises that a frozen instance does not send late and that no claim is taken over. Change: rings, threads and ports of an instance in files of their own, without a change of behaviour. Tests that stop, continue and kill a process in the middle of an action, and a test of a connection that is replaced after a time-out without any byte from the replica. Before: not tested.

--- /dev/null
+++ b/crates/daemon/src/daemon/instance.rs
@@ -0,0 +1,89 @@
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, atomic::AtomicU64, mpsc},
+};
+
+use eyre::{Result, WrapErr};
+use slog::Logger;
+
+use super::{
+    rings::Rings,
+    threads::{Notice, Threads},
+};
+use crate::{
+    clock::Clock,
+    in_flight::InFlight,
+    lifecycle::{Lifecycle, Readiness},
+    settings::Settings,
+};
+
+/// A running instance.
+pub struct Daemon {
+    /// Phases of the process.
+    pub lifecycle: Lifecycle,
+    /// Requests in flight.
+    pub in_flight: InFlight,
+    /// Address of the callers' port.
+    pub callers: SocketAddr,
+    /// Address of the peer port.
+    pub peers: SocketAddr,
+    /// Address of the admin port.
+    pub admin: SocketAddr,
+    /// Number of upstreams threads.
+    pub upstreams_threads: usize,
+    /// The daemon's time.
+    pub clock: Clock,
+}
+
+impl Daemon {
+    /// Binds the ports and starts the threads. Each reports its end to `notices`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port can't be bound or a thread can't be started.
+    pub fn start(
+        settings: Settings,
+        log: &Logger,
+        notices: &mpsc::Sender<Notice>,
+    ) -> Result<Daemon> {
+        let callers = bind(settings.callers.addr, "callers.addr")?;
+        let peers = bind(settings.peers.addr, "peers.addr")?;
+        let admin = bind(settings.admin.addr, "admin.addr")?;
+        let daemon = Daemon {
+            lifecycle: Lifecycle::default(),
+            in_flight: InFlight::default(),
+            callers: callers.local_addr()?,
+            peers: peers.local_addr()?,
+            admin: admin.local_addr()?,
+            upstreams_threads: settings.upstreams.threads as usize,
+            clock: Clock::start(),
+        };
+        let rings = Rings::new(settings.upstreams.threads);
+        let mut threads = Threads {
+            settings: Arc::new(settings),
+            clock: daemon.clock,
+            lifecycle: &daemon.lifecycle,
+            readiness: Readiness::default(),
+            in_flight: daemon.in_flight.clone(),
+            log,
+            notices,
+            records: Vec::new(),
+            dropped: Arc::new(AtomicU64::new(0)),
+        };
+        threads.engine(rings.engine)?;
+        for rings in rings.upstreams {
+            threads.upstreams(rings)?;
+        }
+        threads.control(peers, rings.control)?;
+        threads.front(callers, rings.front)?;
+        threads.telemetry(admin, rings.admin)?;
+        Ok(daemon)
+    }
+}
+
+fn bind(addr: SocketAddr, key: &str) -> Result<TcpListener> {
+    let listener =
+        TcpListener::bind(addr).wrap_err_with(|| format!("{key}: {addr} can't be bound"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins, a bundle and daemons for the tests of the daemon.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod process;
+
 use std::{
     net::{SocketAddr, TcpListener},
     sync::mpsc,
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -3,118 +3,22 @@
 mod common;
 
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    process::{Child, Command, ExitStatus, Stdio},
+    io::Write,
+    net::{TcpListener, TcpStream},
+    process::Command,
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use common::{Bench, TOKEN, eventually, free_addrs, key};
+use common::{
+    Bench, key,
+    process::{Process, read_all},
+};
 use http::Method;
 use rosemarybank_standins::{platform::faults::PlatformFaults, upstream::faults::StandingFaults};
 
 const STOCK: [&str; 4] = ["stock-low-1", "stock-low-2", "stock-high-1", "stock-high-2"];
 
-/// A daemon process with its ports. It is killed when the test ends early.
-struct Process {
-    child: Child,
-    callers: SocketAddr,
-    admin: SocketAddr,
-    _settings: tempfile::NamedTempFile,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It has usually ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Process {
-    fn start(bench: &Bench, peers: &[SocketAddr], grace_ms: u32) -> Process {
-        let addrs = free_addrs(3);
-        let public = bench.key.public_key();
-        let peers: Vec<_> = peers.iter().map(ToString::to_string).collect();
-        let mut settings = tempfile::NamedTempFile::new().unwrap();
-        write!(
-            settings,
-            "instance: entry-1
-data_centre: maun
-callers: {{ addr: {} }}
-peers: {{ addr: {}, others: [{}] }}
-admin: {{ addr: {} }}
-platform: {{ addr: {}, timeout_ms: 500 }}
-trusted_keys: [{{ name: {}, public_key: {} }}]
-stop: {{ grace_ms: {grace_ms} }}
-",
-            addrs[0],
-            addrs[1],
-            peers.join(", "),
-            addrs[2],
-            bench.platform,
-            public.name,
-            public.public_key,
-        )
-        .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_rosemarybankd"))
-            .arg("--settings")
-            .arg(settings.path())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let process = Process { child, callers: addrs[0], admin: addrs[2], _settings: settings };
-        eventually("the process answers", || TcpStream::connect(process.admin).is_ok());
-        eventually("searches are complete", || {
-            let path = "/v1/services/stock/search";
-            let body = r#"{"query":"cherry"}"#;
-            let (status, body) = bench.ask(Method::POST, process.callers, path, &[], body);
-            status == 200 && body["complete"] == true
-        });
-        process
-    }
-
-    fn send(&self, path: &str, headers: &str, body: &str) -> TcpStream {
-        let mut caller = TcpStream::connect(self.callers).unwrap();
-        write!(
-            caller,
-            "POST {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {TOKEN}\r\n{headers}\
-             content-length: {}\r\n\r\n{body}",
-            body.len()
-        )
-        .unwrap();
-        // Lets the request arrive before the stop begins.
-        thread::sleep(Duration::from_millis(100));
-        caller
-    }
-
-    fn search(&self, timeout_ms: u32) -> TcpStream {
-        let body = format!(r#"{{"query":"cherry","timeout_ms":{timeout_ms}}}"#);
-        self.send("/v1/services/stock/search", "", &body)
-    }
-
-    fn signal(&self) {
-        let sent = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
-        assert!(sent.unwrap().success());
-    }
-
-    /// Waits for the end; gives the exit status, the time it took and the log.
-    fn ended(mut self) -> (ExitStatus, Duration, String) {
-        let started = Instant::now();
-        let mut log = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
-        (self.child.wait().unwrap(), started.elapsed(), log)
-    }
-}
-
-fn read_all(mut caller: TcpStream) -> String {
-    let mut text = String::new();
-    // A connection that is cut off gives what came before.
-    let _ = caller.read_to_string(&mut text);
-    text
-}
-
 fn slow(delay_ms: u64) -> StandingFaults {
     StandingFaults { delay_ms, ..StandingFaults::default() }
 }
--- a/crates/transport/tests/upstream.rs
+++ b/crates/transport/tests/upstream.rs
@@ -219,3 +219,25 @@
     timeout(Duration::from_secs(1), serving).await.unwrap().unwrap();
     drop(timeout(Duration::from_secs(2), upstream.accept()).await.unwrap());
 }
+
+/// Guards against a connection through a dead link that takes every later request with it.
+#[tokio::test]
+async fn a_connection_without_any_sign_of_life_is_replaced() {
+    let upstream = Upstream::bind().await;
+    let (pool, _notices) = pool();
+    let target = Target { share: 2, ..upstream.target() };
+    pool.set_targets([target.clone()]);
+    let mut first = upstream.accept().await;
+    // Reads the client's settings, and then nothing more.
+    assert!(timeout(Duration::from_millis(100), first.accept()).await.is_err());
+    sleep(Duration::from_millis(1_100)).await;
+    assert_eq!(act(&pool, &target, 100).await, Outcome::TimedOut);
+    let serving = async {
+        let mut second = timeout(Duration::from_secs(2), upstream.accept()).await.unwrap();
+        let (_req, mut respond) = next(&mut second).await;
+        answer(&mut respond, 200, r#"{"result":"taken"}"#);
+        let _ = timeout(Duration::from_millis(200), drain(second)).await;
+    };
+    let (outcome, ()) = tokio::join!(act(&pool, &target, 2_000), serving);
+    assert!(matches!(outcome, Outcome::Reply(_)), "{outcome:?}");
+}
