standins: Check the coverage of refusals in process tests

Cause: a refusal of an instance that knew no replica stated no missing range, and no process test looked at the coverage of refusals. Change: the tests of lost replicas and of a restart without the store check that refused searches name every key as missing. Before: not checked. Conclusion: untrue coverage in refusals is seen by two process tests.

--- a/crates/standins/tests/process_config.rs
+++ b/crates/standins/tests/process_config.rs
@@ -112,4 +112,16 @@
     site.instances[0].restart().await;
     site.instances[0].ready().await;
     reaches_all(&site, 1).await;
+
+    // The list of replicas is in the store, so an instance may know none of them until it is back.
+    let (status, answer) = site.instances[0].search(r#"{"query":"cherry"}"#).await.unwrap();
+    if status != 200 {
+        let coverage = &answer["coverage"];
+        assert_eq!(answer["error"], "no_replica", "{answer}");
+        assert_eq!(coverage["records_total"]["at_least"], 0, "{answer}");
+        assert_eq!(coverage["missing"][0]["range"]["first"], "0000000000000000", "{answer}");
+        assert_eq!(coverage["missing"][0]["range"]["last"], "ffffffffffffffff", "{answer}");
+    }
+    site.platform.set_faults(PlatformFaults::default()).await;
+    site.instances[0].complete().await;
 }
--- a/crates/standins/tests/process_search.rs
+++ b/crates/standins/tests/process_search.rs
@@ -47,6 +47,11 @@
         assert_eq!(answer["coverage"]["records_covered"], 0, "{answer}");
     } else {
         assert!(status >= 500, "{status} {answer}");
+        assert_eq!(answer["coverage"]["records_covered"], 0, "{answer}");
+        let missing = &answer["coverage"]["missing"];
+        assert_eq!(missing[0]["range"]["first"], "0000000000000000", "{answer}");
+        let last = missing.as_array().and_then(|it| it.last()).expect("ranges are missing");
+        assert_eq!(last["range"]["last"], "ffffffffffffffff", "{answer}");
     }
 }
 
