--- a/crates/standins/tests/process_config.rs
+++ b/crates/standins/tests/process_config.rs
@@ -1,5 +1,7 @@
 //! Roll-outs and outages of the store through real processes.
 
+use std::process::Stdio;
+
 use rosemarybank_standins::{
     fleet::{Signal, Site, site::bundle, until},
     platform::PlatformFaults,
@@ -44,7 +46,8 @@
     for version in 1..=3 {
         let race = [2_000, 3_000].map(|timeout| {
             let mut command = site.roll_out_command(&bundle(timeout + version));
-            command.args(["--expect", &version.to_string()]).spawn().expect("the command runs")
+            command.args(["--expect", &version.to_string()]);
+            command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("the command runs")
         });
         let codes = race.map(|mut it| it.wait().expect("the command is ours").code());
         assert!(codes.contains(&Some(0)) && codes.contains(&Some(CONFLICT)), "{codes:?}");
@@ -109,4 +112,16 @@
     site.instances[0].restart().await;
     site.instances[0].ready().await;
     reaches_all(&site, 1).await;
+
+    // The list of replicas is in the store, so an instance may know none of them until it is back.
+    let (status, answer) = site.instances[0].search(r#"{"query":"cherry"}"#).await.unwrap();
+    if status != 200 {
+        let coverage = &answer["coverage"];
+        assert_eq!(answer["error"], "no_replica", "{answer}");
+        assert_eq!(coverage["records_total"]["at_least"], 0, "{answer}");
+        assert_eq!(coverage["missing"][0]["range"]["first"], "0000000000000000", "{answer}");
+        assert_eq!(coverage["missing"][0]["range"]["last"], "ffffffffffffffff", "{answer}");
+    }
+    site.platform.set_faults(PlatformFaults::default()).await;
+    site.instances[0].complete().await;
 }
