--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -97,7 +97,11 @@
             let orders = watch::Sender::default();
             let service = PlatformService::new(Store::default());
             tokio::spawn(server::serve(listener, orders.subscribe(), service.clone()));
-            (addr, (service, orders), run::start_all(specs(), Network::default(), 1).await.unwrap())
+            (
+                addr,
+                (service, orders),
+                run::start_controlled(specs(), Network::default(), 1).await.unwrap(),
+            )
         });
         let key = KeyPair::generate("ops-1").unwrap();
         let client = HttpClient::http1();
@@ -153,19 +157,39 @@
 
     /// Starts an instance and waits until it is ready.
     pub fn instance(&self) -> Instance {
-        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[], "");
+        let instance = self.unready_instance("entry-1", "127.0.0.1:0", &[]);
         self.await_ready(&instance);
         instance
     }
 
-    /// Starts an instance with further lines of settings.
-    pub fn unready_instance(
+    /// Starts an instance that takes this number of actions at once.
+    pub fn limited_instance(&self, actions: u32) -> Instance {
+        let mut settings = self.settings("entry-1", "127.0.0.1:0", &[], "");
+        settings.callers.actions = actions;
+        let instance = Instance::start(settings);
+        self.await_ready(&instance);
+        instance
+    }
+
+    /// Starts an instance with further settings.
+    pub fn instance_with(&self, extra: &str) -> Instance {
+        let instance = Instance::start(self.settings("entry-1", "127.0.0.1:0", &[], extra));
+        self.await_ready(&instance);
+        instance
+    }
+
+    /// Starts an instance without waiting for it.
+    pub fn unready_instance(&self, name: &str, peer_addr: &str, others: &[SocketAddr]) -> Instance {
+        Instance::start(self.settings(name, peer_addr, others, ""))
+    }
+
+    fn settings(
         &self,
         name: &str,
         peer_addr: &str,
         others: &[SocketAddr],
         extra: &str,
-    ) -> Instance {
+    ) -> settings::Settings {
         let public = self.key.public_key();
         let others: Vec<_> = others.iter().map(ToString::to_string).collect();
         let text = format!(
@@ -183,7 +207,7 @@
             public.name,
             public.public_key,
         );
-        Instance::start(settings::parse(&text).unwrap())
+        settings::parse(&text).unwrap()
     }
 
     /// Waits until the admin port says that the instance is ready, and its replicas are polled.
--- a/crates/query/src/layout.rs
+++ b/crates/query/src/layout.rs
@@ -42,6 +42,11 @@
 }
 
 impl Layout {
+    /// The layout of a service of which no snapshot is known: all keys are missing.
+    pub(crate) fn unserved() -> Layout {
+        Layout::build(0, std::iter::empty(), &BTreeMap::new())
+    }
+
     /// Builds the layout from what the usable replicas hold. `known` has every count reported for
     /// the snapshot, also by replicas that are gone, so that missing ranges can be counted.
     pub(crate) fn build<'a>(
@@ -76,6 +81,11 @@
         Layout { snapshot, segments, is_full }
     }
 
+    pub(crate) fn bytes(&self) -> usize {
+        let keys = self.segments.iter().map(|it| it.replicas.capacity() * size_of::<ReplicaKey>());
+        self.segments.capacity() * size_of::<LayoutSegment>() + keys.sum::<usize>()
+    }
+
     /// Records that are served, as far as they are known, then keys that are served.
     pub(crate) fn extent(&self) -> (u64, u128) {
         let served = self.segments.iter().filter(|it| !it.replicas.is_empty());
@@ -142,7 +152,7 @@
 
 impl Counts {
     fn new(known: &BTreeMap<KeyRange, u64>) -> Counts {
-        let mut edges: HashMap<u128, Vec<(u128, i128)>> = HashMap::new();
+        let mut edges: BTreeMap<u128, Vec<(u128, i128)>> = BTreeMap::new();
         for (range, records) in known {
             let (from, to) = (u128::from(range.first()), u128::from(range.last()) + 1);
             edges.entry(from).or_default().push((to, i128::from(*records)));
--- a/crates/query/src/query.rs
+++ b/crates/query/src/query.rs
@@ -11,14 +11,18 @@
     interface::{Action, QueryId, Refusal, SearchResult, Submission},
     layout::Layout,
     merge::Merge,
-    replicas::ServiceIx,
     segments::{SegmentState, Segments},
+    services::ServiceIx,
     timers::Timer,
 };
 
 /// A query is run again on another snapshot this often at most.
 const MAX_RERUNS: u32 = 2;
 
+/// Shortest time after which a refused caller is asked to come back, so that its retry does not
+/// meet the same queue.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// A search that is not answered yet.
 #[derive(Debug)]
 pub(crate) struct Query {
@@ -46,6 +50,11 @@
         (self.service, self.submission.fingerprint)
     }
 
+    /// Estimated memory, without the layout that all queries of a snapshot share.
+    pub(crate) fn bytes(&self) -> usize {
+        size_of::<Query>() + self.segments.bytes() + self.merge.bytes()
+    }
+
     fn place(&self) -> Place {
         Place {
             service: self.service,
@@ -125,7 +134,7 @@
         if !self.is_configured {
             return Err((ErrorKind::NotReady, None));
         }
-        let service = self.replicas.find_service(&submission.service);
+        let service = self.replicas.services.find(&submission.service);
         let plan = service.and_then(|it| Some((it, self.services.get(&it)?)));
         let Some((service, plan)) = plan else { return Err((ErrorKind::UnknownService, None)) };
         if plan.kind != ServiceKind::Search {
@@ -163,6 +172,7 @@
         self.counters.sheds +=
             u64::from(matches!(kind, ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable));
         let execution = Execution::NotRun;
+        let retry_after = retry_after.map(|it| it.max(MIN_RETRY_AFTER));
         let refusal = Refusal { kind, execution, retry_after, coverage: None };
         out.push(Action::Answer { query, answer: Err(refusal) });
     }
@@ -218,7 +228,7 @@
     fn start(&mut self, now: Time, index: u32, out: &mut Vec<Action>) {
         let query = &mut self.queries[index as usize];
         let layout = self.replicas.choose_layout(query.service);
-        query.layout = layout.unwrap_or_default();
+        query.layout = layout.unwrap_or_else(|| Arc::new(Layout::unserved()));
         query.segments = Segments::new(&query.layout);
         if query.submission.coverage == CoverageMode::Complete && !query.layout.is_full {
             query.segments.give_up_unserved(&query.layout);
--- a/crates/query/src/views.rs
+++ b/crates/query/src/views.rs
@@ -5,7 +5,7 @@
 use rosemarybank_protocol::{prelude::*, upstream::ReplicaState};
 use serde::{Deserialize, Serialize};
 
-use crate::{engine::Engine, latency::from_micros};
+use crate::{attempts::Attempt, engine::Engine, latency::from_micros};
 
 /// Counts since the start of the engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,6 +78,15 @@
     pub until: Time,
 }
 
+/// Estimated memory, from the sizes and capacities of the main tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemoryView {
+    /// Replicas, layouts and upstreams.
+    pub table_bytes: usize,
+    /// Searches in flight with their segments, attempts and hits.
+    pub query_bytes: usize,
+}
+
 impl Engine {
     /// Counts since the start.
     #[must_use]
@@ -85,6 +94,16 @@
         self.counters
     }
 
+    /// Estimated memory. Small maps and the allocator's own overhead are not counted.
+    #[must_use]
+    pub fn memory(&self) -> MemoryView {
+        let queries = self.queries.iter().map(|(_, it)| it.bytes()).sum::<usize>();
+        MemoryView {
+            table_bytes: self.replicas.bytes() + self.upstreams.bytes(),
+            query_bytes: queries + self.attempts.len() * size_of::<(u64, Attempt)>(),
+        }
+    }
+
     /// Number of searches that are not answered yet.
     #[must_use]
     pub fn queries_in_flight(&self) -> usize {
@@ -107,7 +126,7 @@
     #[must_use]
     pub fn quarantined(&self, now: Time) -> Vec<QuarantineView> {
         let views = self.crashes.quarantined(now).map(|((service, fingerprint), until)| {
-            let service = self.replicas.service_name(service).clone();
+            let service = self.replicas.services.name(service).clone();
             QuarantineView { service, fingerprint, until }
         });
         let mut views: Vec<_> = views.collect();
@@ -120,10 +139,11 @@
     /// by name; empty for an unknown service.
     #[must_use]
     pub fn replica_table(&self, service: &str) -> Vec<ReplicaView> {
-        let Some(service) = self.replicas.find_service(service) else { return Vec::new() };
+        let Some(service) = self.replicas.services.find(service) else { return Vec::new() };
         let ledger = self.services.get(&service).and_then(|it| it.ledger);
         let members = ledger.map(|it| self.replicas.members(it).replicas).unwrap_or_default();
-        let mut held: Vec<_> = self.replicas.holders(service).map(|(id, it)| (it, id)).collect();
+        let mut held: Vec<_> =
+            self.replicas.services.holders(service).map(|(id, it)| (it, id)).collect();
         held.sort_unstable();
         let mut keys: Vec<_> = held.iter().map(|it| it.0).chain(members.iter().copied()).collect();
         keys.sort_unstable();
