--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -6,10 +6,12 @@
 pub mod process;
 pub mod site;
 pub mod stand_ins;
+pub mod told;
 pub mod wait;
 
 pub use instance::InstanceProcess;
 pub use process::{Process, Signal};
 pub use site::{Site, TOKEN, new_key};
 pub use stand_ins::{PlatformProcess, UpstreamProcess};
+pub use told::Told;
 pub use wait::until;
--- a/crates/standins/src/fleet/process.rs
+++ b/crates/standins/src/fleet/process.rs
@@ -58,6 +58,11 @@
         assert!(status.expect("kill runs").success(), "kill {name}");
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("the child is ours").is_some()
+    }
+
     /// Waits until the process has ended.
     pub async fn ended(&mut self) -> ExitStatus {
         until("the process ends", async || self.child.try_wait().expect("the child is ours")).await
--- a/crates/standins/tests/process_actions.rs
+++ b/crates/standins/tests/process_actions.rs
@@ -1,7 +1,7 @@
 //! One-time actions through real processes that fail on the way.
 
 use rosemarybank_standins::{
-    fleet::{Signal, Site, new_key, until},
+    fleet::{Signal, Site, Told, new_key, until},
     platform::{LoseReplies, PlatformFaults},
     upstream::StandingFaults,
 };
@@ -12,25 +12,10 @@
     site.ledger.effects().await.iter().filter(|it| it.key == key).count()
 }
 
-/// What a caller was told: done, not run, or unknown.
-fn told(status: u16, answer: &Value) -> &str {
-    let state = answer["outcome"]["state"].as_str().or_else(|| answer["execution"].as_str());
-    match state {
-        Some("done") => "done",
-        Some("not_run") => "not_run",
-        Some("unknown") => "unknown",
-        _ => panic!("neither an outcome nor an error: {status} {answer}"),
-    }
-}
-
 /// Fails unless the effects agree with what the caller was told.
-fn check(told: &str, effects: usize) {
-    let allowed = match told {
-        "done" => 1..=1,
-        "not_run" => 0..=0,
-        _ => 0..=1,
-    };
-    assert!(allowed.contains(&effects), "the caller was told {told} of {effects} effects");
+async fn check(site: &Site, key: &str, answer: &Value) {
+    let (told, effects) = (Told::of(answer), effects(site, key).await);
+    assert!(told.allows(effects), "{effects} effects: {answer}");
 }
 
 /// Lets each action take about 600 ms, so that a test can meet it in progress.
@@ -48,12 +33,12 @@
         let faults = PlatformFaults { lose_replies, ..PlatformFaults::default() };
         site.platform.set_faults(faults).await;
         let key = new_key();
-        let (status, answer) = site.instances[0].submit(&key, "reserve lot 1").await.unwrap();
-        check(told(status, &answer), effects(&site, &key).await);
+        let (_, answer) = site.instances[0].submit(&key, "reserve lot 1").await.unwrap();
+        check(&site, &key, &answer).await;
 
         site.platform.set_faults(PlatformFaults::default()).await;
-        let (status, answer) = site.instances[1].submit(&key, "reserve lot 1").await.unwrap();
-        check(told(status, &answer), effects(&site, &key).await);
+        let (_, answer) = site.instances[1].submit(&key, "reserve lot 1").await.unwrap();
+        check(&site, &key, &answer).await;
     }
 }
 
@@ -72,13 +57,13 @@
         let (first, ()) = tokio::join!(first, killed);
         assert!(first.is_err(), "{first:?}");
     }
-    let (status, answer) = site.instances[1].submit(&key, "reserve lot 2").await.unwrap();
-    assert_eq!(told(status, &answer), "unknown", "{answer}");
+    let (_, answer) = site.instances[1].submit(&key, "reserve lot 2").await.unwrap();
+    assert_eq!(Told::of(&answer), Told::Unknown, "{answer}");
 
     site.instances[0].restart().await;
     site.instances[0].ready().await;
-    let (status, answer) = site.instances[0].submit(&key, "reserve lot 2").await.unwrap();
-    assert_eq!(told(status, &answer), "unknown", "{answer}");
+    let (_, answer) = site.instances[0].submit(&key, "reserve lot 2").await.unwrap();
+    assert_eq!(Told::of(&answer), Told::Unknown, "{answer}");
     assert_eq!(effects(&site, &key).await, 1);
 }
 
@@ -97,18 +82,18 @@
         until("the claim exists", claims).await;
         site.instances[0].process.signal(Signal::Stop);
         site.platform.set_faults(PlatformFaults::default()).await;
-        let (status, answer) = site.instances[1].submit(&key, "reserve lot 3").await.unwrap();
-        check(told(status, &answer), effects(&site, &key).await);
-        assert_ne!(told(status, &answer), "not_run", "{answer}");
+        let (_, answer) = site.instances[1].submit(&key, "reserve lot 3").await.unwrap();
+        check(&site, &key, &answer).await;
+        assert_ne!(Told::of(&answer), Told::NotRun, "{answer}");
         site.instances[0].process.signal(Signal::Cont);
     };
     let (first, ()) = tokio::join!(first, others);
-    let (status, answer) = first.unwrap();
-    check(told(status, &answer), effects(&site, &key).await);
+    let (_, answer) = first.unwrap();
+    check(&site, &key, &answer).await;
     // The caller's 3 s passed while its instance was frozen.
     assert_eq!(effects(&site, &key).await, 0);
-    let (status, answer) = site.instances[1].submit(&key, "reserve lot 3").await.unwrap();
-    check(told(status, &answer), effects(&site, &key).await);
+    let (_, answer) = site.instances[1].submit(&key, "reserve lot 3").await.unwrap();
+    check(&site, &key, &answer).await;
 }
 
 /// Guards against effects of an instance that was frozen while it ran an action and meanwhile saw
@@ -122,13 +107,13 @@
     let others = async {
         until("the action runs", async || (site.ledger.load().await == 1).then_some(())).await;
         site.instances[0].process.signal(Signal::Stop);
-        let (status, answer) = site.instances[1].submit(&key, "reserve lot 4").await.unwrap();
-        assert_eq!(told(status, &answer), "unknown", "{answer}");
+        let (_, answer) = site.instances[1].submit(&key, "reserve lot 4").await.unwrap();
+        assert_eq!(Told::of(&answer), Told::Unknown, "{answer}");
         site.instances[0].process.signal(Signal::Cont);
     };
     let (first, ()) = tokio::join!(first, others);
-    let (status, answer) = first.unwrap();
-    check(told(status, &answer), effects(&site, &key).await);
+    let (_, answer) = first.unwrap();
+    check(&site, &key, &answer).await;
     assert_eq!(effects(&site, &key).await, 1);
 }
 
@@ -138,14 +123,14 @@
     let site = Site::with_instances(1).await;
     site.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() }).await;
     let key = new_key();
-    let (status, answer) = site.instances[0].submit(&key, "reserve lot 5").await.unwrap();
-    assert_eq!(told(status, &answer), "not_run", "{answer}");
+    let (_, answer) = site.instances[0].submit(&key, "reserve lot 5").await.unwrap();
+    assert_eq!(Told::of(&answer), Told::NotRun, "{answer}");
     assert_eq!(effects(&site, &key).await, 0);
 
     site.platform.set_faults(PlatformFaults::default()).await;
     until("the retry is done", async || {
-        let (status, answer) = site.instances[0].submit(&key, "reserve lot 5").await.unwrap();
-        (told(status, &answer) == "done").then_some(())
+        let (_, answer) = site.instances[0].submit(&key, "reserve lot 5").await.unwrap();
+        (Told::of(&answer) == Told::Done).then_some(())
     })
     .await;
     assert_eq!(effects(&site, &key).await, 1);
--- a/crates/standins/tests/process_search.rs
+++ b/crates/standins/tests/process_search.rs
@@ -1,8 +1,11 @@
 //! Searches through real processes.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
-use rosemarybank_protocol::key_range::KeyRange;
+use rosemarybank_protocol::{key_range::KeyRange, platform::InstanceState};
 use rosemarybank_standins::{
     fleet::{
         Signal, Site,
@@ -81,15 +84,32 @@
     assert_eq!(instance.search(QUERY).await.unwrap().1["complete"], true);
 }
 
-/// Guards against new work for replicas that leave, and against answers that suffer from it.
+/// Guards against new work for replicas that drain although the platform's list says that they
+/// live, and against answers that suffer from it.
 #[tokio::test]
 async fn draining_replicas_get_no_new_work() {
     let site = Site::with_instances(2).await;
     site.first.run(Command::Drain).await;
+    first_gets_no_more_work(&site).await;
+}
+
+/// Guards against new work for replicas that the platform's list calls leaving although they say
+/// of themselves that they serve.
+#[tokio::test]
+async fn leaving_replicas_get_no_new_work() {
+    let site = Site::with_instances(2).await;
+    let mut entries = site.first.entries.clone();
+    entries.iter_mut().for_each(|it| it.state = InstanceState::Leaving);
+    site.platform.set_instances(&entries).await;
+    first_gets_no_more_work(&site).await;
+}
+
+async fn first_gets_no_more_work(site: &Site) {
     let search = async |round: usize| {
         let (status, answer) = site.instances[round % 2].search(QUERY).await.unwrap();
         assert_eq!((status, &answer["complete"]), (200, &Value::Bool(true)), "{answer}");
     };
+    let start = Instant::now();
     until("the searches stop asking the leaving replicas", async || {
         let before = site.first.received().await;
         for round in 0..10 {
@@ -98,6 +118,7 @@
         (site.first.received().await == before).then_some(())
     })
     .await;
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
     let before = site.first.received().await;
     for round in 0..40 {
         search(round).await;
