daemon: make a heartbeat cost the same in a large fleet

Cause: each input of the coordinator recomputed the watchers, the status object and the digest of the quarantine, so a heartbeat cost a look at all peers and entries. Ruled out: a cache inside the machines; only the driver knows when it needs the results. Change: the watchers are chosen again when a phase changes, the status object is offered every 250 ms, the digest follows the events that can change it.

--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -48,6 +48,8 @@
     status: StatusWriter,
     watch: Option<Watch>,
     local: LocalState,
+    /// Digest of the quarantine entries held.
+    digest: u64,
     /// Front's part of the bundle in force, while the quarantine is not loaded.
     waiting: Option<Arc<FrontConfig>>,
     refused: Option<Version>,
@@ -79,6 +81,7 @@
             replicas,
             bundles: Bundles::default(),
             local: LocalState::default(),
+            digest: 0,
             waiting: None,
             refused: None,
             queue: VecDeque::new(),
@@ -110,6 +113,8 @@
         self.run(Event::Membership(membership::Event::Tick));
         self.run(Event::Quarantine(quarantine::Event::Tick));
         self.run(Event::Config(config::Event::Tick));
+        // Not at each event: a heartbeat must not cost a look at all peers.
+        self.status.offer(self.membership.status());
     }
 
     /// Announces that this instance is about to stop.
@@ -164,11 +169,11 @@
             }
             self.update_local(now);
         }
-        self.status.offer(self.membership.status());
     }
 
     fn run_membership(&mut self, now: Time, event: membership::Event) {
         let mut out = Vec::new();
+        let mut may_change_role = !matches!(event, membership::Event::Heard { .. });
         self.membership.handle(now, event, &mut out);
         for action in out {
             match action {
@@ -178,6 +183,7 @@
                     }
                 }
                 membership::Action::PeerChanged { instance, incarnation, phase } => {
+                    may_change_role = true;
                     info!(self.shared.log, "a peer changed"; "peer" => %instance,
                         "incarnation" => incarnation, "phase" => ?phase);
                     if matches!(phase, Phase::Dead | Phase::Leaving) {
@@ -192,6 +198,12 @@
                 }
             }
         }
+        if may_change_role {
+            self.update_role();
+        }
+    }
+
+    fn update_role(&mut self) {
         let role = self.membership.role();
         if role != self.role {
             self.role = role;
@@ -226,7 +238,11 @@
 
     fn run_quarantine(&mut self, now: Time, event: quarantine::Event) {
         let mut out = Vec::new();
+        let may_change_entries = !matches!(event, quarantine::Event::PeerDigest { .. });
         self.quarantine.handle(now, event, &mut out);
+        if may_change_entries {
+            self.digest = self.quarantine.entries().digest();
+        }
         for action in out {
             match action {
                 quarantine::Action::LoadStore => {
@@ -260,7 +276,6 @@
                 }
             }
         }
-        self.shared.gauge(Gauge::Quarantined, self.quarantined() as u64);
     }
 
     fn message(&mut self, from: InstanceId, message: PeerMessage) -> PeerMessage {
@@ -381,7 +396,7 @@
         let version = self.shared.in_force.borrow().as_ref().map(|(version, _)| *version);
         let local = LocalState {
             version,
-            quarantine_digest: self.quarantine.entries().digest(),
+            quarantine_digest: self.digest,
             ready: version.is_some() && is_loaded,
         };
         if local != self.local {
--- a/crates/daemon/src/control/upkeep.rs
+++ b/crates/daemon/src/control/upkeep.rs
@@ -2,7 +2,7 @@
 use rosemarybank_platform::CallCounts;
 
 use super::{actions::Actions, coordinator::Coordinator, replicas::Replicas};
-use crate::telemetry::{Counter, PeerStatus, Record, StatusDocument};
+use crate::telemetry::{Counter, Gauge, PeerStatus, Record, StatusDocument};
 
 /// Reports what `/status` and `/metrics` show of the control thread.
 #[derive(Default)]
@@ -34,6 +34,7 @@
         };
         if self.shown.as_ref() != Some(&document) {
             self.shown = Some(document.clone());
+            shared.gauge(Gauge::Quarantined, document.quarantined as u64);
             shared.recorder.record(Record::Status(Box::new(document)));
         }
     }
