Let peers ask for the list of upstream instances

Cause: an instance that restarts while the store is down gets its configuration from its peers but no list of replicas, so it was ready and answered no_replica at once; found in the process tests. Ruled out: keeping such an instance unready for the length of the outage, which loses capacity when instances are replaced during it. Change: messages InstancesFetch and Instances, and the answering side. Also one constant for the history prefix and the list of all reasons of missing ranges, so that the documentation test cannot miss a new one.

--- a/crates/cli/src/rollout/history.rs
+++ b/crates/cli/src/rollout/history.rs
@@ -1,5 +1,8 @@
 use rosemarybank_platform::Change;
-use rosemarybank_protocol::{id::Version, platform::SignedBundle};
+use rosemarybank_protocol::{
+    id::Version,
+    platform::{HISTORY_PREFIX, SignedBundle},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -7,9 +10,6 @@
     store::{ObjectStore, get_json, list_json, to_json},
 };
 
-/// Prefix of the history: `config/log/<version as 20 digits>`.
-const HISTORY_PREFIX: &str = "config/log/";
-
 /// Versions that are kept. Twenty bundles of the largest size are 20 MB in the platform's store.
 pub(crate) const KEPT_VERSIONS: u64 = 20;
 
--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -39,16 +39,8 @@
 /// Guards against reasons that the interface does not explain.
 #[test]
 fn the_interface_lists_every_reason_of_a_missing_range() {
-    let reasons = [
-        MissingReason::NoReplica,
-        MissingReason::Deadline,
-        MissingReason::Shed,
-        MissingReason::Failed,
-        MissingReason::SnapshotRetired,
-        MissingReason::Quarantined,
-    ];
     let document = document("api.md");
-    for reason in reasons {
+    for reason in MissingReason::ALL {
         assert!(document.contains(&format!("\n| `{}` |", word(reason))), "{reason:?}");
     }
 }
--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -297,7 +297,8 @@
                 self.run(Event::Quarantine(quarantine::Event::PeerEntries(entries)));
                 PeerMessage::Ack
             }
-            PeerMessage::Ack => PeerMessage::Ack,
+            PeerMessage::InstancesFetch => PeerMessage::Instances(self.replicas.entries()),
+            PeerMessage::Instances(_) | PeerMessage::Ack => PeerMessage::Ack,
         }
     }
 
--- a/crates/daemon/src/control/replicas.rs
+++ b/crates/daemon/src/control/replicas.rs
@@ -45,7 +45,7 @@
                     continue;
                 }
             }
-            let list: Vec<_> = self.list.borrow().values().cloned().collect();
+            let list = self.entries();
             self.shared.gauge(Gauge::Replicas, list.len() as u64);
             self.shared.engine_event(Event::ReplicaList(list));
             self.connect();
@@ -70,6 +70,11 @@
         }
     }
 
+    /// The list as it was last read; empty before the first.
+    pub(super) fn entries(&self) -> Vec<InstanceEntry> {
+        self.list.borrow().values().cloned().collect()
+    }
+
     /// Number of replicas in the list.
     pub(super) fn len(&self) -> usize {
         self.list.borrow().len()
--- a/crates/protocol/src/action.rs
+++ b/crates/protocol/src/action.rs
@@ -36,7 +36,8 @@
         /// The upstream's reply.
         result: CompactString,
     },
-    /// It has not run, and no attempt that was made for it can still run.
+    /// The request that is answered has not run, and no attempt made for it can still run. An
+    /// earlier request under the same key may have an outcome of its own.
     NotRun {
         /// Why it was not run.
         reason: CompactString,
--- a/crates/protocol/src/coverage.rs
+++ b/crates/protocol/src/coverage.rs
@@ -59,3 +59,15 @@
     /// The request is quarantined because it crashes upstreams.
     Quarantined,
 }
+
+impl MissingReason {
+    /// All reasons, in the order of the documentation.
+    pub const ALL: [MissingReason; 6] = [
+        MissingReason::NoReplica,
+        MissingReason::Deadline,
+        MissingReason::Shed,
+        MissingReason::Failed,
+        MissingReason::SnapshotRetired,
+        MissingReason::Quarantined,
+    ];
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     id::{DataCentre, InstanceId, Version},
-    platform::{QuarantineEntry, SignedBundle},
+    platform::{InstanceEntry, QuarantineEntry, SignedBundle},
 };
 
 /// Version of the peer protocol; a peer with another one is refused.
@@ -41,6 +41,10 @@
     ConfigPush(ConfigUpdate),
     /// Carries quarantine entries.
     QuarantinePush(Vec<QuarantineEntry>),
+    /// Asks for the platform's list of upstream instances, for a start while the store is down.
+    InstancesFetch,
+    /// Answers `InstancesFetch` with the last list that the sender read; empty before the first.
+    Instances(Vec<InstanceEntry>),
     /// Acknowledges a push.
     Ack,
 }
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -13,6 +13,9 @@
 /// Path of the configuration object.
 pub const CONFIG_PATH: &str = "config/current";
 
+/// Prefix of the history of bundles: `config/log/<version as 20 digits>`.
+pub const HISTORY_PREFIX: &str = "config/log/";
+
 /// Prefix of the platform's list of upstream instances.
 pub const INSTANCES_PREFIX: &str = "instances/";
 
