transport: use a connection only after the replica's settings

Cause: with both replicas of a shard down, the stand-in accepts connections and closes them. The h2 handshake of a client ends before the server has sent anything, so requests were written to such connections and reported as disconnected. A replica at its limit of connections behaves in the same way. Ruled out: counting an early end as not sent; the replica may have read the request. Change: a connection is open when the first SETTINGS frame has arrived. This costs one round trip, ahead of use. Conclusion: connections that are closed at once are no crash signs any more. Requests in flight on two replicas that are lost at the same moment still are; that is decided in query.

--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -164,3 +164,26 @@
         })
     });
 }
+
+/// Guards against a stranger or a broken peer that stops an instance by what it sends to the peer
+/// port.
+#[test]
+fn garbage_at_the_peer_port_does_no_harm() {
+    use std::io::{Read, Write};
+    let bench = Bench::start();
+    let instance = bench.instance();
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    let frame_of_16_mb =
+        [&preface[..], &[0xff, 0xff, 0xff, 0, 0, 0, 0, 0, 1], &[7; 4_096]].concat();
+    let parts: [&[u8]; 3] = [b"GET / HTTP/1.1\r\n\r\n", &[0xff; 4_096], &frame_of_16_mb];
+    for bytes in parts {
+        let mut peer = std::net::TcpStream::connect(instance.daemon.peers).unwrap();
+        peer.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
+        // The port may close before everything is sent.
+        let _ = peer.write_all(bytes);
+        let mut buf = [0; 1_024];
+        while matches!(peer.read(&mut buf), Ok(n) if n > 0) {}
+    }
+    assert_eq!(search(&bench, &instance, "cherry").0, 200);
+    assert_eq!(instance.stop(), Ending::Graceful);
+}
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -40,6 +40,10 @@
     assert!(answer.contains(r#""complete":true"#), "{answer}");
     let (status, _, log) = process.ended();
     assert_eq!(status.code(), Some(0), "{log}");
+    for line in log.lines() {
+        let line: serde_json::Value = serde_json::from_str(line).expect("a log line is JSON");
+        assert!(line["msg"].is_string() && line["level"].is_string() && line["ts"].is_u64());
+    }
 }
 
 /// Guards against an action that is lost because its caller hung up before the stop.
--- a/crates/transport/src/upstream/connection.rs
+++ b/crates/transport/src/upstream/connection.rs
@@ -32,7 +32,7 @@
 }
 
 impl Connection {
-    /// Connects and completes the h2 handshake.
+    /// Connects and waits for the settings of the replica.
     pub(super) async fn open(
         addr: SocketAddr,
         settings: PoolSettings,
@@ -52,7 +52,8 @@
                 .map_err(io::Error::other)?;
             io::Result::Ok((requests, driver, log))
         };
-        let (requests, driver, log) = time::timeout(settings.connect_timeout, opening).await??;
+        let opened_by = time::Instant::now() + settings.connect_timeout;
+        let (requests, driver, log) = time::timeout_at(opened_by, opening).await??;
         let ended = Arc::clone(&log);
         tokio::spawn(async move {
             // The streams of the connection learn of its error; the driver has nothing to add.
@@ -60,6 +61,11 @@
             ended.finish();
             on_end();
         });
+        // A replica at its limit of connections, or a dead one behind a live listener, accepts and
+        // closes. A request sent on such a connection would look like one that crashed the replica.
+        if !time::timeout_at(opened_by, log.settled()).await? {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        }
         Ok(Connection { requests, log, opened_at: time::Instant::now() })
     }
 
--- a/crates/transport/src/upstream/frames.rs
+++ b/crates/transport/src/upstream/frames.rs
@@ -22,6 +22,7 @@
 const PREFACE_LEN: usize = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".len();
 const HEADER_LEN: usize = 9;
 const TYPE_HEADERS: u8 = 1;
+const TYPE_SETTINGS: u8 = 4;
 const TYPE_GOAWAY: u8 = 7;
 const STREAM_ID_MASK: u32 = 0x7fff_ffff;
 
@@ -31,8 +32,10 @@
     opened: AtomicU32,
     last_accepted: AtomicU32,
     bytes_read: AtomicU64,
+    settled: AtomicBool,
     finished: AtomicBool,
     going_away: Notify,
+    settled_or_finished: Notify,
 }
 
 impl Default for FrameLog {
@@ -41,8 +44,10 @@
             opened: AtomicU32::new(0),
             last_accepted: AtomicU32::new(u32::MAX),
             bytes_read: AtomicU64::new(0),
+            settled: AtomicBool::new(false),
             finished: AtomicBool::new(false),
             going_away: Notify::new(),
+            settled_or_finished: Notify::new(),
         }
     }
 }
@@ -68,6 +73,19 @@
         }
     }
 
+    /// Waits for the peer's first settings; `false` when the connection ends without them.
+    pub(super) async fn settled(&self) -> bool {
+        loop {
+            if self.settled.load(Ordering::Acquire) {
+                return true;
+            }
+            if self.is_finished() {
+                return false;
+            }
+            self.settled_or_finished.notified().await;
+        }
+    }
+
     /// Number of bytes read from the peer.
     pub(super) fn bytes_read(&self) -> u64 {
         self.bytes_read.load(Ordering::Relaxed)
@@ -76,6 +94,7 @@
     /// Records that the connection has ended and writes nothing more.
     pub(super) fn finish(&self) {
         self.finished.store(true, Ordering::Release);
+        self.settled_or_finished.notify_one();
     }
 
     /// Whether the connection has ended.
@@ -94,6 +113,10 @@
             self.last_accepted.fetch_min(frame.first_word & STREAM_ID_MASK, Ordering::AcqRel);
             self.going_away.notify_one();
         }
+        if frame.kind == TYPE_SETTINGS {
+            self.settled.store(true, Ordering::Release);
+            self.settled_or_finished.notify_one();
+        }
     }
 }
 
--- a/crates/transport/tests/upstream.rs
+++ b/crates/transport/tests/upstream.rs
@@ -152,6 +152,25 @@
     assert_eq!(outcome_when(uncovered, 1_000).await, Outcome::NotSent);
 }
 
+/// Guards against a crash sign for a replica that accepts connections and closes them at once,
+/// as one at its limit of connections does.
+#[tokio::test]
+async fn a_connection_that_is_closed_at_once_is_not_used() {
+    let upstream = Upstream::bind().await;
+    let (pool, _notices) = pool();
+    let target = upstream.target();
+    let closing = tokio::spawn(async move {
+        loop {
+            drop(upstream.listener.accept().await.unwrap());
+        }
+    });
+    for _ in 0..20 {
+        assert_eq!(act(&pool, &target, 1_000).await, Outcome::NotSent);
+        sleep(Duration::from_millis(10)).await;
+    }
+    closing.abort();
+}
+
 /// Guards against requests that wait for an upstream that cannot be reached.
 #[tokio::test]
 async fn an_unreachable_replica_is_reported_at_once() {
