--- a/crates/coordination/src/membership/machine.rs
+++ b/crates/coordination/src/membership/machine.rs
@@ -41,12 +41,16 @@
     settings: Settings,
     local: LocalState,
     leaving: bool,
-    /// One record for each configured address at most.
     peers: BTreeMap<InstanceId, Peer>,
+    /// The configured addresses and the instance last heard from each.
+    names: BTreeMap<SocketAddr, Option<InstanceId>>,
     started: Option<Time>,
     last_run: Time,
     next_beat: Time,
     fleet_size: u32,
+    /// Kept because drivers ask after every event, and the choice looks at all peers.
+    role: Role,
+    writes_status: bool,
 }
 
 /// What is known of a peer.
@@ -60,12 +64,22 @@
     pub phase: Phase,
 }
 
+impl Peer {
+    /// Whether a heartbeat of the given incarnation is out of date. A dead peer may come back with
+    /// a lower one, because its clock can have been set back before it was started again.
+    fn is_newer(&self, incarnation: u64) -> bool {
+        self.phase != Phase::Dead && self.heartbeat.incarnation > incarnation
+    }
+}
+
 impl Machine {
     /// Makes the machine of a starting instance.
     #[must_use]
     pub fn new(settings: Settings) -> Machine {
-        Machine {
+        let names = settings.peers.iter().map(|addr| (*addr, None)).collect();
+        let mut machine = Machine {
             settings,
+            names,
             local: LocalState::default(),
             leaving: false,
             peers: BTreeMap::new(),
@@ -73,7 +87,11 @@
             last_run: Time::ZERO,
             next_beat: Time::ZERO,
             fleet_size: 0,
-        }
+            role: Role::Follower,
+            writes_status: false,
+        };
+        machine.choose_duties();
+        machine
     }
 
     /// Number of instances that share connections and budgets, this one included.
@@ -101,15 +119,13 @@
     /// Whether this instance watches the store for its data centre.
     #[must_use]
     pub fn role(&self) -> Role {
-        let live = self.live_here();
-        let chosen = config::watchers(&self.settings.data_centre, live);
-        if chosen.contains(&&self.settings.instance) { Role::Watcher } else { Role::Follower }
+        self.role
     }
 
     /// The status object that this instance must keep up to date; `None` when another one does.
     #[must_use]
     pub fn status(&self) -> Option<DataCentreStatus> {
-        if config::status_writer(self.live_here()) != Some(&self.settings.instance) {
+        if !self.writes_status {
             return None;
         }
         let own = self.heartbeat();
@@ -149,7 +165,7 @@
     /// Time at which the machine needs a [`Event::Tick`], if any.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Time> {
-        // A phase changes at most half an interval late if it waits for the next heartbeat.
+        // A phase changes at most one interval late when it waits for the next heartbeat.
         self.started.map(|_| self.next_beat)
     }
 
@@ -163,17 +179,22 @@
             Event::Start if self.started.is_none() => {
                 self.started = Some(now);
                 self.next_beat = now;
+                self.update_fleet_size(now, out);
             }
             Event::Heard { from, heartbeat } => self.heard(now, from, heartbeat, out),
             Event::Local(local) => self.local = local,
             Event::Leave => {
                 self.leaving = true;
                 self.next_beat = now;
+                self.choose_duties();
+            }
+            // Only ticks look at all peers: with n peers there are n heartbeats in each interval.
+            Event::Tick => {
+                self.update_phases(now, out);
+                self.update_fleet_size(now, out);
             }
-            Event::Start | Event::Tick => {}
+            Event::Start => {}
         }
-        self.update_phases(now, out);
-        self.update_fleet_size(now, out);
         self.beat_if_due(now, out);
     }
 
@@ -190,7 +211,7 @@
     }
 
     fn heard(&mut self, now: Time, from: InstanceId, beat: Heartbeat, out: &mut Vec<Action>) {
-        if from == self.settings.instance || !self.settings.peers.contains(&beat.addr) {
+        if from == self.settings.instance || !self.names.contains_key(&beat.addr) {
             return;
         }
         let incarnation = beat.incarnation;
@@ -198,18 +219,22 @@
             return;
         }
         let known = self.peers.get(&from);
-        if known.is_some_and(|p| p.heartbeat.incarnation > incarnation) {
+        if known.is_some_and(|p| p.is_newer(incarnation)) {
             return;
         }
         let same = known.filter(|p| p.heartbeat.incarnation == incarnation);
         // A heartbeat from before the announcement can arrive after it.
         let leaving = beat.leaving || same.is_some_and(|p| p.heartbeat.leaving);
         let phase = if leaving { Phase::Leaving } else { Phase::Live };
-        if same.is_none_or(|p| p.phase != phase) {
-            out.push(Action::PeerChanged { instance: from.clone(), incarnation, phase });
-        }
+        let changed = same.is_none_or(|p| p.phase != phase);
         let heartbeat = Heartbeat { leaving, ..beat };
-        self.peers.insert(from, Peer { heartbeat, heard: now, phase });
+        self.names.insert(heartbeat.addr, Some(from.clone()));
+        self.peers.insert(from.clone(), Peer { heartbeat, heard: now, phase });
+        if changed {
+            out.push(Action::PeerChanged { instance: from, incarnation, phase });
+            self.choose_duties();
+            self.update_fleet_size(now, out);
+        }
     }
 
     /// Removes an older instance of another name at the same address. Returns whether the
@@ -221,10 +246,9 @@
         incarnation: u64,
         out: &mut Vec<Action>,
     ) -> bool {
-        let other =
-            |(name, peer): &(&InstanceId, &Peer)| peer.heartbeat.addr == addr && *name != from;
-        let Some((name, peer)) = self.peers.iter().find(other) else { return true };
-        if peer.heartbeat.incarnation >= incarnation {
+        let Some(Some(name)) = self.names.get(&addr) else { return true };
+        let Some(peer) = self.peers.get(name).filter(|_| name != from) else { return true };
+        if peer.heartbeat.incarnation == incarnation || peer.is_newer(incarnation) {
             return false;
         }
         let (instance, incarnation) = (name.clone(), peer.heartbeat.incarnation);
@@ -236,6 +260,7 @@
     fn update_phases(&mut self, now: Time, out: &mut Vec<Action>) {
         let suspect = self.allowed_silence(self.settings.suspect_after);
         let dead = self.allowed_silence(self.settings.dead_after);
+        let known = out.len();
         for (instance, peer) in &mut self.peers {
             let silence = now.saturating_sub(peer.heard);
             let phase = match peer.phase {
@@ -249,6 +274,19 @@
                 out.push(Action::PeerChanged { instance, incarnation, phase });
             }
         }
+        if out.len() > known {
+            self.choose_duties();
+        }
+    }
+
+    /// Chooses the watchers and the status writer of this data centre among its live instances.
+    fn choose_duties(&mut self) {
+        let own = &self.settings.instance;
+        let live = self.live_here();
+        let watchers = config::watchers(&self.settings.data_centre, live.iter().copied());
+        let role = if watchers.contains(&own) { Role::Watcher } else { Role::Follower };
+        let writes_status = config::status_writer(live) == Some(own);
+        (self.role, self.writes_status) = (role, writes_status);
     }
 
     /// Time without a heartbeat after which `missed` of them count as missed. Half an interval is
@@ -262,9 +300,8 @@
         let heard = self.peers.values().filter(|p| p.phase != Phase::Dead).count();
         // Instances that start together would otherwise each take the share of the whole fleet.
         let starting = now < started + self.allowed_silence(self.settings.dead_after);
-        let known = |addr: &&SocketAddr| self.peers.values().any(|p| p.heartbeat.addr == **addr);
         let unheard = match starting {
-            true => self.settings.peers.iter().filter(|addr| !known(addr)).count(),
+            true => self.names.values().filter(|name| name.is_none()).count(),
             false => 0,
         };
         let size = u32::try_from(1 + heard + unheard).unwrap_or(u32::MAX);
--- a/crates/daemon/src/control/replicas.rs
+++ b/crates/daemon/src/control/replicas.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 
 use super::shared::Shared;
-use crate::telemetry::Gauge;
+use crate::{message::upstreams_thread, telemetry::Gauge};
 
 /// The platform's lagging list of replicas. Clones share it.
 #[derive(Clone)]
@@ -45,14 +45,14 @@
                     continue;
                 }
             }
-            let list: Vec<_> = self.list.borrow().values().cloned().collect();
+            let list = self.entries();
             self.shared.gauge(Gauge::Replicas, list.len() as u64);
             self.shared.engine_event(Event::ReplicaList(list));
             self.connect();
         }
     }
 
-    /// Tells the upstreams thread which connections to keep and how many it may hold.
+    /// Tells the upstreams threads which connections to keep and how many it may hold.
     pub(super) fn connect(&self) {
         let shared = &self.shared;
         let target = |it: &InstanceEntry| Target {
@@ -60,7 +60,24 @@
             addr: it.addr,
             share: shared.share_of(shared.cap_of(&it.upstream)),
         };
-        shared.upstreams.send(self.list.borrow().values().map(target).collect());
+        let threads = shared.upstreams.len();
+        let mut targets = vec![Vec::new(); threads];
+        for entry in self.list.borrow().values() {
+            targets[upstreams_thread(&entry.replica, threads)].push(target(entry));
+        }
+        for (ring, targets) in shared.upstreams.iter().zip(targets) {
+            ring.send(targets);
+        }
+    }
+
+    /// The list as it was last read; empty before the first.
+    pub(super) fn entries(&self) -> Vec<InstanceEntry> {
+        self.list.borrow().values().cloned().collect()
+    }
+
+    /// Number of replicas in the list.
+    pub(super) fn len(&self) -> usize {
+        self.list.borrow().len()
     }
 
     fn apply(&self, path: &str, value: Option<&[u8]>) {
