query: check the coverage of refusals in the property test

The check of coverage against the merged replies now applies to refusals as well, and a refusal that claims all records fails.

--- a/crates/query/tests/world/mod.rs
+++ b/crates/query/tests/world/mod.rs
@@ -357,15 +357,8 @@
         assert!(self.open.values().all(|it| it.query != query), "attempts left running");
         match answer {
             Ok(result) => {
-                let missing: Vec<_> = result.coverage.missing.iter().map(|it| it.range).collect();
-                assert!(missing.windows(2).all(|it| it[0].last() < it[1].first()));
-                let covered = KeyRange::ALL.subtract(missing);
                 assert_eq!(check.snapshot, Some(result.snapshot));
-                let merged = check.covered;
-                assert!(KeyRange::are_disjoint(merged.clone()), "keys were merged twice");
-                let mut expected = KeyRange::ALL.subtract(KeyRange::ALL.subtract(merged));
-                expected.sort_unstable();
-                assert_eq!(covered, expected, "coverage differs from what was merged");
+                let covered = covered_keys(&result.coverage, check.covered);
                 let mut all: Vec<_> =
                     covered.iter().flat_map(|it| hits(result.snapshot, *it)).collect();
                 all.sort_by_key(|it| (std::cmp::Reverse(it.score), it.key));
@@ -383,6 +376,10 @@
                 let expected =
                     if check.sends == 0 { Execution::NotRun } else { Execution::Partial };
                 assert_eq!(refusal.execution, expected);
+                if let Some(coverage) = refusal.coverage {
+                    covered_keys(&coverage, check.covered);
+                    assert!(!coverage.is_complete(), "a refusal with all records");
+                }
             }
         }
     }
@@ -396,3 +393,14 @@
     let last = if s + 1 == SHARDS { u64::MAX } else { old.last() + shift };
     KeyRange::new(first, last).unwrap()
 }
+
+/// The keys that are not missing, after a check that they are those of the merged replies.
+fn covered_keys(coverage: &Coverage, merged: Vec<KeyRange>) -> Vec<KeyRange> {
+    let missing: Vec<_> = coverage.missing.iter().map(|it| it.range).collect();
+    assert!(missing.windows(2).all(|it| it[0].last() < it[1].first()));
+    assert!(KeyRange::are_disjoint(merged.clone()), "keys were merged twice");
+    let covered = KeyRange::ALL.subtract(missing);
+    let expected = KeyRange::ALL.subtract(KeyRange::ALL.subtract(merged));
+    assert_eq!(covered, expected, "coverage differs from what was merged");
+    covered
+}
