daemon: wait for every replica before one is taken away in a test

Cause: a_lost_replica_is_replaced_and_used_again failed in one of five runs of the whole suite, at its first search. An instance is ready when one replica of each shard has been polled; under load the second one was not yet known when the first was taken away. Change: the test first waits until all four replicas have replied; its checks are the same. Conclusion: the search was right to be partial; the test began too early.

--- a/crates/daemon/tests/upstreams.rs
+++ b/crates/daemon/tests/upstreams.rs
@@ -58,6 +58,16 @@
 fn a_lost_replica_is_replaced_and_used_again() {
     let bench = Bench::start();
     let instance = bench.instance();
+    // One replica of each shard is enough to be ready; the other may not have been polled yet.
+    let mut next = 1_000;
+    let mut replied = std::collections::HashSet::new();
+    eventually("all four replicas have replied", || {
+        next += 1;
+        search(&bench, &instance, next);
+        let asked = asked(&bench, &instance, next..next + 1);
+        replied.extend(asked.into_iter().filter(|it| it.ends_with(" replied")));
+        replied.len() == 4
+    });
     let down = StandingFaults { down: true, ..StandingFaults::default() };
     bench.upstream_faults(&["stock-high-1"], down);
     for trace in 1..=30 {
