control: Ask peers for the list of replicas while the store is down

Cause: an instance that restarted while the store could not be read got its configuration from peers but no list of replicas, so it was ready and answered no_replica at once. Ruled out: waiting unready for the store, which loses capacity for the length of the outage; choosing the newest list, since lists carry no revision. Change: the pure machine replica_list decides when peers are asked and whether a list is used. The longest list of a peer is used until the store's list is read, which replaces it; a list of the store is never replaced by one of a peer. An instance is ready only once it has known a list that is not empty. The process test accepted no_replica after such a restart. It now requires a complete search, for a store that is down and one that never answers, for all three instances in turn, and the store's list after the outage. Conclusion: a restart during an outage of the store serves complete searches as long as one peer that is asked holds the list.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod key;
 pub mod membership;
 pub mod quarantine;
+pub mod replica_list;
--- /dev/null
+++ b/crates/coordination/src/replica_list.rs
@@ -0,0 +1,148 @@
+//! Where the list of replicas comes from: the store, or peers while the store cannot be read.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rosemarybank_protocol::{platform::InstanceEntry, prelude::*};
+use serde::{Deserialize, Serialize};
+
+use crate::hash;
+
+/// Settings of the machine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, bon::Builder)]
+pub struct Settings {
+    /// Addresses of the other configured instances.
+    pub peers: Vec<SocketAddr>,
+    /// Chooses the first peer that is asked, so that instances which start together ask different
+    /// ones.
+    pub seed: u64,
+    /// Peers asked at once.
+    #[builder(default = 3)]
+    pub peers_per_round: usize,
+    /// Time between two rounds while no list is known.
+    #[builder(default = Duration::from_millis(500))]
+    pub retry_interval: Duration,
+    /// Time between two rounds once a peer has sent a list. A list of 3,900 replicas has about
+    /// 300 KB, so three of them each minute take 15 KB/s of the 22 KB/s of an instance.
+    #[builder(default = Duration::from_secs(60))]
+    pub refresh_interval: Duration,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Event {
+    /// The store's list was read.
+    StoreList,
+    /// The store's list could not be read.
+    StoreUnreachable,
+    /// A peer answered with the list that it holds.
+    PeerList(Vec<InstanceEntry>),
+    /// Time has passed; sent at `next_wakeup`.
+    Tick,
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Action {
+    /// Ask these peers for their lists.
+    AskPeers(Vec<SocketAddr>),
+    /// Use this list until the store's list is read.
+    Use(Vec<InstanceEntry>),
+}
+
+/// Decides whether peers are asked and whether their lists are used.
+///
+/// A list read from the store is never replaced by one of a peer. Of peers' lists the longest is
+/// used: a list carries no revision, and a replica that has gone costs a failed connection, while
+/// a replica that is missing costs coverage.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_coordination::replica_list::{Action, Event, Machine, Settings};
+/// use rosemarybank_protocol::prelude::Time;
+///
+/// let peer = "127.0.0.1:7002".parse().unwrap();
+/// let mut machine = Machine::new(Settings::builder().peers(vec![peer]).seed(1).build());
+/// let mut out = Vec::new();
+/// machine.handle(Time::ZERO, Event::StoreUnreachable, &mut out);
+/// assert_eq!(out, [Action::AskPeers(vec![peer])]);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Machine {
+    settings: Settings,
+    source: Source,
+    /// Index of the peer that is asked next.
+    next_peer: usize,
+    /// Time of the next round; `None` while peers are not needed.
+    next_round: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+enum Source {
+    None,
+    Peer { len: usize },
+    Store,
+}
+
+impl Machine {
+    /// Makes the machine of a starting instance.
+    #[must_use]
+    pub fn new(settings: Settings) -> Machine {
+        let peers = settings.peers.len().max(1) as u64;
+        let next_peer = (hash::mix(settings.seed) % peers) as usize;
+        Machine { settings, source: Source::None, next_peer, next_round: None }
+    }
+
+    /// Time at which the machine needs a [`Event::Tick`], if any.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.next_round
+    }
+
+    /// Takes one event and appends the resulting actions to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::StoreList => {
+                self.source = Source::Store;
+                self.next_round = None;
+            }
+            Event::StoreUnreachable if self.source != Source::Store => {
+                self.next_round.get_or_insert(now);
+            }
+            Event::PeerList(list) => self.on_peer_list(now, list, out),
+            Event::StoreUnreachable | Event::Tick => {}
+        }
+        self.ask_if_due(now, out);
+    }
+
+    fn on_peer_list(&mut self, now: Time, list: Vec<InstanceEntry>, out: &mut Vec<Action>) {
+        let held = match self.source {
+            Source::Store => return,
+            Source::Peer { len } => len,
+            Source::None => 0,
+        };
+        // Without a round there was no question, so the store may still answer first.
+        if self.next_round.is_none() || list.len() <= held {
+            return;
+        }
+        self.source = Source::Peer { len: list.len() };
+        self.next_round = Some(now + self.settings.refresh_interval);
+        out.push(Action::Use(list));
+    }
+
+    fn ask_if_due(&mut self, now: Time, out: &mut Vec<Action>) {
+        let peers = &self.settings.peers;
+        if peers.is_empty() || self.next_round.is_none_or(|at| now < at) {
+            return;
+        }
+        let count = self.settings.peers_per_round.clamp(1, peers.len());
+        let ask = (0..count).map(|it| peers[(self.next_peer + it) % peers.len()]).collect();
+        self.next_peer = (self.next_peer + count) % peers.len();
+        let interval = match self.source {
+            Source::None => self.settings.retry_interval,
+            Source::Peer { .. } | Source::Store => self.settings.refresh_interval,
+        };
+        self.next_round = Some(now + interval);
+        out.push(Action::AskPeers(ask));
+    }
+}
--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -50,7 +50,9 @@
     local: LocalState,
     /// Digest of the quarantine entries held.
     digest: u64,
-    /// Front's part of the bundle in force, while the quarantine is not loaded.
+    /// Whether a list of replicas that is not empty was known at any time since the start.
+    has_replicas: bool,
+    /// Front's part of the bundle in force, until the quarantine and a list of replicas are known.
     waiting: Option<Arc<FrontConfig>>,
     refused: Option<Version>,
     queue: VecDeque<Event>,
@@ -61,7 +63,7 @@
     pub(super) fn new(
         shared: Rc<Shared>,
         replicas: Replicas,
-        inputs: Inputs,
+        (inputs, links): (Inputs, Links),
         membership: membership::Settings,
     ) -> Coordinator {
         let instances = membership.peers.len() as u32 + 1;
@@ -73,7 +75,7 @@
                 quarantine::Settings::builder().unix_ms_at_zero(unix_ms).build(),
             ),
             role: Role::Follower,
-            links: Links::new(Rc::clone(&shared), inputs.clone()),
+            links,
             status: StatusWriter::new(Rc::clone(&shared), inputs.clone()),
             watch: Some(shared.platform.watch(CONFIG_PATH)),
             shared,
@@ -82,6 +84,7 @@
             bundles: Bundles::default(),
             local: LocalState::default(),
             digest: 0,
+            has_replicas: false,
             waiting: None,
             refused: None,
             queue: VecDeque::new(),
@@ -98,7 +101,9 @@
     /// Time at which [`Coordinator::tick`] is needed next.
     pub(super) fn next_wakeup(&self) -> Option<Time> {
         let membership = self.membership.next_wakeup().into_iter();
-        membership.chain(self.config.next_wakeup()).chain(self.quarantine.next_wakeup()).min()
+        let config = self.config.next_wakeup().into_iter();
+        let rest = self.quarantine.next_wakeup().into_iter().chain(self.replicas.next_wakeup());
+        membership.chain(config).chain(rest).min()
     }
 
     /// Number of fingerprints that are refused now.
@@ -110,6 +115,7 @@
 
     /// Lets the machines see that time has passed.
     pub(super) fn tick(&mut self) {
+        self.replicas.tick();
         self.run(Event::Membership(membership::Event::Tick));
         self.run(Event::Quarantine(quarantine::Event::Tick));
         self.run(Event::Config(config::Event::Tick));
@@ -145,6 +151,10 @@
                 let event = bundle.map_or(config::Event::FetchFailed, config::Event::PeerBundle);
                 self.run(Event::Config(event));
             }
+            Input::PeerReplicas { answer: PeerMessage::Instances(list) } => {
+                self.replicas.offer(list);
+            }
+            Input::PeerReplicas { .. } => {}
             Input::StoreRead { event, watch } => {
                 if watch.is_some() {
                     self.watch = watch;
@@ -389,8 +399,10 @@
 
     /// Lets the front take requests when it may, and keeps the heartbeats true.
     fn update_local(&mut self, now: Time) {
-        let is_loaded = self.quarantine.is_loaded(now);
-        if is_loaded && let Some(config) = self.waiting.take() {
+        // Without replicas every search fails at once, so a load balancer would prefer this instance.
+        self.has_replicas |= self.replicas.len() > 0;
+        let has_needs = self.has_replicas && self.quarantine.is_loaded(now);
+        if has_needs && let Some(config) = self.waiting.take() {
             self.shared.front.send(ControlToFront::Config(config));
             self.shared.readiness.set_configured();
         }
@@ -398,7 +410,7 @@
         let local = LocalState {
             version,
             quarantine_digest: self.digest,
-            ready: version.is_some() && is_loaded,
+            ready: version.is_some() && has_needs,
         };
         if local != self.local {
             self.local = local;
--- a/crates/daemon/src/control/input.rs
+++ b/crates/daemon/src/control/input.rs
@@ -26,6 +26,11 @@
         /// Its answer.
         answer: Option<PeerMessage>,
     },
+    /// A peer answered with its list of replicas.
+    PeerReplicas {
+        /// Its answer.
+        answer: PeerMessage,
+    },
     /// A store read of the configuration ended.
     StoreRead {
         /// How it ended.
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -43,6 +43,16 @@
         });
     }
 
+    /// Fetches the list of replicas and reports the answer.
+    pub(super) fn fetch_replicas(&self, from: SocketAddr) {
+        let this = self.clone();
+        spawn_local(async move {
+            if let Some((_, answer)) = this.send(from, PeerMessage::InstancesFetch).await {
+                this.report(Input::PeerReplicas { answer });
+            }
+        });
+    }
+
     /// Sends a message whose answer is of no interest.
     pub(super) fn push(&self, to: SocketAddr, message: PeerMessage) {
         let this = self.clone();
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -24,6 +24,7 @@
     actions::Actions,
     coordinator::{Coordinator, UPKEEP_INTERVAL},
     input::Event,
+    links::Links,
     lookups, peer_port,
     replicas::Replicas,
     shared::Shared,
@@ -109,18 +110,19 @@
         in_force: RefCell::default(),
         fleet_size: Cell::new(1),
     });
-    let replicas = Replicas::new(Rc::clone(&shared));
+    let (inputs_tx, mut inputs) = mpsc::unbounded_channel();
+    let links = Links::new(Rc::clone(&shared), inputs_tx.clone());
+    let replicas = Replicas::new(Rc::clone(&shared), links.clone());
     let actions = Actions::new(Rc::clone(&shared));
     spawn_local(replicas.clone().follow());
 
-    let (inputs_tx, mut inputs) = mpsc::unbounded_channel();
     let stop_peers = CancellationToken::new();
     let instance = shared.settings.instance.clone();
     let port = peer_port::run(listener, instance, inputs_tx.clone(), stop_peers.clone());
     let mut port = spawn_local(port);
     let membership = membership_settings(&shared.settings, peer_addr);
     let mut coordinator =
-        Coordinator::new(Rc::clone(&shared), replicas.clone(), inputs_tx, membership);
+        Coordinator::new(Rc::clone(&shared), replicas.clone(), (inputs_tx, links), membership);
     let mut upkeep = Upkeep::default();
     let mut upkeep_timer = interval(UPKEEP_INTERVAL);
     let mut leaving = phase.clone();
--- a/crates/standins/src/fleet/instance.rs
+++ b/crates/standins/src/fleet/instance.rs
@@ -74,6 +74,11 @@
         self.status().await?["platform_calls"].as_u64()
     }
 
+    /// Replicas in the list that the instance uses, as the admin port states them.
+    pub async fn replicas(&self) -> Option<u64> {
+        self.status().await?["replicas"].as_u64()
+    }
+
     async fn status(&self) -> Option<Value> {
         let reply = self.client.send(Method::GET, self.admin, "/status", &[], "").await.ok()?;
         serde_json::from_slice(reply.body()).ok()
--- a/crates/standins/tests/process_config.rs
+++ b/crates/standins/tests/process_config.rs
@@ -2,6 +2,7 @@
 
 use std::process::Stdio;
 
+use rosemarybank_protocol::platform::InstanceEntry;
 use rosemarybank_standins::{
     fleet::{Signal, Site, site::bundle, until},
     platform::PlatformFaults,
@@ -102,26 +103,37 @@
 }
 
 /// Guards against a restarted instance that needs the store although a majority of its peers knows
-/// the version in force.
+/// the version in force, and against one that is ready without a list of replicas.
 #[tokio::test]
-async fn a_restarted_instance_learns_the_version_from_its_peers() {
+async fn a_restarted_instance_learns_version_and_replicas_from_its_peers() {
     let mut site = Site::with_instances(3).await;
     reaches_all(&site, 1).await;
-    site.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() }).await;
-    site.instances[0].process.signal(Signal::Kill);
-    site.instances[0].restart().await;
-    site.instances[0].ready().await;
-    reaches_all(&site, 1).await;
-
-    // The list of replicas is in the store, so an instance may know none of them until it is back.
-    let (status, answer) = site.instances[0].search(r#"{"query":"cherry"}"#).await.unwrap();
-    if status != 200 {
-        let coverage = &answer["coverage"];
-        assert_eq!(answer["error"], "no_replica", "{answer}");
-        assert_eq!(coverage["records_total"]["at_least"], 0, "{answer}");
-        assert_eq!(coverage["missing"][0]["range"]["first"], "0000000000000000", "{answer}");
-        assert_eq!(coverage["missing"][0]["range"]["last"], "ffffffffffffffff", "{answer}");
+    for faults in [
+        PlatformFaults { down: true, ..PlatformFaults::default() },
+        PlatformFaults { silent: true, ..PlatformFaults::default() },
+    ] {
+        site.platform.set_faults(faults).await;
+        // The last one can also learn from peers that have learned from peers.
+        for number in 0..3 {
+            site.instances[number].process.signal(Signal::Kill);
+            site.instances[number].restart().await;
+            site.instances[number].ready().await;
+            assert_eq!(site.instances[number].version().await, Some(1));
+            let search = r#"{"query":"cherry","coverage":"complete"}"#;
+            let (status, answer) = site.instances[number].search(search).await.unwrap();
+            assert_eq!((status, &answer["complete"]), (200, &true.into()), "{answer}");
+        }
+        // The store's list replaces that of the peers, so a replica that it gained appears.
+        let list = site.platform.list("instances/").await;
+        let mut added: InstanceEntry = serde_json::from_value(list[0].clone()).expect("an entry");
+        added.replica = format!("added-{}", list.len()).into();
+        site.platform.set_instances(&[added]).await;
+        site.platform.set_faults(PlatformFaults::default()).await;
+        for instance in &site.instances {
+            until("the instance follows the store's list", async || {
+                (instance.replicas().await? == list.len() as u64 + 1).then_some(())
+            })
+            .await;
+        }
     }
-    site.platform.set_faults(PlatformFaults::default()).await;
-    site.instances[0].complete().await;
 }
