experiments: Measure stragglers with release binaries on loopback

The new unpublished package starts stand-ins in three data centres and a fleet for each policy, drives them with the load generator, switches faults and prints median, least and greatest value with seed, commit and command, as text, JSON or Markdown. Processes end by their ids when a run ends. The first scenario makes one replica in ten a 20x straggler and measures the onset and the time after it.

Ruled out: counting extra requests by rosemarybank_attempts_total.

--- /dev/null
+++ b/crates/experiments/src/metrics.rs
@@ -0,0 +1,68 @@
+//! Values of an instance's `/metrics`.
+
+use std::net::SocketAddr;
+
+use eyre::{Result, ensure};
+use http::Method;
+use rosemarybank_standins::client::HttpClient;
+
+/// Sum of a metric over its labels; `None` when the text does not hold it.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_experiments::metrics::value;
+///
+/// let text = "calls_total{kind=\"a\"} 3\ncalls_total{kind=\"b\"} 4\n";
+/// assert_eq!(value(text, "calls_total"), Some(7.0));
+/// ```
+#[must_use]
+pub fn value(text: &str, name: &str) -> Option<f64> {
+    let line_value = |line: &str| {
+        let rest = line.strip_prefix(name)?;
+        let rest = if rest.starts_with('{') { rest.rsplit_once('}')?.1 } else { rest };
+        // Another metric may begin with the same name.
+        rest.strip_prefix(' ')?.trim().parse::<f64>().ok()
+    };
+    text.lines().filter_map(line_value).reduce(|a, b| a + b)
+}
+
+/// Metrics of several instances at one moment.
+#[derive(Clone, Debug)]
+pub struct Scrape(Vec<String>);
+
+impl Scrape {
+    /// Wraps the texts of `/metrics`, one for each instance.
+    #[must_use]
+    pub fn new(texts: Vec<String>) -> Scrape {
+        Scrape(texts)
+    }
+
+    /// Reads the metrics of instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an instance does not answer.
+    pub async fn read(client: &HttpClient, admins: &[SocketAddr]) -> Result<Scrape> {
+        let mut texts = Vec::with_capacity(admins.len());
+        for &admin in admins {
+            let reply = client.send(Method::GET, admin, "/metrics", &[], "").await?;
+            ensure!(reply.status().is_success(), "{admin}/metrics: {}", reply.status());
+            texts.push(String::from_utf8_lossy(reply.body()).into_owned());
+        }
+        Ok(Scrape(texts))
+    }
+
+    /// Sum over the instances; `None` when no instance has the metric.
+    #[must_use]
+    pub fn sum(&self, name: &str) -> Option<f64> {
+        self.0.iter().filter_map(|it| value(it, name)).reduce(|a, b| a + b)
+    }
+
+    /// Growth of a counter since an earlier scrape; `None` when it does not exist now.
+    #[must_use]
+    pub fn growth(&self, before: &Scrape, name: &str) -> Option<f64> {
+        // A counter that has not been counted yet is absent.
+        Some(self.sum(name)? - before.sum(name).unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/run.rs
@@ -0,0 +1,151 @@
+//! Runs scenarios and prints their reports.
+
+use std::{
+    path::PathBuf,
+    process::{Command, Stdio},
+    time::Instant,
+};
+
+use eyre::{Context, OptionExt, Result, bail, ensure};
+
+use crate::{
+    flags::Experiments,
+    render::{DOCUMENT_HEAD, markdown, plain},
+    report::Report,
+    scenarios::{NAMES, Outcome, Plan, measure},
+    site::{Files, SiteOptions},
+};
+
+/// Rounds when the command line names none.
+const ROUNDS: u32 = 5;
+
+/// Most rounds and longest measurement, so that a forgotten run ends.
+const MAX_ROUNDS: u32 = 50;
+const MAX_SECONDS: f64 = 60.0;
+
+/// Runs what the command line asks for.
+///
+/// # Errors
+///
+/// Fails when a flag is out of range or a scenario cannot be measured.
+pub async fn main() -> Result<()> {
+    let flags = &Experiments::from_env_or_exit();
+    let names = chosen(&flags.scenario)?;
+    let plan = plan(flags)?;
+    let (commit, machine) = (commit(), machine());
+    let tree = (commit.as_str(), machine.as_str());
+    let (mut reports, mut failed) = (Vec::new(), Vec::new());
+    for name in names {
+        eprintln!("{name}: measuring");
+        let start = Instant::now();
+        match measure(name, &plan).await {
+            Ok(outcome) => reports.push(report(name, flags, &plan, tree, start, outcome)),
+            Err(err) => {
+                // The scenarios after it are measured nevertheless.
+                eprintln!("{name}: {err:#}");
+                failed.push(name);
+            }
+        }
+    }
+    print_reports(flags, &reports)?;
+    ensure!(failed.is_empty(), "not measured: {}", failed.join(", "));
+    Ok(())
+}
+
+/// Scenarios that a name stands for.
+///
+/// # Errors
+///
+/// Fails when there is no such scenario.
+pub fn chosen(name: &str) -> Result<Vec<&'static str>> {
+    let all = NAMES.into_iter();
+    let found: Vec<_> = all.filter(|it| name == "all" || name == *it).collect();
+    if found.is_empty() {
+        bail!("no scenario {name}; there are: all, {}", NAMES.join(", "));
+    }
+    Ok(found)
+}
+
+fn plan(flags: &Experiments) -> Result<Plan> {
+    let rounds = flags.rounds.unwrap_or(ROUNDS);
+    if rounds == 0 || rounds > MAX_ROUNDS {
+        bail!("--rounds is 1 to {MAX_ROUNDS}");
+    }
+    if flags.seconds.is_some_and(|it| !(0.5..=MAX_SECONDS).contains(&it)) {
+        bail!("--seconds is 0.5 to {MAX_SECONDS}");
+    }
+    let bin_dir = match &flags.bin_dir {
+        Some(dir) => dir.canonicalize().wrap_err("find the directory of the binaries")?,
+        None => own_dir()?,
+    };
+    let files = if flags.keep_files { Files::Keep } else { Files::Remove };
+    let site = SiteOptions { bin_dir, files };
+    Ok(Plan { rounds, seconds: flags.seconds, seed: flags.seed.unwrap_or(1), site })
+}
+
+fn own_dir() -> Result<PathBuf> {
+    let exe = std::env::current_exe()?;
+    Ok(exe.parent().ok_or_eyre("the binary lies in a directory")?.to_owned())
+}
+
+fn report(
+    name: &str,
+    flags: &Experiments,
+    plan: &Plan,
+    (commit, machine): (&str, &str),
+    start: Instant,
+    outcome: Outcome,
+) -> Report {
+    let mut command = format!("experiments {name} --rounds {} --seed {}", plan.rounds, plan.seed);
+    if let Some(seconds) = flags.seconds {
+        command.push_str(&format!(" --seconds {seconds}"));
+    }
+    Report {
+        scenario: name.to_owned(),
+        setup: outcome.setup,
+        command,
+        seed: plan.seed,
+        commit: commit.to_owned(),
+        machine: machine.to_owned(),
+        rounds: plan.rounds,
+        took_s: start.elapsed().as_secs_f64(),
+        rows: outcome.samples.rows(),
+        verdicts: outcome.verdicts,
+        limits: outcome.limits,
+    }
+}
+
+fn print_reports(flags: &Experiments, reports: &[Report]) -> Result<()> {
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(reports)?);
+    }
+    if flags.markdown {
+        let sections: String = reports.iter().map(markdown).collect();
+        print!("{DOCUMENT_HEAD}{sections}");
+    }
+    if !flags.json && !flags.markdown {
+        reports.iter().for_each(|it| println!("{}", plain(it)));
+    }
+    Ok(())
+}
+
+/// Cores and load average over the last minute, which tells runs on a busy machine apart.
+fn machine() -> String {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let load = load.split(' ').next().unwrap_or_default();
+    format!("{cores} cores, load average {load} at the start")
+}
+
+/// Commit of the working directory; `unknown` outside of a repository.
+fn commit() -> String {
+    let git = |args: &[&str]| {
+        let output = Command::new("git").args(args).stderr(Stdio::null()).output().ok()?;
+        output.status.success().then(|| String::from_utf8_lossy(&output.stdout).trim().to_owned())
+    };
+    let Some(head) = git(&["rev-parse", "--short=12", "HEAD"]) else { return "unknown".to_owned() };
+    // The page of measurements is written by the run itself.
+    let changes = git(&["status", "--porcelain", "--", "crates", "config", "Cargo.lock"]);
+    let dirty = if changes.is_some_and(|it| it.is_empty()) { "" } else { "-dirty" };
+    format!("{head}{dirty}")
+}
--- /dev/null
+++ b/crates/experiments/src/scenarios/mod.rs
@@ -0,0 +1,6 @@
+//! The scenarios, one file each.
+
+pub mod plan;
+pub mod straggler;
+
+pub use plan::{NAMES, Outcome, Plan, measure};
--- /dev/null
+++ b/crates/experiments/src/site.rs
@@ -0,0 +1,398 @@
+//! A site on loopback: platform, upstream replicas in three data centres, and fleets of instances.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
+
+use eyre::{Context, Result, ensure};
+use http::Method;
+use rosemarybank_protocol::platform::InstanceEntry;
+use rosemarybank_standins::{client::HttpClient, platform::PlatformFaults};
+use serde::Serialize;
+use serde_json::Value;
+use tempfile::TempDir;
+use tokio::process::Command;
+
+use crate::{
+    bundle_text::{BundleOptions, CRITICAL_TOKEN, bundle_text},
+    load::{LoadPlan, LoadResult},
+    metrics::Scrape,
+    process::{Process, find, wait_until},
+    upstreams::{Start, Upstreams},
+    user::User,
+};
+
+/// Seeds between the replicas of two data centres, more than a data centre has replicas.
+const SEEDS_PER_DATA_CENTRE: u64 = 10_000;
+
+/// Routing policy of a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The policy of the product.
+    Adaptive,
+    /// The policy that is kept for comparisons.
+    Baseline,
+}
+
+impl Policy {
+    /// Both policies in the order in which each round measures them.
+    pub const BOTH: [Policy; 2] = [Policy::Adaptive, Policy::Baseline];
+
+    /// Name in settings and reports.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Policy::Adaptive => "adaptive",
+            Policy::Baseline => "baseline",
+        }
+    }
+}
+
+/// An entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// The process.
+    pub process: Process,
+    /// Callers' port.
+    pub callers: SocketAddr,
+    /// Admin port.
+    pub admin: SocketAddr,
+}
+
+/// Instances that know each other.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Policy of all instances.
+    pub policy: Policy,
+    /// The instances.
+    pub instances: Vec<Instance>,
+}
+
+impl Fleet {
+    /// Callers' ports.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|it| it.callers).collect()
+    }
+
+    /// Admin ports.
+    #[must_use]
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|it| it.admin).collect()
+    }
+}
+
+/// Where a fleet's instances are seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// Spread over the data centres, with the delays between them.
+    Spread,
+    /// All in the first data centre, without emulated delays.
+    FirstWithoutDelays,
+}
+
+/// A running site. All its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Site {
+    /// The user.
+    pub user: User,
+    /// Replicas by data centre.
+    pub upstreams: Vec<Upstreams>,
+    /// Client for control calls.
+    pub client: ControlClient,
+    platform: Process,
+    platform_addr: SocketAddr,
+    platform_control: SocketAddr,
+    dir: PathBuf,
+    bin_dir: PathBuf,
+    network: u8,
+    hosts: u8,
+    // Removes the files when the site is dropped, unless they are kept.
+    _dir: Option<TempDir>,
+}
+
+/// HTTP client of the control addresses, with a text form for debugging.
+#[derive(Clone)]
+pub struct ControlClient(pub HttpClient);
+
+impl std::fmt::Debug for ControlClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("ControlClient")
+    }
+}
+
+/// What the sites of a run share.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    /// Directory of the binaries.
+    pub bin_dir: PathBuf,
+    /// Whether files stay after the run.
+    pub files: Files,
+}
+
+/// What becomes of the files of a site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Files {
+    /// They are removed.
+    Remove,
+    /// They stay in the system's directory for temporary files.
+    Keep,
+}
+
+impl Site {
+    /// Starts the platform and the replicas, and rolls the first bundle out.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not become ready.
+    pub async fn start(options: &SiteOptions, user: User, bundle: BundleOptions) -> Result<Site> {
+        let temp = tempfile::tempdir()?;
+        let (dir, temp) = match options.files {
+            Files::Remove => (temp.path().to_owned(), Some(temp)),
+            Files::Keep => (temp.keep(), None),
+        };
+        // 127.16 to 127.127 are used by process tests; the process id tells parallel runs apart.
+        let network = 128 + u8::try_from(std::process::id() % 100).expect("less than 100");
+        let args = ["--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"];
+        let binary = options.bin_dir.join("standin-platform");
+        let mut platform = Process::start(&binary, &args, &dir.join("platform.log"))?;
+        let addrs = platform.listening().await?;
+        let mut site = Site {
+            user,
+            upstreams: Vec::new(),
+            client: ControlClient(HttpClient::http1()),
+            platform,
+            platform_addr: find(&addrs, "platform")?,
+            platform_control: find(&addrs, "control")?,
+            dir,
+            bin_dir: options.bin_dir.clone(),
+            network,
+            hosts: 10,
+            _dir: temp,
+        };
+        site.start_upstreams().await?;
+        site.operate(&["bundle", "keygen", "ops-1"]).await?;
+        site.roll_out(bundle).await?;
+        Ok(site)
+    }
+
+    /// Id of the platform's process.
+    #[must_use]
+    pub fn platform_pid(&self) -> u32 {
+        self.platform.pid()
+    }
+
+    /// Rolls a bundle out without waiting for the instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operators' command fails.
+    pub async fn roll_out(&self, bundle: BundleOptions) -> Result<()> {
+        let text = bundle_text(&self.user, bundle);
+        fs::write(self.dir.join("bundle.yaml"), text)?;
+        self.operate(&["bundle", "roll-out", "bundle.yaml", "--key", "ops-1.key", "--no-wait"])
+            .await
+    }
+
+    /// Starts instances and waits until each answers completely.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an instance does not become ready.
+    pub async fn start_fleet(
+        &mut self,
+        policy: Policy,
+        count: u8,
+        placement: Placement,
+    ) -> Result<Fleet> {
+        let hosts: Vec<_> = (0..count).map(|it| self.hosts + it).collect();
+        self.hosts += count;
+        let mut fleet = Fleet { policy, instances: Vec::new() };
+        let peers: Vec<_> = hosts.iter().map(|&host| self.host(host)).collect();
+        for (number, &ip) in peers.iter().enumerate() {
+            let others = peers.iter().filter(|it| **it != ip).map(|it| format!("\"{it}:7100\""));
+            let others: Vec<_> = others.collect();
+            let name = format!("{}-{}", policy.name(), ip.octets()[3]);
+            let text = self.settings(&name, number, ip, policy, placement, &others.join(", "))?;
+            let settings = self.dir.join(format!("{name}.yaml"));
+            fs::write(&settings, text)?;
+            let args = ["--settings", &settings.to_string_lossy()];
+            let log = self.dir.join(format!("{name}.log"));
+            let process = Process::start(&self.bin_dir.join("rosemarybankd"), &args, &log)?;
+            let (callers, admin) = ((ip, 8080).into(), (ip, 9100).into());
+            fleet.instances.push(Instance { process, callers, admin });
+        }
+        self.await_complete(&fleet).await?;
+        Ok(fleet)
+    }
+
+    /// Waits until each instance answers a search of each service completely.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one does not do so in time.
+    pub async fn await_complete(&self, fleet: &Fleet) -> Result<()> {
+        for instance in &fleet.instances {
+            for (service, _) in &self.user.services {
+                let what = format!("a search of {service} at {} is complete", instance.callers);
+                wait_until(&what, async || self.is_complete(instance, service).await).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Version in force at an instance.
+    pub async fn version(&self, instance: &Instance) -> Option<u64> {
+        let sent = self.client.0.send(Method::GET, instance.admin, "/status", &[], "");
+        let status: Value = serde_json::from_slice(sent.await.ok()?.body()).ok()?;
+        status["version"].as_u64()
+    }
+
+    /// Runs the load generator.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it fails.
+    pub async fn load(&self, plan: &LoadPlan) -> Result<LoadResult> {
+        plan.run(self.command()).await
+    }
+
+    /// Reads the metrics of a fleet, after its telemetry threads have counted the last requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an instance does not answer.
+    pub async fn scrape(&self, fleet: &Fleet) -> Result<Scrape> {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        Scrape::read(&self.client.0, &fleet.admins()).await
+    }
+
+    /// Requests for work that all replicas have received.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process of replicas does not answer.
+    pub async fn received(&self) -> Result<u64> {
+        let mut sum = 0;
+        for upstreams in &self.upstreams {
+            let counters = upstreams.counters(&self.client.0).await?;
+            sum += counters.values().map(|it| it.received).sum::<u64>();
+        }
+        Ok(sum)
+    }
+
+    /// Replaces the faults of the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not take them.
+    pub async fn set_platform_faults(&self, faults: &PlatformFaults) -> Result<()> {
+        self.post("/faults", faults).await
+    }
+
+    /// Changes entries of the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not take them.
+    pub async fn set_instances(&self, entries: &[InstanceEntry]) -> Result<()> {
+        self.post("/instances", &entries).await
+    }
+
+    async fn start_upstreams(&mut self) -> Result<()> {
+        let topology = self.dir.join("topology.json");
+        fs::write(&topology, serde_json::to_vec(&self.user.topology(self.network))?)?;
+        for (name, number) in self.user.data_centres.iter().zip(0..) {
+            let start = Start {
+                binary: self.bin_dir.join("standin-upstream"),
+                dir: self.dir.clone(),
+                topology: topology.clone(),
+                data_centre: (*name).to_owned(),
+                seed: self.user.seed.wrapping_add(SEEDS_PER_DATA_CENTRE * number),
+            };
+            let upstreams = Upstreams::start(start).await?;
+            self.set_instances(&upstreams.entries).await?;
+            self.upstreams.push(upstreams);
+        }
+        Ok(())
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        number: usize,
+        ip: Ipv4Addr,
+        policy: Policy,
+        placement: Placement,
+        others: &str,
+    ) -> Result<String> {
+        let key = fs::read_to_string(self.dir.join("ops-1.pub"))?;
+        let key: Vec<_> = key.lines().collect();
+        let (data_centre, source) = match placement {
+            Placement::Spread => {
+                let index = number % self.user.data_centres.len();
+                let [_, _, host, last] = ip.octets();
+                let octet = u8::try_from(index + 1)?;
+                debug_assert_eq!(host, 0, "instances listen in no data centre's network");
+                let source = Ipv4Addr::new(127, self.network, octet, last);
+                (self.user.data_centres[index], source.to_string())
+            }
+            Placement::FirstWithoutDelays => (self.user.data_centres[0], "null".to_owned()),
+        };
+        Ok(format!(
+            "instance: {name}
+data_centre: {data_centre}
+source: {source}
+callers: {{ addr: \"{ip}:8080\" }}
+peers: {{ addr: \"{ip}:7100\", others: [{others}] }}
+admin: {{ addr: \"{ip}:9100\" }}
+platform: {{ addr: \"{}\" }}
+upstreams: {{ policy: {} }}
+trusted_keys: [{{ {} }}]
+",
+            self.platform_addr,
+            policy.name(),
+            key.join(", "),
+        ))
+    }
+
+    fn host(&self, host: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.network, 0, host)
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(self.bin_dir.join("rosemarybank"));
+        command.current_dir(&self.dir);
+        command.env("ROSEMARYBANK_PLATFORM", self.platform_addr.to_string());
+        command
+    }
+
+    async fn operate(&self, args: &[&str]) -> Result<()> {
+        let output = self.command().args(args).kill_on_drop(true).output().await;
+        let output = output.wrap_err("start the operators' command")?;
+        ensure!(output.status.success(), "{args:?}: {}", String::from_utf8_lossy(&output.stderr));
+        Ok(())
+    }
+
+    async fn is_complete(&self, instance: &Instance, service: &str) -> bool {
+        let path = format!("/v1/services/{service}/search");
+        let token = format!("Bearer {CRITICAL_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        let body = r#"{"query":"walnut"}"#;
+        let sent = self.client.0.send(Method::POST, instance.callers, &path, &headers, body);
+        let Ok(reply) = sent.await else { return false };
+        let body: Value = serde_json::from_slice(reply.body()).unwrap_or_default();
+        reply.status().is_success() && body["complete"] == true
+    }
+
+    async fn post(&self, path: &str, body: &impl Serialize) -> Result<()> {
+        let body = serde_json::to_vec(body)?;
+        let sent = self.client.0.send(Method::POST, self.platform_control, path, &[], body);
+        let reply = sent.await?;
+        ensure!(reply.status().is_success(), "{path}: {:?}", reply.body());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/user.rs
@@ -0,0 +1,101 @@
+//! Sizes of the two users of today.
+
+use std::net::Ipv4Addr;
+
+use rosemarybank_standins::upstream::{
+    ServiceTime, Topology,
+    topology::{DataCentreSpec, DelaySpec, SearchGroup},
+};
+
+/// Port of the first shard of the first service.
+const FIRST_PORT: u16 = 7200;
+
+/// Ports that are kept for each service.
+const PORTS_PER_SERVICE: u16 = 400;
+
+/// Records of each service.
+const RECORDS: u64 = 20_000;
+
+/// A site as one user runs it.
+#[derive(Clone, Debug)]
+pub struct User {
+    /// Name in reports.
+    pub name: &'static str,
+    /// Data centres; the first two are close to each other.
+    pub data_centres: [&'static str; 3],
+    /// One-way delay between the first two data centres and between any other two, in
+    /// milliseconds.
+    pub delays_ms: [u64; 2],
+    /// Search services and their numbers of shards.
+    pub services: Vec<(&'static str, u16)>,
+    /// Service times of the replicas.
+    pub service_time: ServiceTime,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+impl User {
+    /// Kavango: order desk and stock board.
+    #[must_use]
+    pub fn kavango(seed: u64) -> User {
+        User {
+            name: "kavango",
+            data_centres: ["maun", "rundu", "katima"],
+            delays_ms: [4, 12],
+            services: vec![("order-desk", 10), ("stock-board", 15)],
+            service_time: ServiceTime { median_us: 4_000, sigma: 0.5 },
+            seed,
+        }
+    }
+
+    /// Registry: inspector desk and cooperative portal.
+    #[must_use]
+    pub fn registry(seed: u64) -> User {
+        User {
+            name: "registry",
+            data_centres: ["kigali", "huye", "musanze"],
+            delays_ms: [4, 8],
+            services: vec![("inspector-desk", 10), ("cooperative-portal", 15)],
+            ..User::kavango(seed)
+        }
+    }
+
+    /// The first service alone.
+    #[must_use]
+    pub fn first_service(mut self) -> User {
+        self.services.truncate(1);
+        self
+    }
+
+    /// The topology in networks that begin with `127.<network>`.
+    #[must_use]
+    pub fn topology(&self, network: u8) -> Topology {
+        let [a, b, c] = self.data_centres;
+        let delay =
+            |a: &str, b: &str, one_way_ms| DelaySpec { between: (a.into(), b.into()), one_way_ms };
+        let [near, far] = self.delays_ms;
+        let searches =
+            self.services.iter().zip(0..).map(|(&(service, shards), number)| SearchGroup {
+                service: service.into(),
+                shards,
+                port: FIRST_PORT + PORTS_PER_SERVICE * number,
+                snapshot: 1,
+                records: RECORDS,
+                slots: 2,
+                queue: 4,
+                connections: 25,
+                connect_ms: 6,
+                service_time: self.service_time,
+            });
+        let data_centres = self.data_centres.iter().zip(1..).map(|(&name, number)| {
+            DataCentreSpec { name: name.into(), network: Ipv4Addr::new(127, network, number, 0) }
+        });
+        Topology {
+            seed: self.seed,
+            data_centres: data_centres.collect(),
+            delays: vec![delay(a, b, near), delay(a, c, far), delay(b, c, far)],
+            searches: searches.collect(),
+            ledgers: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiments/tests/statistics.rs
@@ -0,0 +1,99 @@
+//! Statistics, parsers, verdicts and the arithmetic of scenarios.
+
+use std::time::Duration;
+
+use rosemarybank_experiments::{
+    bundle_text::{BundleOptions, bundle_text},
+    metrics::{Scrape, value},
+    proc_stat::{parse_processor_time, parse_resident_bytes},
+    render::{number, verdict_line},
+    report::{Bound, Samples, Verdict},
+    scenarios::straggler::stragglers,
+    statistics::Spread,
+    user::User,
+};
+
+/// Guards against a median that depends on the order of the values or takes a failed value in.
+#[test]
+fn the_spread_ignores_order_and_missing_values() {
+    let spread = Spread::of(&[4.0, f64::NAN, 1.0, 3.0, 2.0]).unwrap();
+    assert_eq!((spread.median, spread.min, spread.max, spread.count), (2.5, 1.0, 4.0, 4));
+    assert_eq!(Spread::of(&[f64::NAN]), None);
+}
+
+/// Guards against metrics with a common prefix or with braces in labels that are read as one.
+#[test]
+fn metrics_are_summed_over_labels_only() {
+    let text = "# TYPE a_total counter\na_total{s=\"x}y\"} 3\na_total{s=\"z\"} 4\na_total_b 9\n";
+    assert_eq!(value(text, "a_total"), Some(7.0));
+    assert_eq!(value(text, "c_total"), None);
+}
+
+/// Guards against a missing counter that is reported as no growth.
+#[test]
+fn growth_of_a_missing_counter_is_no_value() {
+    let scrape = |text: &str| Scrape::new(vec![text.to_owned(), "a 1\n".to_owned()]);
+    let (before, after) = (scrape("b 2\n"), scrape("a 4\nb 7\n"));
+    assert_eq!(after.growth(&before, "a"), Some(4.0));
+    assert_eq!(after.growth(&before, "b"), Some(5.0));
+    assert_eq!(after.growth(&before, "c"), None);
+}
+
+/// Guards against names of processes that shift the fields.
+#[test]
+fn processor_time_is_found_after_any_name() {
+    let text = "17 (a b) c) S 1 1 1 0 -1 4194304 100 0 0 0 250 50 0 0 20 0 1 0 1 1 1";
+    assert_eq!(parse_processor_time(text), Some(Duration::from_secs(3)));
+    assert_eq!(parse_processor_time("17 (a) S 1"), None);
+    assert_eq!(parse_resident_bytes("VmPeak:\t 9 kB\nVmRSS:\t  12 kB\n"), Some(12_288));
+}
+
+/// Guards against a target that counts as met without a measurement or at the wrong side.
+#[test]
+fn a_verdict_needs_a_value_within_the_bound() {
+    let met = |value, bound| Verdict::new("t", value, bound, 1.5).met;
+    assert!(met(Some(1.5), Bound::AtMost) && !met(Some(1.6), Bound::AtMost));
+    assert!(met(Some(1.5), Bound::AtLeast) && !met(Some(1.4), Bound::AtLeast));
+    assert!(!met(None, Bound::AtMost) && !met(Some(f64::NAN), Bound::AtLeast));
+    let line = verdict_line(&Verdict::new("ratio", Some(2.0), Bound::AtMost, 1.5));
+    assert_eq!(line, "**missed**: ratio: 2.000, target at most 1.500");
+    assert_eq!((number(1234.5), number(0.0123)), ("1234".to_owned(), "0.012".to_owned()));
+}
+
+/// Guards against values of one case that are mixed into another.
+#[test]
+fn samples_are_kept_by_case_and_measure() {
+    let mut samples = Samples::default();
+    samples.add("a", "ms", 1.0);
+    samples.add("b", "ms", 9.0);
+    samples.add("a", "ms", 3.0);
+    assert_eq!(samples.median("a", "ms"), Some(2.0));
+    assert_eq!(samples.median("a", "%"), None);
+    assert_eq!(samples.rows().len(), 2);
+}
+
+/// Guards against a scenario in which a shard loses more than one of its replicas to stragglers.
+#[test]
+fn one_replica_in_ten_is_a_straggler_and_no_shard_has_two() {
+    for round in 0..10 {
+        let chosen: Vec<_> = (0..3).flat_map(|it| stragglers(25, it, round)).collect();
+        let mut shards = chosen.clone();
+        shards.sort_unstable();
+        shards.dedup();
+        assert!((7..=8).contains(&chosen.len()), "{chosen:?}");
+        assert_eq!(shards.len(), chosen.len(), "{chosen:?}");
+    }
+}
+
+/// Guards against bundles and topologies that name different shards.
+#[test]
+fn the_bundle_names_the_upstreams_of_the_topology() {
+    for user in [User::kavango(1), User::registry(1)] {
+        let text = bundle_text(&user, BundleOptions::default());
+        let replicas = user.topology(130).replicas();
+        assert_eq!(replicas.len(), 75);
+        for replica in replicas {
+            assert!(text.contains(&format!("name: {},", replica.upstream)), "{text}");
+        }
+    }
+}
