experiments: Measure twice the peak load

Nothing measured whether callers of the highest precedence keep their answers under overload.

Service times of 20 ms make the replicas' slots the limit and not the machine's cores.

--- /dev/null
+++ b/crates/experiments/src/scenarios/overload.rs
@@ -0,0 +1,150 @@
+//! Twice the load of the peak goodput.
+
+use eyre::Result;
+use rosemarybank_standins::upstream::ServiceTime;
+
+use super::{Outcome, Plan};
+use crate::{
+    bundle_text::{BundleOptions, LOW_TOKEN},
+    load::{Figures, LoadPlan},
+    report::{Bound, Samples, Verdict},
+    site::{Fleet, Placement, Policy, Site},
+    user::User,
+};
+
+/// Length of one measurement in seconds. Steps of the sweep are as long, because answers to the
+/// last requests arrive after the measurement and raise the goodput of a short one by more.
+const SECONDS: f64 = 3.0;
+
+/// Requests per second that the slots can serve: 6 slots for each shard, 22.7 ms on average.
+const CAPACITY: f64 = 265.0;
+
+/// Steps of the sweep as shares of the capacity.
+const SWEEP: [f64; 5] = [0.6, 0.8, 1.0, 1.2, 1.4];
+
+/// Share of the requests that come from the caller of the highest precedence.
+const CRITICAL_SHARE: f64 = 0.1;
+
+/// Entry instances of each fleet, one in each data centre.
+const INSTANCES: u8 = 3;
+
+const COMPLETE: &str = "top precedence: complete in time %";
+const PER_REQUEST: &str = "upstream requests per caller request and shard";
+const OF_PEAK: &str = "goodput, % of peak";
+
+/// Measures the order desk.
+///
+/// # Errors
+///
+/// Fails when a process does not do what it should.
+pub async fn measure(plan: &Plan) -> Result<Outcome> {
+    // Replicas that are slow enough make their slots the limit, and not this machine's cores.
+    let service_time = ServiceTime { median_us: 20_000, sigma: 0.5 };
+    let user = User { service_time, ..User::kavango(plan.seed).first_service() };
+    let mut site = Site::start(&plan.site, user, BundleOptions::default()).await?;
+    let mut fleets = Vec::new();
+    for policy in Policy::BOTH {
+        fleets.push(site.start_fleet(policy, INSTANCES, Placement::Spread).await?);
+    }
+    let mut samples = Samples::default();
+    let peaks = sweep(plan, &site, &fleets, &mut samples).await?;
+    for round in 0..plan.rounds {
+        for (fleet, &peak) in fleets.iter().zip(&peaks) {
+            overload(plan, &site, fleet, peak, round, &mut samples).await?;
+        }
+    }
+    let median = |measure| samples.median(&case(Policy::Adaptive), measure);
+    let verdicts = vec![
+        Verdict::new("top precedence, complete in time, %", median(COMPLETE), Bound::AtLeast, 99.0),
+        Verdict::new(PER_REQUEST, median(PER_REQUEST), Bound::AtMost, 1.1),
+        Verdict::new(OF_PEAK, median(OF_PEAK), Bound::AtLeast, 90.0),
+    ];
+    Ok(Outcome {
+        setup: format!(
+            "Order desk of 10 shards x 3 replicas with 2 slots and a median service time of 20 \
+             ms; {INSTANCES} entry instances for each policy. A sweep finds each policy's peak \
+             goodput (complete answers within 800 ms per second). Then twice that rate is \
+             offered, 10% of it by the caller of the highest precedence and the rest by the \
+             lowest."
+        ),
+        samples,
+        verdicts,
+        limits: "The peak is the best step of a short sweep, so the share of the peak carries \
+                 that step's error. Answers that are partial do not count as goodput. Upstream \
+                 requests are those that the replicas received."
+            .to_owned(),
+    })
+}
+
+/// The peak goodput of each fleet.
+async fn sweep(
+    plan: &Plan,
+    site: &Site,
+    fleets: &[Fleet],
+    samples: &mut Samples,
+) -> Result<Vec<f64>> {
+    let seconds = plan.seconds_or(SECONDS);
+    let mut peaks = vec![0.0; fleets.len()];
+    for (step, share) in SWEEP.into_iter().enumerate() {
+        for (fleet, peak) in fleets.iter().zip(&mut peaks) {
+            let (rate, seed) = (share * CAPACITY, plan.seed + step as u64);
+            let load = LoadPlan::new(fleet, "order-desk", rate, seconds, seed);
+            let result = site.load(&load).await?;
+            let goodput = result.first()?.goodput(seconds);
+            let case = format!("{}, sweep", fleet.policy.name());
+            samples.add(&case, &format!("goodput/s at {rate:.0}/s"), goodput);
+            *peak = f64::max(*peak, goodput);
+        }
+    }
+    Ok(peaks)
+}
+
+async fn overload(
+    plan: &Plan,
+    site: &Site,
+    fleet: &Fleet,
+    peak: f64,
+    round: u32,
+    samples: &mut Samples,
+) -> Result<()> {
+    let (seconds, rate) = (plan.seconds_or(SECONDS), 2.0 * peak);
+    let seed = plan.seed_of(round);
+    let critical = rate * CRITICAL_SHARE;
+    let high = LoadPlan::new(fleet, "order-desk", critical, seconds, seed);
+    let low = LoadPlan::new(fleet, "order-desk", rate - critical, seconds, seed + 1);
+    let low = LoadPlan { token: LOW_TOKEN, ..low };
+    let warm_up = (high.warm_up_requests() + low.warm_up_requests()) as f64;
+    let before = site.received().await?;
+    let (high, low) = tokio::join!(site.load(&high), site.load(&low));
+    let received = site.received().await? - before;
+    let (high, low) = (high?, low?);
+    let (high, low) = (high.first()?, low.first()?);
+    let case = case(fleet.policy);
+    let due = (high.requests + low.requests) as f64;
+    let answered = (high.answered() + low.answered()) as f64 + warm_up;
+    let shards = f64::from(site.user.services[0].1);
+    let goodput = high.goodput(seconds) + low.goodput(seconds);
+    samples.add(&case, "offered/s", due / seconds);
+    samples.add(&case, COMPLETE, 100.0 * high.complete_share);
+    samples.add(&case, "top precedence: p99 ms", high.p99_ms);
+    samples.add(&case, "lowest precedence: complete in time %", 100.0 * low.complete_share);
+    samples.add(&case, PER_REQUEST, received as f64 / shards / (due + warm_up));
+    let per_answer = "upstream requests per answered request and shard";
+    samples.add(&case, per_answer, received as f64 / shards / answered.max(1.0));
+    samples.add(&case, "goodput/s", goodput);
+    samples.add(&case, OF_PEAK, 100.0 * goodput / peak.max(1.0));
+    add_errors(&case, "top precedence", high, samples);
+    add_errors(&case, "lowest precedence", low, samples);
+    Ok(())
+}
+
+fn add_errors(case: &str, caller: &str, figures: &Figures, samples: &mut Samples) {
+    for (kind, &count) in &figures.errors {
+        let share = 100.0 * count as f64 / figures.requests as f64;
+        samples.add(case, &format!("{caller}: {kind} %"), share);
+    }
+}
+
+fn case(policy: Policy) -> String {
+    format!("{}, 2x peak", policy.name())
+}
--- a/crates/experiments/src/scenarios/plan.rs
+++ b/crates/experiments/src/scenarios/plan.rs
@@ -2,14 +2,14 @@
 
 use eyre::{Result, bail};
 
-use super::straggler;
+use super::{overload, straggler};
 use crate::{
     report::{Samples, Verdict},
     site::SiteOptions,
 };
 
 /// Names of the scenarios in the order in which `all` measures them.
-pub const NAMES: [&str; 1] = ["straggler"];
+pub const NAMES: [&str; 2] = ["straggler", "overload"];
 
 /// How a scenario is measured.
 #[derive(Clone, Debug)]
@@ -59,6 +59,7 @@
 pub async fn measure(name: &str, plan: &Plan) -> Result<Outcome> {
     match name {
         "straggler" => straggler::measure(plan).await,
+        "overload" => overload::measure(plan).await,
         _ => bail!("no scenario {name}"),
     }
 }
