experiments: Measure the cost of the tier

Compares an instance with a client that asks the replicas itself, in alternating rounds of the load generator, and reads processor time and resident memory of the daemon from the kernel's process files, with 30, 150 and 660 replicas. All replicas are listed as local, or the tier would use a third of the replicas that the direct client uses.

Late replies look like overload to the adaptive admission, so fewer queries are in flight than are offered; the share of answers is therefore reported beside the memory.

--- a/crates/experiments/src/scenarios/mod.rs
+++ b/crates/experiments/src/scenarios/mod.rs
@@ -1,5 +1,6 @@
 //! The scenarios, one file each.
 
+pub mod added_latency;
 pub mod lost_data_centre;
 pub mod overload;
 pub mod plan;
--- a/crates/experiments/src/scenarios/plan.rs
+++ b/crates/experiments/src/scenarios/plan.rs
@@ -2,14 +2,14 @@
 
 use eyre::{Result, bail};
 
-use super::{lost_data_centre, overload, straggler};
+use super::{added_latency, lost_data_centre, overload, straggler};
 use crate::{
     report::{Samples, Verdict},
     site::SiteOptions,
 };
 
 /// Names of the scenarios in the order in which `all` measures them.
-pub const NAMES: [&str; 3] = ["straggler", "overload", "lost-data-centre"];
+pub const NAMES: [&str; 4] = ["straggler", "overload", "lost-data-centre", "added-latency"];
 
 /// How a scenario is measured.
 #[derive(Clone, Debug)]
@@ -61,6 +61,7 @@
         "straggler" => straggler::measure(plan).await,
         "overload" => overload::measure(plan).await,
         "lost-data-centre" => lost_data_centre::measure(plan).await,
+        "added-latency" => added_latency::measure(plan).await,
         _ => bail!("no scenario {name}"),
     }
 }
