experiments: Measure control work and roll-outs

Reads platform calls, peer messages and processor time of idle fleets of 2, 4 and 8 instances and the time from a roll-out until the last instance reports the new version.

--- a/crates/experiments/src/scenarios/mod.rs
+++ b/crates/experiments/src/scenarios/mod.rs
@@ -1,6 +1,7 @@
 //! The scenarios, one file each.
 
 pub mod added_latency;
+pub mod control;
 pub mod lost_data_centre;
 pub mod overload;
 pub mod plan;
--- a/crates/experiments/src/scenarios/plan.rs
+++ b/crates/experiments/src/scenarios/plan.rs
@@ -2,14 +2,15 @@
 
 use eyre::{Result, bail};
 
-use super::{added_latency, lost_data_centre, overload, straggler};
+use super::{added_latency, control, lost_data_centre, overload, straggler};
 use crate::{
     report::{Samples, Verdict},
     site::SiteOptions,
 };
 
 /// Names of the scenarios in the order in which `all` measures them.
-pub const NAMES: [&str; 4] = ["straggler", "overload", "lost-data-centre", "added-latency"];
+pub const NAMES: [&str; 5] =
+    ["straggler", "overload", "lost-data-centre", "added-latency", "control"];
 
 /// How a scenario is measured.
 #[derive(Clone, Debug)]
@@ -62,6 +63,7 @@
         "overload" => overload::measure(plan).await,
         "lost-data-centre" => lost_data_centre::measure(plan).await,
         "added-latency" => added_latency::measure(plan).await,
+        "control" => control::measure(plan).await,
         _ => bail!("no scenario {name}"),
     }
 }
