--- a/crates/experiments/src/flags.rs
+++ b/crates/experiments/src/flags.rs
@@ -8,7 +8,8 @@
     /// The release binaries must have been built:
     /// `cargo build --release --locked --workspace --bins`.
     cmd experiments {
-        /// `all`, or one of `straggler`, `overload`, `lost-data-centre`, `added-latency`, `control`.
+        /// `all`, or one of `straggler`, `overload`, `lost-data-centre`, `added-latency`, `control`
+        /// and `drain`.
         required scenario: String
         /// Rounds, each with both policies; 5 if absent.
         optional --rounds rounds: u32
--- a/crates/experiments/src/scenarios/mod.rs
+++ b/crates/experiments/src/scenarios/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod added_latency;
 pub mod control;
+pub mod drain;
 pub mod lost_data_centre;
 pub mod overload;
 pub mod plan;
--- a/crates/experiments/src/scenarios/plan.rs
+++ b/crates/experiments/src/scenarios/plan.rs
@@ -2,15 +2,15 @@
 
 use eyre::{Result, bail};
 
-use super::{added_latency, control, lost_data_centre, overload, straggler};
+use super::{added_latency, control, drain, lost_data_centre, overload, straggler};
 use crate::{
     report::{Samples, Verdict},
     site::SiteOptions,
 };
 
 /// Names of the scenarios in the order in which `all` measures them.
-pub const NAMES: [&str; 5] =
-    ["straggler", "overload", "lost-data-centre", "added-latency", "control"];
+pub const NAMES: [&str; 6] =
+    ["straggler", "overload", "lost-data-centre", "added-latency", "control", "drain"];
 
 /// How a scenario is measured.
 #[derive(Clone, Debug)]
@@ -64,6 +64,7 @@
         "lost-data-centre" => lost_data_centre::measure(plan).await,
         "added-latency" => added_latency::measure(plan).await,
         "control" => control::measure(plan).await,
+        "drain" => drain::measure(plan).await,
         _ => bail!("no scenario {name}"),
     }
 }
