coordination: Delete claims 48 h after the time in their key

Cause: nothing deleted claims, so the store would grow for ever. Ruled out: deletion by the owner of a claim, because instances are replaced; a list of all claims at once, which 26 million of them (150/s for 48 h) do not allow; a stored position, which is one more object and write. Change: the pure machine collect walks the claims of each caller in slots of 65.536 s by the first 8 digits of their keys and deletes, on the listed entity tag, those whose key is at least 48 h old. One collector of the fleet is chosen by rendezvous hash over the live members. The daemon runs it in a task of the control thread with the counters claims_deleted_total and claims_unreadable_total. Before: claims stay. Without the check of the age it fails with "a claim of 0 ms is deleted", without the least time between deletions with "over the rate". Tests of rosemarybank-coordination, -daemon and -standins pass. Claims of callers that left the bundle, and claims that no collector reached for 7 days, stay.

--- a/crates/coordination/src/key.rs
+++ b/crates/coordination/src/key.rs
@@ -54,6 +54,18 @@
 /// assert_eq!(check(key, 1_704_067_200_000 + 90_000_000), Err(KeyError::TooOld));
 /// ```
 pub fn check(text: &str, now_unix_ms: u64) -> Result<u64, KeyError> {
+    let created = created_ms(text)?;
+    if created.saturating_add(MAX_AGE_MS) < now_unix_ms {
+        return Err(KeyError::TooOld);
+    }
+    if created > now_unix_ms.saturating_add(MAX_FUTURE_MS) {
+        return Err(KeyError::InFuture);
+    }
+    Ok(created)
+}
+
+/// Timestamp of a key in milliseconds since the Unix epoch, whatever its age.
+pub(crate) fn created_ms(text: &str) -> Result<u64, KeyError> {
     let bytes = text.as_bytes();
     if bytes.len() != 36 || !bytes.iter().enumerate().all(|(i, b)| is_allowed(i, *b)) {
         return Err(KeyError::Malformed);
@@ -62,14 +74,7 @@
         return Err(KeyError::NotVersion7);
     }
     let digits = [&text[..8], &text[9..13]].concat();
-    let created = u64::from_str_radix(&digits, 16).map_err(|_| KeyError::Malformed)?;
-    if created.saturating_add(MAX_AGE_MS) < now_unix_ms {
-        return Err(KeyError::TooOld);
-    }
-    if created > now_unix_ms.saturating_add(MAX_FUTURE_MS) {
-        return Err(KeyError::InFuture);
-    }
-    Ok(created)
+    u64::from_str_radix(&digits, 16).map_err(|_| KeyError::Malformed)
 }
 
 fn is_allowed(index: usize, byte: u8) -> bool {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! implement serde, so a test bench can drive the same code as the daemon.
 
 pub mod claim;
+pub mod collect;
 pub mod config;
 mod hash;
 pub mod key;
--- a/crates/coordination/src/membership/machine.rs
+++ b/crates/coordination/src/membership/machine.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Action, Event, LocalState, Phase, Settings};
-use crate::config::{self, Role};
+use crate::{
+    collect,
+    config::{self, Role},
+};
 
 /// Membership as one instance sees it.
 ///
@@ -51,6 +54,7 @@
     /// Kept because drivers ask after every event, and the choice looks at all peers.
     role: Role,
     writes_status: bool,
+    is_collector: bool,
 }
 
 /// What is known of a peer.
@@ -89,6 +93,7 @@
             fleet_size: 0,
             role: Role::Follower,
             writes_status: false,
+            is_collector: false,
         };
         machine.choose_duties();
         machine
@@ -122,6 +127,12 @@
         self.role
     }
 
+    /// Whether this instance deletes old claims for the fleet.
+    #[must_use]
+    pub fn is_collector(&self) -> bool {
+        self.is_collector
+    }
+
     /// The status object that this instance must keep up to date; `None` when another one does.
     #[must_use]
     pub fn status(&self) -> Option<DataCentreStatus> {
@@ -286,7 +297,11 @@
         let watchers = config::watchers(&self.settings.data_centre, live.iter().copied());
         let role = if watchers.contains(&own) { Role::Watcher } else { Role::Follower };
         let writes_status = config::status_writer(live) == Some(own);
+        let live = self.peers.iter().filter(|(_, peer)| peer.phase == Phase::Live);
+        let live = live.map(|(name, _)| name).chain((!self.leaving).then_some(own));
+        let is_collector = collect::collector(live) == Some(own);
         (self.role, self.writes_status) = (role, writes_status);
+        self.is_collector = is_collector;
     }
 
     /// Time without a heartbeat after which `missed` of them count as missed. Half an interval is
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -107,6 +107,7 @@
     }
 }
 
-fn etag(version: u64) -> Etag {
+/// Entity tag of a version.
+pub(super) fn etag(version: u64) -> Etag {
     compact_str::format_compact!("{version}")
 }
--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -214,6 +214,7 @@
     }
 
     fn update_role(&mut self) {
+        self.shared.is_collector.set(self.membership.is_collector());
         let role = self.membership.role();
         if role != self.role {
             self.role = role;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod bundles;
 mod claims;
+mod collect;
 mod coordinator;
 mod input;
 mod links;
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -22,6 +22,7 @@
 
 use super::{
     actions::Actions,
+    collect,
     coordinator::{Coordinator, UPKEEP_INTERVAL},
     input::Event,
     links::Links,
@@ -108,6 +109,7 @@
         readiness,
         log,
         in_force: RefCell::default(),
+        is_collector: Cell::new(false),
         fleet_size: Cell::new(1),
     });
     let (inputs_tx, mut inputs) = mpsc::unbounded_channel();
@@ -115,6 +117,7 @@
     let replicas = Replicas::new(Rc::clone(&shared), links.clone());
     let actions = Actions::new(Rc::clone(&shared));
     spawn_local(replicas.clone().follow());
+    spawn_local(collect::run(Rc::clone(&shared)));
 
     let stop_peers = CancellationToken::new();
     let instance = shared.settings.instance.clone();
--- a/crates/daemon/src/control/shared.rs
+++ b/crates/daemon/src/control/shared.rs
@@ -43,6 +43,8 @@
     pub(super) log: Logger,
     /// Bundle in force and its version.
     pub(super) in_force: RefCell<Option<(Version, Rc<Bundle>)>>,
+    /// Whether this instance deletes old claims for the fleet.
+    pub(super) is_collector: Cell<bool>,
     /// Live instances, this one included.
     pub(super) fleet_size: Cell<u32>,
 }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -66,6 +66,8 @@
         Counter::PeerMessages => "peer_messages_total",
         Counter::PeerFailures => "peer_failures_total",
         Counter::BundlesRefused => "bundles_refused_total",
+        Counter::ClaimsDeleted => "claims_deleted_total",
+        Counter::ClaimsUnreadable => "claims_unreadable_total",
         Counter::Attempts => "attempts_total",
         Counter::UselessReplies => "useless_replies_total",
         Counter::RecordsDropped => "records_dropped_total",
--- a/crates/daemon/src/telemetry/record.rs
+++ b/crates/daemon/src/telemetry/record.rs
@@ -95,6 +95,10 @@
     PeerFailures,
     /// Bundles that were refused.
     BundlesRefused,
+    /// Claims that were deleted because of their age.
+    ClaimsDeleted,
+    /// Paths among the claims that name no claim.
+    ClaimsUnreadable,
     /// Searches sent first, again and as hedges, and actions.
     Attempts,
     /// Replies rejected or late.
