daemon: learn the list of replicas from a peer while the store is down

Cause: an instance that starts while the store is down got its configuration from peers but no list of replicas, so it was ready and answered no_replica. Ruled out: staying unready for the whole outage. Change: while the store has not given a list, a live peer is asked for its own once a second, another one each time. The store's list replaces it. An instance is ready only once a list is known. Before: the start without the store was tested only up to the version in force. Conclusion: a start without the store gives an instance that answers searches.

--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -31,6 +31,8 @@
 
 /// Interval of the work that no machine asks for: status, readiness and gauges.
 pub(super) const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two questions for the list of replicas.
+const INSTANCES_FETCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Entries in one push, so that a message stays far below its length limit.
 const ENTRIES_PER_PUSH: usize = 2_000;
 
@@ -50,9 +52,10 @@
     local: LocalState,
     /// Digest of the quarantine entries held.
     digest: u64,
-    /// Front's part of the bundle in force, while the quarantine is not loaded.
+    /// Front's part of the bundle in force, until the front may take requests.
     waiting: Option<Arc<FrontConfig>>,
     refused: Option<Version>,
+    next_instances_fetch: Time,
     queue: VecDeque<Event>,
 }
 
@@ -84,6 +87,7 @@
             digest: 0,
             waiting: None,
             refused: None,
+            next_instances_fetch: Time::ZERO,
             queue: VecDeque::new(),
         }
     }
@@ -115,6 +119,22 @@
         self.run(Event::Config(config::Event::Tick));
         // Not at each event: a heartbeat must not cost a look at all peers.
         self.status.offer(self.membership.status());
+        self.fetch_instances();
+    }
+
+    /// Asks a live peer for the list of replicas while the store has not given one.
+    fn fetch_instances(&mut self) {
+        let now = self.shared.clock.now();
+        if !self.replicas.is_missing() || now < self.next_instances_fetch {
+            return;
+        }
+        self.next_instances_fetch = now + INSTANCES_FETCH_INTERVAL;
+        let live = self.membership.peers().filter(|(_, it)| it.phase == Phase::Live);
+        let addrs: Vec<_> = live.map(|(_, it)| it.heartbeat.addr).collect();
+        // Another peer each time, because one may have no list either.
+        if let Some(addr) = fastrand::choice(addrs) {
+            self.links.fetch_instances(addr);
+        }
     }
 
     /// Announces that this instance is about to stop.
@@ -145,6 +165,7 @@
                 let event = bundle.map_or(config::Event::FetchFailed, config::Event::PeerBundle);
                 self.run(Event::Config(event));
             }
+            Input::Instances(entries) => self.replicas.adopt(entries),
             Input::StoreRead { event, watch } => {
                 if watch.is_some() {
                     self.watch = watch;
@@ -387,9 +408,9 @@
         info!(self.shared.log, "a bundle is in force"; "version" => version);
     }
 
-    /// Lets the front take requests when it may, and keeps the heartbeats true.
+    /// Lets the front take requests once quarantine and replicas are known, and keeps the heartbeats true.
     fn update_local(&mut self, now: Time) {
-        let is_loaded = self.quarantine.is_loaded(now);
+        let is_loaded = self.quarantine.is_loaded(now) && self.replicas.is_known();
         if is_loaded && let Some(config) = self.waiting.take() {
             self.shared.front.send(ControlToFront::Config(config));
             self.shared.readiness.set_configured();
--- a/crates/daemon/src/control/input.rs
+++ b/crates/daemon/src/control/input.rs
@@ -1,6 +1,6 @@
 use rosemarybank_coordination::{config, quarantine};
 use rosemarybank_platform::Watch;
-use rosemarybank_protocol::{id::InstanceId, peer::PeerMessage};
+use rosemarybank_protocol::{id::InstanceId, peer::PeerMessage, platform::InstanceEntry};
 use tokio::sync::{mpsc, oneshot};
 
 /// What the tasks of the control thread and its peer port report to the coordinator.
@@ -26,6 +26,8 @@
         /// Its answer.
         answer: Option<PeerMessage>,
     },
+    /// A peer answered the question for its list of replicas.
+    Instances(Vec<InstanceEntry>),
     /// A store read of the configuration ended.
     StoreRead {
         /// How it ended.
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -43,6 +43,17 @@
         });
     }
 
+    /// Asks for the list of replicas and reports it.
+    pub(super) fn fetch_instances(&self, from: SocketAddr) {
+        let this = self.clone();
+        spawn_local(async move {
+            let answer = this.send(from, PeerMessage::InstancesFetch).await;
+            if let Some((_, PeerMessage::Instances(entries))) = answer {
+                this.report(Input::Instances(entries));
+            }
+        });
+    }
+
     /// Sends a message whose answer is of no interest.
     pub(super) fn push(&self, to: SocketAddr, message: PeerMessage) {
         let this = self.clone();
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -113,6 +113,11 @@
     bench.platform_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
     let last = start(3);
     eventually("three of four let it start", || status(&bench, &last)["version"] == 1);
+    // Its list of replicas can only come from a peer.
+    bench.await_ready(&last);
+    assert_eq!(status(&bench, &last)["replicas"], 6);
+    let (status, answer) = search(&bench, &last, "cherry");
+    assert_eq!((status, &answer["complete"]), (200, &true.into()), "{answer}");
 }
 
 /// Guards against a request that crashes upstreams at each instance in turn, and against a release
