--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -31,8 +31,6 @@
 
 /// Interval of the work that no machine asks for: status, readiness and gauges.
 pub(super) const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two questions for the list of replicas.
-const INSTANCES_FETCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Entries in one push, so that a message stays far below its length limit.
 const ENTRIES_PER_PUSH: usize = 2_000;
 
@@ -52,10 +50,11 @@
     local: LocalState,
     /// Digest of the quarantine entries held.
     digest: u64,
-    /// Front's part of the bundle in force, until the front may take requests.
+    /// Whether a list of replicas that is not empty was known at any time since the start.
+    has_replicas: bool,
+    /// Front's part of the bundle in force, until the quarantine and a list of replicas are known.
     waiting: Option<Arc<FrontConfig>>,
     refused: Option<Version>,
-    next_instances_fetch: Time,
     queue: VecDeque<Event>,
 }
 
@@ -64,7 +63,7 @@
     pub(super) fn new(
         shared: Rc<Shared>,
         replicas: Replicas,
-        inputs: Inputs,
+        (inputs, links): (Inputs, Links),
         membership: membership::Settings,
     ) -> Coordinator {
         let instances = membership.peers.len() as u32 + 1;
@@ -76,7 +75,7 @@
                 quarantine::Settings::builder().unix_ms_at_zero(unix_ms).build(),
             ),
             role: Role::Follower,
-            links: Links::new(Rc::clone(&shared), inputs.clone()),
+            links,
             status: StatusWriter::new(Rc::clone(&shared), inputs.clone()),
             watch: Some(shared.platform.watch(CONFIG_PATH)),
             shared,
@@ -85,9 +84,9 @@
             bundles: Bundles::default(),
             local: LocalState::default(),
             digest: 0,
+            has_replicas: false,
             waiting: None,
             refused: None,
-            next_instances_fetch: Time::ZERO,
             queue: VecDeque::new(),
         }
     }
@@ -102,7 +101,9 @@
     /// Time at which [`Coordinator::tick`] is needed next.
     pub(super) fn next_wakeup(&self) -> Option<Time> {
         let membership = self.membership.next_wakeup().into_iter();
-        membership.chain(self.config.next_wakeup()).chain(self.quarantine.next_wakeup()).min()
+        let config = self.config.next_wakeup().into_iter();
+        let rest = self.quarantine.next_wakeup().into_iter().chain(self.replicas.next_wakeup());
+        membership.chain(config).chain(rest).min()
     }
 
     /// Number of fingerprints that are refused now.
@@ -114,27 +115,12 @@
 
     /// Lets the machines see that time has passed.
     pub(super) fn tick(&mut self) {
+        self.replicas.tick();
         self.run(Event::Membership(membership::Event::Tick));
         self.run(Event::Quarantine(quarantine::Event::Tick));
         self.run(Event::Config(config::Event::Tick));
         // Not at each event: a heartbeat must not cost a look at all peers.
         self.status.offer(self.membership.status());
-        self.fetch_instances();
-    }
-
-    /// Asks a live peer for the list of replicas while the store has not given one.
-    fn fetch_instances(&mut self) {
-        let now = self.shared.clock.now();
-        if !self.replicas.is_missing() || now < self.next_instances_fetch {
-            return;
-        }
-        self.next_instances_fetch = now + INSTANCES_FETCH_INTERVAL;
-        let live = self.membership.peers().filter(|(_, it)| it.phase == Phase::Live);
-        let addrs: Vec<_> = live.map(|(_, it)| it.heartbeat.addr).collect();
-        // Another peer each time, because one may have no list either.
-        if let Some(addr) = fastrand::choice(addrs) {
-            self.links.fetch_instances(addr);
-        }
     }
 
     /// Announces that this instance is about to stop.
@@ -165,7 +151,10 @@
                 let event = bundle.map_or(config::Event::FetchFailed, config::Event::PeerBundle);
                 self.run(Event::Config(event));
             }
-            Input::Instances(entries) => self.replicas.adopt(entries),
+            Input::PeerReplicas { answer: PeerMessage::Instances(list) } => {
+                self.replicas.offer(list);
+            }
+            Input::PeerReplicas { .. } => {}
             Input::StoreRead { event, watch } => {
                 if watch.is_some() {
                     self.watch = watch;
@@ -408,10 +397,12 @@
         info!(self.shared.log, "a bundle is in force"; "version" => version);
     }
 
-    /// Lets the front take requests once quarantine and replicas are known, and keeps the heartbeats true.
+    /// Lets the front take requests when it may, and keeps the heartbeats true.
     fn update_local(&mut self, now: Time) {
-        let is_loaded = self.quarantine.is_loaded(now) && self.replicas.is_known();
-        if is_loaded && let Some(config) = self.waiting.take() {
+        // Without replicas every search fails at once, so a load balancer would prefer this instance.
+        self.has_replicas |= self.replicas.len() > 0;
+        let has_needs = self.has_replicas && self.quarantine.is_loaded(now);
+        if has_needs && let Some(config) = self.waiting.take() {
             self.shared.front.send(ControlToFront::Config(config));
             self.shared.readiness.set_configured();
         }
@@ -419,7 +410,7 @@
         let local = LocalState {
             version,
             quarantine_digest: self.digest,
-            ready: version.is_some() && is_loaded,
+            ready: version.is_some() && has_needs,
         };
         if local != self.local {
             self.local = local;
--- a/crates/daemon/src/control/input.rs
+++ b/crates/daemon/src/control/input.rs
@@ -1,6 +1,6 @@
 use rosemarybank_coordination::{config, quarantine};
 use rosemarybank_platform::Watch;
-use rosemarybank_protocol::{id::InstanceId, peer::PeerMessage, platform::InstanceEntry};
+use rosemarybank_protocol::{id::InstanceId, peer::PeerMessage};
 use tokio::sync::{mpsc, oneshot};
 
 /// What the tasks of the control thread and its peer port report to the coordinator.
@@ -26,8 +26,11 @@
         /// Its answer.
         answer: Option<PeerMessage>,
     },
-    /// A peer answered the question for its list of replicas.
-    Instances(Vec<InstanceEntry>),
+    /// A peer answered with its list of replicas.
+    PeerReplicas {
+        /// Its answer.
+        answer: PeerMessage,
+    },
     /// A store read of the configuration ended.
     StoreRead {
         /// How it ended.
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -43,13 +43,12 @@
         });
     }
 
-    /// Asks for the list of replicas and reports it.
-    pub(super) fn fetch_instances(&self, from: SocketAddr) {
+    /// Fetches the list of replicas and reports the answer.
+    pub(super) fn fetch_replicas(&self, from: SocketAddr) {
         let this = self.clone();
         spawn_local(async move {
-            let answer = this.send(from, PeerMessage::InstancesFetch).await;
-            if let Some((_, PeerMessage::Instances(entries))) = answer {
-                this.report(Input::Instances(entries));
+            if let Some((_, answer)) = this.send(from, PeerMessage::InstancesFetch).await {
+                this.report(Input::PeerReplicas { answer });
             }
         });
     }
--- a/crates/daemon/src/control/replicas.rs
+++ b/crates/daemon/src/control/replicas.rs
@@ -1,17 +1,17 @@
-use std::{
-    cell::{Cell, RefCell},
-    collections::BTreeMap,
-    rc::Rc,
-};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 use compact_str::{CompactString, format_compact};
+use rosemarybank_coordination::replica_list::{self, Action, Event as SourceEvent};
 use rosemarybank_platform::{ObjectChange, WatchEvent};
-use rosemarybank_protocol::platform::{INSTANCES_PREFIX, InstanceEntry};
+use rosemarybank_protocol::{
+    id::Time,
+    platform::{INSTANCES_PREFIX, InstanceEntry},
+};
 use rosemarybank_query::interface::Event;
 use rosemarybank_transport::upstream::Target;
 use slog::{info, warn};
 
-use super::shared::Shared;
+use super::{links::Links, shared::Shared};
 use crate::{message::upstreams_thread, telemetry::Gauge};
 
 /// The platform's lagging list of replicas. Clones share it.
@@ -19,25 +19,19 @@
 pub(super) struct Replicas {
     shared: Rc<Shared>,
     list: Rc<RefCell<BTreeMap<CompactString, InstanceEntry>>>,
-    knowledge: Rc<Cell<Knowledge>>,
-}
-
-/// Where the list comes from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Knowledge {
-    /// The store has not answered yet.
-    #[default]
-    Awaited,
-    /// The store can't be reached, and no list is known.
-    Missing,
-    /// A list of the store or of a peer is known.
-    Known,
+    source: Rc<RefCell<replica_list::Machine>>,
+    links: Links,
 }
 
 impl Replicas {
     /// Nothing is known of the list yet.
-    pub(super) fn new(shared: Rc<Shared>) -> Replicas {
-        Replicas { shared, list: Rc::default(), knowledge: Rc::default() }
+    pub(super) fn new(shared: Rc<Shared>, links: Links) -> Replicas {
+        let settings = replica_list::Settings::builder()
+            .peers(shared.settings.peers.others.clone())
+            .seed(fastrand::u64(..))
+            .build();
+        let source = Rc::new(RefCell::new(replica_list::Machine::new(settings)));
+        Replicas { shared, list: Rc::default(), source, links }
     }
 
     /// Follows the list for ever.
@@ -46,7 +40,7 @@
         loop {
             match watch.next().await {
                 WatchEvent::Listed(listing) => {
-                    self.knowledge.set(Knowledge::Known);
+                    self.source_event(SourceEvent::StoreList);
                     self.list.borrow_mut().clear();
                     for object in listing.objects {
                         self.apply(&object.path, Some(&object.value));
@@ -58,11 +52,9 @@
                     }
                 }
                 WatchEvent::Interrupted(err) => {
-                    info!(self.shared.log, "the list of replicas is not followed";
+                    warn!(self.shared.log, "the list of replicas is not followed";
                         "error" => %err);
-                    if self.knowledge.get() == Knowledge::Awaited {
-                        self.knowledge.set(Knowledge::Missing);
-                    }
+                    self.source_event(SourceEvent::StoreUnreachable);
                     continue;
                 }
             }
@@ -70,28 +62,36 @@
         }
     }
 
-    /// Whether a list is known, so that requests can be sent to replicas.
-    pub(super) fn is_known(&self) -> bool {
-        self.knowledge.get() == Knowledge::Known
+    /// Takes the list that a peer holds.
+    pub(super) fn offer(&self, list: Vec<InstanceEntry>) {
+        self.source_event(SourceEvent::PeerList(list));
     }
 
-    /// Whether a peer must be asked for the list.
-    pub(super) fn is_missing(&self) -> bool {
-        self.knowledge.get() == Knowledge::Missing
+    /// Asks peers for their lists while the store's list was never read.
+    pub(super) fn tick(&self) {
+        self.source_event(SourceEvent::Tick);
     }
 
-    /// Takes the list of a peer while the store can't be reached. The store's own list, whenever it
-    /// arrives, replaces it.
-    pub(super) fn adopt(&self, entries: Vec<InstanceEntry>) {
-        // A peer without a list answers with an empty one.
-        if !self.is_missing() || entries.is_empty() {
-            return;
+    /// Time at which [`Replicas::tick`] is needed next.
+    pub(super) fn next_wakeup(&self) -> Option<Time> {
+        self.source.borrow().next_wakeup()
+    }
+
+    fn source_event(&self, event: SourceEvent) {
+        let mut out = Vec::new();
+        self.source.borrow_mut().handle(self.shared.clock.now(), event, &mut out);
+        for action in out {
+            match action {
+                Action::AskPeers(to) => to.into_iter().for_each(|it| self.links.fetch_replicas(it)),
+                Action::Use(list) => self.use_peers_list(list),
+            }
         }
-        info!(self.shared.log, "the list of replicas is that of a peer";
-            "replicas" => entries.len());
-        self.knowledge.set(Knowledge::Known);
-        let path = |it: &InstanceEntry| format_compact!("{INSTANCES_PREFIX}{}", it.replica);
-        *self.list.borrow_mut() = entries.into_iter().map(|it| (path(&it), it)).collect();
+    }
+
+    fn use_peers_list(&self, list: Vec<InstanceEntry>) {
+        info!(self.shared.log, "the list of replicas comes from a peer"; "replicas" => list.len());
+        let by_path = |it: InstanceEntry| (format_compact!("{INSTANCES_PREFIX}{}", it.replica), it);
+        *self.list.borrow_mut() = list.into_iter().map(by_path).collect();
         self.publish();
     }
 
