--- a/crates/standins/src/fleet/instance.rs
+++ b/crates/standins/src/fleet/instance.rs
@@ -85,7 +85,16 @@
     ///
     /// Fails when the connection breaks before the end of the answer.
     pub async fn search(&self, body: &str) -> eyre::Result<(u16, Value)> {
-        self.ask(Method::POST, "/v1/services/order-desk/search", None, body).await
+        self.search_with(&self.client, body).await
+    }
+
+    /// Searches `order-desk` over the connections of another client.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks before the end of the answer.
+    pub async fn search_with(&self, client: &HttpClient, body: &str) -> eyre::Result<(u16, Value)> {
+        self.ask(client, "/v1/services/order-desk/search", None, body).await
     }
 
     /// Submits an action to `lot-ledger`.
@@ -95,12 +104,12 @@
     /// Fails when the connection breaks before the end of the answer.
     pub async fn submit(&self, key: &str, text: &str) -> eyre::Result<(u16, Value)> {
         let body = serde_json::json!({ "body": text }).to_string();
-        self.ask(Method::POST, "/v1/services/lot-ledger/actions", Some(key), &body).await
+        self.ask(&self.client, "/v1/services/lot-ledger/actions", Some(key), &body).await
     }
 
     async fn ask(
         &self,
-        method: Method,
+        client: &HttpClient,
         path: &str,
         key: Option<&str>,
         body: &str,
@@ -108,7 +117,8 @@
         let token = format!("Bearer {TOKEN}");
         let mut headers = vec![("authorization", token.as_str())];
         headers.extend(key.map(|it| ("idempotency-key", it)));
-        let reply = self.client.send(method, self.callers, path, &headers, body.to_owned()).await?;
+        let reply =
+            client.send(Method::POST, self.callers, path, &headers, body.to_owned()).await?;
         Ok((reply.status().as_u16(), serde_json::from_slice(reply.body())?))
     }
 }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 
 pub use instance::InstanceProcess;
 pub use process::{Process, Signal};
-pub use site::{Site, TOKEN, new_key};
+pub use site::{PeerLinks, Site, TOKEN, new_key};
 pub use stand_ins::{PlatformProcess, UpstreamProcess};
 pub use told::Told;
 pub use wait::until;
--- a/crates/standins/src/fleet/site.rs
+++ b/crates/standins/src/fleet/site.rs
@@ -29,6 +29,18 @@
 /// Shards of `order-desk`.
 pub const SHARDS: u16 = 4;
 
+/// Peers' port of each instance; nothing listens at the next one.
+const PEER_PORT: u16 = 7100;
+
+/// Whether entry instances reach each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerLinks {
+    /// They do.
+    Up,
+    /// Nothing listens at the addresses that they have of each other.
+    Cut,
+}
+
 /// A running site. All its processes end when it is dropped.
 pub struct Site {
     /// Entry instances.
@@ -81,10 +93,19 @@
 
     /// Starts entry instances, which know each other, without waiting for them.
     pub fn start_instances(&mut self, count: usize) {
-        let peers: Vec<_> = (0..count).map(|it| self.addr(it, 7100)).collect();
-        for (number, peer) in peers.iter().enumerate() {
-            let others: Vec<_> =
-                peers.iter().filter(|it| *it != peer).map(ToString::to_string).collect();
+        self.start_instances_with(count, PeerLinks::Up);
+    }
+
+    /// Starts entry instances without waiting for them.
+    pub fn start_instances_with(&mut self, count: usize, links: PeerLinks) {
+        let port = match links {
+            PeerLinks::Up => PEER_PORT,
+            PeerLinks::Cut => PEER_PORT + 1,
+        };
+        for number in 0..count {
+            let peer = self.addr(number, PEER_PORT);
+            let others = (0..count).filter(|it| *it != number);
+            let others: Vec<_> = others.map(|it| self.addr(it, port).to_string()).collect();
             let name = format!("entry-{number}");
             let (callers, admin) = (self.addr(number, 8080), self.addr(number, 9100));
             let data_centre = if number % 2 == 0 { "maun" } else { "rundu" };
--- a/crates/standins/src/fleet/stand_ins.rs
+++ b/crates/standins/src/fleet/stand_ins.rs
@@ -1,10 +1,10 @@
 //! Stand-ins as processes.
 
-use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Response};
-use rosemarybank_protocol::platform::InstanceEntry;
+use rosemarybank_protocol::{key_range::KeyRange, platform::InstanceEntry};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -87,6 +87,36 @@
         post(self.control, "/faults", &order).await;
     }
 
+    /// Replaces the standing faults of one of its replicas.
+    pub async fn set_faults_of(&self, replica: &str, faults: StandingFaults) {
+        let order = FaultOrder {
+            replicas: vec![replica.into()],
+            set: Some(faults),
+            ..FaultOrder::default()
+        };
+        post(self.control, "/faults", &order).await;
+    }
+
+    /// Drops a snapshot of `order-desk` at one of its replicas.
+    pub async fn retire_at(&self, replica: &str, snapshot: u64) {
+        let service = "order-desk".into();
+        let order = FaultOrder {
+            replicas: vec![replica.into()],
+            run: vec![Command::RetireSnapshot { service, snapshot }],
+            ..FaultOrder::default()
+        };
+        post(self.control, "/faults", &order).await;
+    }
+
+    /// Moves a range of a snapshot of `order-desk` from one of its replicas to another.
+    pub async fn move_range(&self, from: &str, to: &str, snapshot: u64, range: KeyRange) {
+        let service = "order-desk".into();
+        let command = Command::MoveRange { service, snapshot, range, to: vec![to.into()] };
+        let order =
+            FaultOrder { replicas: vec![from.into()], run: vec![command], ..FaultOrder::default() };
+        post(self.control, "/faults", &order).await;
+    }
+
     /// Runs a command on all its replicas.
     pub async fn run(&self, command: Command) {
         let order = FaultOrder { run: vec![command], ..FaultOrder::default() };
@@ -113,6 +143,13 @@
         self.counters().await.iter().map(|it| it.received).sum()
     }
 
+    /// Longest time between a drain and a request for work that came after it, of all its replicas.
+    pub async fn last_work_after_drain(&self) -> Duration {
+        let all = self.counters().await;
+        let latest = all.iter().map(|it| it.last_work_after_drain_ms).max();
+        Duration::from_millis(latest.unwrap_or(0))
+    }
+
     /// Crashes of its replicas.
     pub async fn crashes(&self) -> u64 {
         self.counters().await.iter().map(|it| it.crashes).sum()
--- a/crates/standins/src/upstream/replica.rs
+++ b/crates/standins/src/upstream/replica.rs
@@ -47,12 +47,17 @@
     pub received: u64,
     /// Crashes.
     pub crashes: u64,
+    /// Time between the last drain and the last request for work after it, in milliseconds; 0 if
+    /// none came.
+    pub last_work_after_drain_ms: u64,
 }
 
 struct State {
     incarnation: u64,
     started: Instant,
-    draining: bool,
+    /// Since when it takes no new work.
+    drained: Option<Instant>,
+    last_work_after_drain: Duration,
     holdings: Holdings,
     faults: StandingFaults,
     reported: Option<(Instant, ReplicaStatus)>,
@@ -66,7 +71,8 @@
         let state = State {
             incarnation: new_incarnation(0),
             started: Instant::now(),
-            draining: false,
+            drained: None,
+            last_work_after_drain: Duration::ZERO,
             holdings: Holdings::new(spec.holdings.clone()),
             faults: StandingFaults::default(),
             reported: None,
@@ -86,14 +92,20 @@
     /// Counts a request for work.
     pub fn count_request(&self) {
         self.received.fetch_add(1, Ordering::Relaxed);
+        let mut state = self.lock();
+        if let Some(since) = state.drained {
+            state.last_work_after_drain = since.elapsed();
+        }
     }
 
     /// Counts since the start of the process.
     #[must_use]
     pub fn counters(&self) -> ReplicaCounters {
+        let last_work = self.lock().last_work_after_drain;
         ReplicaCounters {
             received: self.received.load(Ordering::Relaxed),
             crashes: self.crashes.load(Ordering::Relaxed),
+            last_work_after_drain_ms: u64::try_from(last_work.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
@@ -101,7 +113,7 @@
     #[must_use]
     pub fn state(&self) -> ReplicaState {
         let state = self.lock();
-        if state.draining {
+        if state.drained.is_some() {
             return ReplicaState::Draining;
         }
         let cold = state.started.elapsed() < Duration::from_millis(self.spec.cold_start_ms);
@@ -182,7 +194,10 @@
 
     /// Takes no new work and closes connections once their requests are done.
     pub fn drain(&self) {
-        self.lock().draining = true;
+        {
+            let mut state = self.lock();
+            state.drained = state.drained.or(Some(Instant::now()));
+        }
         self.orders.send_modify(|it| it.drains += 1);
     }
 
@@ -192,7 +207,7 @@
             let mut state = self.lock();
             state.incarnation = new_incarnation(state.incarnation);
             state.started = Instant::now();
-            state.draining = false;
+            state.drained = None;
             state.reported = None;
         }
         self.crashes.fetch_add(1, Ordering::Relaxed);
