standins: Stop an instance under traffic on kept connections

Cause: the stop of the real process was tested with one request for each connection only.

Change: two clients over HTTP/1.1 and two over h2 search without a pause over kept connections through SIGTERM. Every request must be answered or its new connection refused, and the process must exit with 0.

Guard taken out (trial: connections are dropped when the drain begins instead of shut down gracefully): fails.

--- a/crates/standins/tests/process_stop.rs
+++ b/crates/standins/tests/process_stop.rs
@@ -1,7 +1,10 @@
 //! Planned stops of the real process.
 
+use std::{cell::Cell, io::ErrorKind};
+
 use futures_util::future::join_all;
 use rosemarybank_standins::{
+    client::HttpClient,
     fleet::{Signal, Site, new_key, until},
     upstream::StandingFaults,
 };
@@ -49,3 +52,51 @@
     assert!(status.success(), "{status}");
     assert_eq!(site.ledger.effects().await.len(), 4);
 }
+
+/// What a client on a kept connection has seen.
+#[derive(Debug, Default)]
+struct Traffic {
+    answered: u32,
+    /// Failures other than a refused new connection.
+    cut_off: Vec<String>,
+}
+
+/// Guards against requests that are cut off because their kept connections are closed at the stop,
+/// and against a stop that busy connections hold up.
+#[tokio::test]
+async fn a_stop_under_keep_alive_traffic_cuts_off_nothing() {
+    let mut site = Site::with_instances(1).await;
+    let answered = Cell::new(0);
+    let client = async |client: HttpClient| {
+        let instance = &site.instances[0];
+        let mut traffic = Traffic::default();
+        loop {
+            match instance.search_with(&client, r#"{"query":"cherry","timeout_ms":5000}"#).await {
+                Ok((200, _)) => {
+                    traffic.answered += 1;
+                    answered.set(answered.get() + 1);
+                }
+                Ok((status, answer)) => traffic.cut_off.push(format!("{status} {answer}")),
+                Err(err) if is_refused(&err) => return traffic,
+                Err(err) => traffic.cut_off.push(format!("{err:?}")),
+            }
+        }
+    };
+    let clients = (0..4).map(|it| if it % 2 == 0 { HttpClient::http1() } else { HttpClient::h2() });
+    let stop = async {
+        until("traffic flows", async || (answered.get() >= 100).then_some(())).await;
+        site.instances[0].process.signal(Signal::Term);
+    };
+    let (traffic, ()) = tokio::join!(join_all(clients.map(client)), stop);
+    for it in &traffic {
+        assert!(it.answered > 0 && it.cut_off.is_empty(), "{traffic:#?}");
+    }
+    let status = site.instances[0].process.ended().await;
+    assert!(status.success(), "{status}");
+}
+
+/// Whether a new connection was refused, so that nothing was sent.
+fn is_refused(err: &eyre::Report) -> bool {
+    let refused = |it: &std::io::Error| it.kind() == ErrorKind::ConnectionRefused;
+    err.chain().filter_map(|it| it.downcast_ref()).any(refused)
+}
