standins: Read late work from the draining replicas' own record

Change: replicas drain while the platform's list lags by 60 s; 5 s of searches through two instances must bring them no work later than 3 s after the drain.

The stand-in sends GOAWAY when it drains, so a drain that shows in the status alone is not covered.

--- a/crates/standins/tests/process_search.rs
+++ b/crates/standins/tests/process_search.rs
@@ -12,6 +12,7 @@
         site::{RECORDS, SHARDS, holding},
         until,
     },
+    platform::PlatformFaults,
     upstream::{Command, records::Records},
 };
 use serde_json::Value;
@@ -93,6 +94,29 @@
     first_gets_no_more_work(&site).await;
 }
 
+/// Guards against new work for draining replicas after 3 s, by their own record, while the
+/// platform's list still says that they live and its change comes only later.
+#[tokio::test]
+async fn a_lagging_list_brings_no_late_work_to_draining_replicas() {
+    let site = Site::with_instances(2).await;
+    let lag = PlatformFaults { instance_lag_ms: 60_000, ..PlatformFaults::default() };
+    site.platform.set_faults(lag).await;
+    let mut entries = site.first.entries.clone();
+    entries.iter_mut().for_each(|it| it.state = InstanceState::Leaving);
+    site.platform.set_instances(&entries).await;
+    site.first.run(Command::Drain).await;
+    let drained = Instant::now();
+    let mut rounds = 0;
+    while drained.elapsed() < Duration::from_secs(5) {
+        let (status, answer) = site.instances[rounds % 2].search(QUERY).await.unwrap();
+        assert_eq!((status, &answer["complete"]), (200, &Value::Bool(true)), "{answer}");
+        rounds += 1;
+    }
+    let last = site.first.last_work_after_drain().await;
+    println!("last work {last:?} after the drain, {rounds} searches");
+    assert!(last < Duration::from_secs(3), "work came {last:?} after the drain");
+}
+
 /// Guards against new work for replicas that the platform's list calls leaving although they say
 /// of themselves that they serve.
 #[tokio::test]
