standins: Run an innocent request beside a crash-causing one

Cause: the quarantine test sent the crash-causing request alone.

Two crash signs condemn a fingerprint however often it succeeded, and both come from replicas that the other request crashed. The rule belongs to the query package and needs a decision there, so the test lands as known red.

--- a/crates/standins/tests/process_crash.rs
+++ b/crates/standins/tests/process_crash.rs
@@ -42,3 +42,40 @@
     })
     .await;
 }
+
+/// Guards against innocent requests that are quarantined or lost because they ran beside a
+/// crash-causing one, and against crashes without bound when two instances get it at once.
+#[tokio::test]
+async fn an_innocent_request_survives_a_crash_causing_one_beside_it() {
+    let site = Site::with_instances(2).await;
+    let crash = Some(CrashRule { text: "poison".into(), at: CrashPoint::BeforeEffect });
+    for upstream in [&site.first, &site.second] {
+        upstream.set_faults(StandingFaults { crash: crash.clone(), ..Default::default() }).await;
+    }
+    let poison = async |instance: usize| {
+        let body = r#"{"query":"poison","timeout_ms":1000,"coverage":"complete"}"#;
+        let mut refused = 0;
+        for _ in 0..20 {
+            let (_, answer) = site.instances[instance].search(body).await.unwrap();
+            refused += u32::from(answer["error"] == "quarantined");
+        }
+        refused
+    };
+    let innocent = async |instance: usize| {
+        for _ in 0..60 {
+            let body = r#"{"query":"cherry","timeout_ms":1000}"#;
+            let (_, answer) = site.instances[instance].search(body).await.unwrap();
+            assert_ne!(answer["error"], "quarantined", "{answer}");
+        }
+    };
+    let (first, second, (), ()) = tokio::join!(poison(0), poison(1), innocent(0), innocent(1));
+    let crashes = site.first.crashes().await + site.second.crashes().await;
+    println!("{crashes} crashes, {first} and {second} of 20 copies refused");
+    // At each instance the first copy goes to 4 shards and its retry to one; 40 copies that nothing
+    // stops would crash 160 replicas.
+    assert!((1..=10).contains(&crashes), "{crashes} crashes");
+    assert!(first >= 5 && second >= 5, "{first} and {second} of 20 copies refused");
+    for instance in &site.instances {
+        instance.complete().await;
+    }
+}
