query: Keep independent losses from condemning an innocent search

Cause: two signs condemned a fingerprint even when it had succeeded at other keys, so a canary that met a second lost replica condemned an innocent search for 600 s.

Ruled out: any two signs and any success, as before (docs/decisions.md). Shared blame with other fingerprints at the crashed replica would raise the bound under load; it was not measured.

Change: three signs of at least two replicas are needed when the fingerprint has succeeded elsewhere since the first sign or has other attempts in flight, with a pause of 1 s after the second sign. Two are needed otherwise. The first quarantine lasts 30 s; afterwards one canary is sent, and its crash condemns for twice the time, up to the configured quarantine.

Crashes by attempts sent after the first crash and before the condemnation were at most 1 before and 2 after; each return adds one.

In the daemon the coordination machine still sets 600 s, because Action::Condemn does not carry the length.

--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -44,7 +44,7 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) admission: Admission,
     pub(crate) crashes: Crashes,
-    /// Suspects whose canary ended.
+    /// Suspects whose canary or pause ended.
     pub(crate) resumable: Vec<Suspect>,
     pub(crate) limits: Limits,
     pub(crate) is_configured: bool,
@@ -160,6 +160,7 @@
                 Timer::Query { index, serial } => self.query_timer(now, index, serial, out),
                 Timer::Dispatch(dispatch) => self.dispatch_timer(now, dispatch, out),
                 Timer::Poll(key) => self.poll(now, key, out),
+                Timer::Canary(suspect) => self.resumable.push(suspect),
             }
         }
         self.resume(now, out);
--- a/crates/query/src/interface.rs
+++ b/crates/query/src/interface.rs
@@ -163,7 +163,7 @@
         service: ServiceId,
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
-        /// Replicas that it crashed, as seen here.
+        /// Crashes that are known at least.
         crashes: u32,
     },
 }
--- a/crates/query/src/query.rs
+++ b/crates/query/src/query.rs
@@ -154,6 +154,7 @@
         if gate.is_unreachable(now, now + wait, answer_at) {
             return Err((ErrorKind::Overloaded, Some(wait)));
         }
+        self.crashes.note_return(suspect, now);
         if canary == Canary::Unseen {
             self.crashes.suspect_unseen(suspect, now);
         }
--- a/crates/query/src/settings.rs
+++ b/crates/query/src/settings.rs
@@ -50,7 +50,8 @@
     /// Price of sending to another data centre, on top of the time that it takes.
     #[builder(default = Duration::from_millis(2))]
     pub crossing_penalty: Duration,
-    /// How long a request that crashed two replicas is refused.
+    /// Longest time for which a crash-causing request is refused. The first quarantine lasts 30 s;
+    /// each crash on the return doubles it up to this time.
     #[builder(default = Duration::from_secs(600))]
     pub quarantine: Duration,
     /// Time after which the baseline policy abandons an attempt.
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -25,7 +25,7 @@
 
 impl Engine {
     /// Sends a segment to a replica that was not tried, or gives it up. A suspect's segment waits
-    /// while the canary is in flight.
+    /// while the canary is in flight or paused.
     pub(crate) fn send_segment(
         &mut self,
         now: Time,
@@ -36,7 +36,7 @@
         let query = &mut self.queries[index as usize];
         let suspect = query.suspect();
         let is_suspect = self.crashes.is_suspect(suspect, now);
-        if is_suspect && !self.crashes.may_send(suspect) {
+        if is_suspect && !self.crashes.may_send(suspect, now) {
             query.segments.get_mut(segment).state = SegmentState::Waiting;
             return;
         }
--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -8,11 +8,9 @@
     engine::Engine,
     interface::Action,
     segments::SegmentState,
+    timers::Timer,
 };
 
-/// Replicas that a condemned fingerprint crashed for certain.
-const CRASHES: u32 = 2;
-
 impl Engine {
     /// Notes a connection that broke under a search. Returns whether the query was ended by it.
     pub(crate) fn crash_sign(
@@ -26,13 +24,23 @@
         let query = &self.queries[index as usize];
         let suspect = query.suspect();
         let range = query.segments.get(segment).range;
-        match self.crashes.sign(suspect, attempt.replica, range, attempt.sent, now) {
-            Verdict::Suspected => false,
-            Verdict::Condemned => {
+        let may_succeed = self
+            .queries_of(suspect)
+            .into_iter()
+            .any(|it| self.queries[it as usize].segments.iter().any(|it| !it.attempts.is_empty()));
+        let sign = (attempt.replica, range, attempt.sent);
+        match self.crashes.sign(suspect, sign, may_succeed, self.settings.quarantine, now) {
+            Verdict::Suspected { paused_until } => {
+                if paused_until > now {
+                    self.timers.arm(paused_until, Timer::Canary(suspect));
+                }
+                false
+            }
+            Verdict::Condemned { crashes, quarantine } => {
                 self.counters.condemned += 1;
                 let service = self.replicas.services.name(suspect.0).clone();
-                out.push(Action::Condemn { service, fingerprint: suspect.1, crashes: CRASHES });
-                self.quarantine(now, suspect, now + self.settings.quarantine, out);
+                out.push(Action::Condemn { service, fingerprint: suspect.1, crashes });
+                self.quarantine(now, suspect, now + quarantine, out);
                 true
             }
         }
@@ -62,7 +70,7 @@
         }
     }
 
-    /// Sends what was held for canaries that ended.
+    /// Sends what was held for canaries and pauses that ended.
     pub(crate) fn resume(&mut self, now: Time, out: &mut Vec<Action>) {
         while let Some(suspect) = self.resumable.pop() {
             for index in self.queries_of(suspect) {
--- a/crates/query/src/timers.rs
+++ b/crates/query/src/timers.rs
@@ -4,7 +4,7 @@
 
 use rosemarybank_protocol::prelude::*;
 
-use crate::{interface::DispatchId, replicas::ReplicaKey};
+use crate::{crash::Suspect, interface::DispatchId, replicas::ReplicaKey};
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,6 +15,8 @@
     Dispatch(DispatchId),
     /// The next poll of a replica.
     Poll(ReplicaKey),
+    /// The end of a pause before a suspect's next canary.
+    Canary(Suspect),
 }
 
 /// A heap of timers.
