query: End a drain of the list that began before the first status

Cause: a replica that the list named as leaving before its first status stayed drained until its next restart, although it may have restarted already. Its old incarnation is unknown, so the first status can't show a restart.

Ruled out: ending the drain at the first serving status, because a status can be older than the drain and a leaving replica would get new work.

Change: a drain that only the list began, before the first status, ends when a later list names the replica live. A GOAWAY, a drain answer or a draining status keeps it until a new incarnation appears.

The model in tests/lifecycle.rs states the new rule in both directions. Before: the new test got no send after the list named the replica live, and the model failed.

Conclusion: an instance that starts with a lagging list regains the replica with the next list. The age of lists and statuses was not measured.

--- a/crates/query/src/replicas.rs
+++ b/crates/query/src/replicas.rs
@@ -48,6 +48,9 @@
     pub(crate) unlisted: Option<Time>,
     /// Takes no new work until a new incarnation appears.
     pub(crate) draining: bool,
+    /// Drained by the list alone before the first status. A restart can't be told by the
+    /// incarnation then, so a later list that names the replica live ends the drain.
+    drained_unseen: bool,
     pub(crate) health: Health,
     holdings: Vec<(ServiceIx, SnapshotId, Vec<RangeCount>)>,
 }
@@ -198,11 +201,13 @@
         let took_work = replica.takes_work();
         if replica.incarnation.is_some_and(|it| it != status.incarnation) {
             replica.draining = false;
+            replica.drained_unseen = false;
             replica.health.reset();
         }
         replica.incarnation = Some(status.incarnation);
         replica.state = Some(status.state);
         replica.draining |= status.state == ReplicaState::Draining;
+        replica.drained_unseen &= status.state != ReplicaState::Draining;
         replica.health.note_load(now, status.load);
         replica.health.note_poll();
         let takes_work = replica.takes_work();
@@ -215,6 +220,7 @@
     /// Stops new work to a replica until a new incarnation appears.
     pub(crate) fn drain(&mut self, key: ReplicaKey) {
         let Some(replica) = self.map.get_mut(key) else { return };
+        replica.drained_unseen = false;
         if !replica.draining {
             replica.draining = true;
             self.invalidate(key);
@@ -263,6 +269,7 @@
             state: None,
             unlisted: None,
             draining: false,
+            drained_unseen: false,
             health: Health::default(),
             holdings: Vec::new(),
         });
@@ -289,7 +296,13 @@
         (replica.upstream, replica.data_centre) = (upstream, data_centre);
         replica.addr = entry.addr;
         replica.unlisted = None;
-        replica.draining |= entry.state == InstanceState::Leaving;
+        if entry.state == InstanceState::Leaving {
+            replica.drained_unseen |= !replica.draining && replica.incarnation.is_none();
+            replica.draining = true;
+        } else if replica.drained_unseen {
+            replica.draining = false;
+            replica.drained_unseen = false;
+        }
         let takes_work = replica.takes_work();
         if old != (upstream, data_centre) {
             self.upstreams[old.0 as usize].remove(key);
--- a/crates/query/tests/lifecycle.rs
+++ b/crates/query/tests/lifecycle.rs
@@ -11,7 +11,7 @@
 use rosemarybank_protocol::{
     platform::{InstanceEntry, InstanceState},
     prelude::*,
-    upstream::ReplicaState,
+    upstream::{ReplicaState, ReplicaStatus},
 };
 use rosemarybank_query::{
     engine::Engine,
@@ -27,6 +27,8 @@
     incarnation: Option<u64>,
     is_serving: bool,
     draining: bool,
+    /// Drained by the list alone before the first status.
+    awaits_live: bool,
 }
 
 impl Model {
@@ -88,19 +90,32 @@
                 for (model, state) in models.iter_mut().zip(states) {
                     // Polls begin when the list names a replica for the first time.
                     model.listed = *state > 0;
-                    model.draining |= *state == 4;
+                    match *state {
+                        4 => {
+                            model.awaits_live |= !model.draining && model.incarnation.is_none();
+                            model.draining = true;
+                        }
+                        1..4 if model.awaits_live => {
+                            (model.draining, model.awaits_live) = (false, false);
+                        }
+                        _ => {}
+                    }
                 }
             }
             Transition::Status { replica, incarnation, state } => {
                 let model = &mut models[*replica];
                 if model.incarnation.is_some_and(|it| it != *incarnation) {
-                    model.draining = false;
+                    (model.draining, model.awaits_live) = (false, false);
                 }
                 model.incarnation = Some(*incarnation);
                 model.is_serving = *state == ReplicaState::Serving;
                 model.draining |= *state == ReplicaState::Draining;
+                model.awaits_live &= *state != ReplicaState::Draining;
+            }
+            Transition::GoingAway(replica) => {
+                let model = &mut models[*replica];
+                (model.draining, model.awaits_live) = (true, false);
             }
-            Transition::GoingAway(replica) => models[*replica].draining = true,
             Transition::Query { .. } => {}
         }
         models
@@ -187,3 +202,30 @@
     #[test]
     fn work_goes_to_replicas_that_take_it(sequential 1..60 => Sut);
 }
+
+/// Guards against a replica that is lost until its next restart, because a lagging list named it as
+/// leaving before its first status and after its restart.
+#[test]
+fn a_list_ends_the_drain_that_it_began_before_the_first_status() {
+    let takes_work = |ends: Option<Event>, state| {
+        let mut engine = Engine::new(settings(), 1);
+        feed(&mut engine, ms(0), Event::Configure(Box::new(bundle(1))));
+        let leaving = InstanceEntry { state: InstanceState::Leaving, ..entry(0, 0) };
+        feed(&mut engine, ms(0), Event::ReplicaList(vec![leaving]));
+        let status = status(name(0, 0), KeyRange::ALL, &[7]);
+        let status = ReplicaStatus { state, ..status };
+        feed(&mut engine, ms(1), Event::ReplicaStatus(status));
+        if let Some(event) = ends {
+            feed(&mut engine, ms(2), event);
+        }
+        let before = feed(&mut engine, ms(3), Event::Submit(submission(1, ms(300))));
+        feed(&mut engine, ms(4), Event::ReplicaList(vec![entry(0, 0)]));
+        let after = feed(&mut engine, ms(5), Event::Submit(submission(2, ms(300))));
+        (sends(&before).len(), sends(&after).len())
+    };
+    assert_eq!(takes_work(None, ReplicaState::Serving), (0, 1));
+    // The replica itself says that it leaves, so the list is not believed.
+    assert_eq!(takes_work(None, ReplicaState::Draining), (0, 0));
+    let going_away = Event::GoingAway { replica: name(0, 0) };
+    assert_eq!(takes_work(Some(going_away), ReplicaState::Serving), (0, 0));
+}
