daemon: export the engine's counters and the bytes of control work

Cause: /metrics showed attempts and useless replies only. The names in the code and the table in docs/operations.md could also drift apart.

Ruled out: counting bytes at the sockets, which would need a wrapper around each stream and would mix status polls with searches, because both share the connection to a replica.

The two ends of a peer link count the same bytes.

Conclusion: extra load, shedding and control traffic can be read from an instance. Header compression and frames remain uncounted, so the figure is not the traffic on the wire.

--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/links.rs
@@ -82,6 +82,7 @@
                 .addr(to)
                 .maybe_source(self.shared.settings.source)
                 .from(instance)
+                .bytes(self.shared.peer_bytes.clone())
                 .build();
             Rc::new(PeerLink::new(settings))
         };
--- a/crates/daemon/src/control/peer_port.rs
+++ b/crates/daemon/src/control/peer_port.rs
@@ -1,5 +1,11 @@
-use rosemarybank_protocol::peer::{PeerEnvelope, PeerMessage};
-use rosemarybank_transport::peer::{PeerHandler, PeerServerSettings, serve};
+use rosemarybank_protocol::{
+    id::InstanceId,
+    peer::{PeerEnvelope, PeerMessage},
+};
+use rosemarybank_transport::{
+    peer::{PeerHandler, PeerServerSettings, serve},
+    traffic::ByteCounter,
+};
 use tokio::{net::TcpListener, sync::oneshot};
 use tokio_util::sync::CancellationToken;
 
@@ -8,11 +14,11 @@
 /// Serves the peer port until `stop` is cancelled and the messages that have begun are answered.
 pub(super) async fn run(
     listener: TcpListener,
-    instance: rosemarybank_protocol::id::InstanceId,
+    (instance, bytes): (InstanceId, ByteCounter),
     inputs: Inputs,
     stop: CancellationToken,
 ) {
-    let settings = PeerServerSettings::builder().name(instance).build();
+    let settings = PeerServerSettings::builder().name(instance).bytes(bytes).build();
     serve(listener, settings, ToCoordinator(inputs), stop).await;
 }
 
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -11,6 +11,7 @@
 use rosemarybank_coordination::{membership, quarantine};
 use rosemarybank_platform::PlatformClient;
 use rosemarybank_ring::{Receiver, Sender};
+use rosemarybank_transport::traffic::ByteCounter;
 use slog::{Logger, info};
 use tokio::{
     net::TcpListener,
@@ -98,6 +99,7 @@
     info!(log, "the peer port is open"; "addr" => %peer_addr);
     let shared = Rc::new(Shared {
         platform: platform_client(&settings),
+        peer_bytes: ByteCounter::default(),
         settings,
         clock,
         engine,
@@ -118,7 +120,8 @@
 
     let stop_peers = CancellationToken::new();
     let instance = shared.settings.instance.clone();
-    let port = peer_port::run(listener, instance, inputs_tx.clone(), stop_peers.clone());
+    let bytes = shared.peer_bytes.clone();
+    let port = peer_port::run(listener, (instance, bytes), inputs_tx.clone(), stop_peers.clone());
     let mut port = spawn_local(port);
     let membership = membership_settings(&shared.settings, peer_addr);
     let mut coordinator =
--- a/crates/daemon/src/control/shared.rs
+++ b/crates/daemon/src/control/shared.rs
@@ -7,6 +7,7 @@
 use rosemarybank_platform::PlatformClient;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::interface::Event;
+use rosemarybank_transport::traffic::ByteCounter;
 use slog::Logger;
 
 use crate::{
@@ -27,6 +28,8 @@
     pub(super) clock: Clock,
     /// The platform's object API.
     pub(super) platform: PlatformClient,
+    /// Bytes exchanged with peers.
+    pub(super) peer_bytes: ByteCounter,
     /// Ring to the engine.
     pub(super) engine: Outbox<ControlToEngine>,
     /// Ring to the front.
--- a/crates/daemon/src/control/upkeep.rs
+++ b/crates/daemon/src/control/upkeep.rs
@@ -9,6 +9,8 @@
 pub(super) struct Upkeep {
     shown: Option<StatusDocument>,
     calls: u64,
+    peer_bytes: u64,
+    platform_bytes: u64,
 }
 
 impl Upkeep {
@@ -20,6 +22,14 @@
             shared.recorder.record(Record::Count(Counter::PlatformCalls, calls - self.calls));
             self.calls = calls;
         }
+        let bytes = [
+            (Counter::PeerBytes, &mut self.peer_bytes, shared.peer_bytes.total()),
+            (Counter::PlatformBytes, &mut self.platform_bytes, shared.platform.bytes()),
+        ];
+        for (counter, reported, total) in bytes {
+            shared.recorder.record(Record::Count(counter, total - *reported));
+            *reported = total;
+        }
         let document = StatusDocument {
             instance: shared.settings.instance.clone(),
             data_centre: shared.settings.data_centre.clone(),
--- a/crates/daemon/src/engine/mod.rs
+++ b/crates/daemon/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //! actions out through them.
 
 mod driver;
+mod report;
 mod run;
 mod texts;
 
--- a/crates/daemon/src/engine/run.rs
+++ b/crates/daemon/src/engine/run.rs
@@ -1,21 +1,22 @@
-use std::{collections::VecDeque, task::Waker, thread, time::Duration};
+use std::{collections::VecDeque, task::Waker, thread};
 
 use rosemarybank_protocol::id::Time;
 use rosemarybank_query::{interface::Event, settings::Settings};
 use rosemarybank_ring::{Receiver, SendError, Sender, thread_waker};
 
-use super::driver::{Driver, Outgoing};
+use super::{
+    driver::{Driver, Outgoing},
+    report::{REPORT_INTERVAL, Report},
+};
 use crate::{
     clock::Clock,
     lifecycle::{Phase, PhaseWatch},
     message::{ControlToEngine, EngineToControl, EngineToFront, EngineToUpstreams, FrontToEngine},
-    telemetry::{Counter, Gauge, Record, Recorder},
+    telemetry::Recorder,
 };
 
 /// Messages taken from one ring before the next ring has its turn.
 const BATCH: usize = 64;
-/// Time between two reports of the engine's counters; also how soon the thread sees the stop.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Rings of the engine thread.
 pub struct EngineRings {
@@ -58,11 +59,11 @@
         clock,
     };
     let waker = thread_waker();
-    let mut report = Report { recorder, next: Time::ZERO, attempts: 0, useless: 0 };
+    let mut report = Report::new(recorder);
     while phase.now() < Phase::Ending {
         thread.register(&waker);
         let is_busy = thread.turn();
-        report.run(thread.clock.now(), &thread.driver);
+        report.run(thread.clock.now(), thread.driver.engine());
         if !is_busy {
             thread.sleep();
         }
@@ -177,35 +178,3 @@
         }
     }
 }
-
-/// Reports the engine's counters from time to time.
-struct Report {
-    recorder: Recorder,
-    next: Time,
-    attempts: u64,
-    useless: u64,
-}
-
-impl Report {
-    fn run(&mut self, now: Time, driver: &Driver) {
-        if now < self.next {
-            return;
-        }
-        self.next = now + REPORT_INTERVAL;
-        let engine = driver.engine();
-        let counters = engine.counters();
-        let attempts =
-            counters.first_sends + counters.retries + counters.hedges + counters.action_sends;
-        let useless = counters.late_outcomes + counters.rejected_replies;
-        self.recorder.record(Record::Count(Counter::Attempts, attempts - self.attempts));
-        self.recorder.record(Record::Count(Counter::UselessReplies, useless - self.useless));
-        (self.attempts, self.useless) = (attempts, useless);
-        let gauges = [
-            (Gauge::QueriesInFlight, engine.queries_in_flight()),
-            (Gauge::AttemptsInFlight, engine.attempts_in_flight()),
-        ];
-        for (gauge, value) in gauges {
-            self.recorder.record(Record::Gauge(gauge, value as u64));
-        }
-    }
-}
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -1,7 +1,8 @@
 use cadence::{Counted, Gauged, Histogrammed, StatsdClient};
 
 use super::{
-    record::{Counter, Gauge, RequestRecord, Span},
+    names::{Counter, Gauge, RequestMetric},
+    record::{RequestRecord, Span},
     sink::MemorySink,
 };
 
@@ -22,13 +23,13 @@
         let took = u64::try_from(request.took.as_micros()).unwrap_or(u64::MAX);
         let _ = self
             .client
-            .count_with_tags("requests_total", 1)
+            .count_with_tags(RequestMetric::Requests.name(), 1)
             .with_tag("service", &request.service)
             .with_tag("status", &status)
             .try_send();
         let _ = self
             .client
-            .histogram_with_tags("request_duration_us", took)
+            .histogram_with_tags(RequestMetric::RequestDuration.name(), took)
             .with_tag("service", &request.service)
             .try_send();
     }
@@ -39,7 +40,7 @@
         let took = u64::try_from(took).unwrap_or(u64::MAX);
         let _ = self
             .client
-            .histogram_with_tags("hop_duration_us", took)
+            .histogram_with_tags(RequestMetric::HopDuration.name(), took)
             .with_tag("hop", span.hop.name())
             .try_send();
     }
@@ -47,39 +48,15 @@
     /// Counts events.
     pub(super) fn count(&self, counter: Counter, n: u64) {
         let n = i64::try_from(n).unwrap_or(i64::MAX);
-        let _ = self.client.count(counter_name(counter), n);
+        let mut metric = self.client.count_with_tags(counter.name(), n);
+        if let Some((key, value)) = counter.label() {
+            metric = metric.with_tag(key, value);
+        }
+        let _ = metric.try_send();
     }
 
     /// Sets a level.
     pub(super) fn gauge(&self, gauge: Gauge, value: u64) {
-        let _ = self.client.gauge(gauge_name(gauge), value);
-    }
-}
-
-fn counter_name(counter: Counter) -> &'static str {
-    match counter {
-        Counter::RingFull => "ring_full_total",
-        Counter::Connections => "connections_total",
-        Counter::SilentConnections => "silent_connections_total",
-        Counter::PlatformCalls => "platform_calls_total",
-        Counter::PlatformFailures => "platform_failures_total",
-        Counter::PeerMessages => "peer_messages_total",
-        Counter::PeerFailures => "peer_failures_total",
-        Counter::BundlesRefused => "bundles_refused_total",
-        Counter::Attempts => "attempts_total",
-        Counter::UselessReplies => "useless_replies_total",
-        Counter::RecordsDropped => "records_dropped_total",
-    }
-}
-
-fn gauge_name(gauge: Gauge) -> &'static str {
-    match gauge {
-        Gauge::Version => "version",
-        Gauge::FleetSize => "fleet_size",
-        Gauge::QueriesInFlight => "queries_in_flight",
-        Gauge::AttemptsInFlight => "attempts_in_flight",
-        Gauge::ActionsInFlight => "actions_in_flight",
-        Gauge::Quarantined => "quarantined",
-        Gauge::Replicas => "replicas",
+        let _ = self.client.gauge(gauge.name(), value);
     }
 }
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod document;
 mod metrics;
+mod names;
 mod record;
 mod run;
 mod sink;
@@ -10,7 +11,8 @@
 
 pub use admin::AdminToControl;
 pub use document::{PeerStatus, StatusDocument};
-pub use record::{Counter, Gauge, Hop, Record, Recorder, RequestRecord, Span};
+pub use names::{Counter, Gauge};
+pub use record::{Hop, Record, Recorder, RequestRecord, Span};
 pub use run::{TelemetrySetup, run};
 
 #[cfg(test)]
--- a/crates/daemon/src/telemetry/record.rs
+++ b/crates/daemon/src/telemetry/record.rs
@@ -7,6 +7,7 @@
 use rosemarybank_protocol::id::{ServiceId, Time};
 use rosemarybank_ring::Sender;
 
+use super::names::{Counter, Gauge};
 use crate::trace::TraceContext;
 
 /// What the other threads report to `telemetry`.
@@ -76,52 +77,6 @@
     pub took: Time,
 }
 
-/// Events that are counted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Counter {
-    /// Requests refused because a ring was full.
-    RingFull,
-    /// Connections accepted at the callers' port.
-    Connections,
-    /// Connections closed because they were silent or too slow.
-    SilentConnections,
-    /// Calls of the platform.
-    PlatformCalls,
-    /// Failed calls of the platform.
-    PlatformFailures,
-    /// Messages sent to peers.
-    PeerMessages,
-    /// Messages to peers that got no answer.
-    PeerFailures,
-    /// Bundles that were refused.
-    BundlesRefused,
-    /// Searches sent first, again and as hedges, and actions.
-    Attempts,
-    /// Replies rejected or late.
-    UselessReplies,
-    /// Records that were dropped because the telemetry ring was full.
-    RecordsDropped,
-}
-
-/// Levels that are shown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Gauge {
-    /// Version in force; 0 before the first.
-    Version,
-    /// Live instances.
-    FleetSize,
-    /// Queries in the engine.
-    QueriesInFlight,
-    /// Attempts in the engine.
-    AttemptsInFlight,
-    /// Actions in progress.
-    ActionsInFlight,
-    /// Quarantined fingerprints.
-    Quarantined,
-    /// Replicas in the platform's list.
-    Replicas,
-}
-
 /// Reports records. Clones share one ring.
 ///
 /// Records are dropped and counted when the ring is full, because telemetry must not delay
--- a/crates/daemon/src/telemetry/run.rs
+++ b/crates/daemon/src/telemetry/run.rs
@@ -14,7 +14,8 @@
 use super::{
     admin::{AdminService, AdminToControl, Shown},
     metrics::Metrics,
-    record::{Counter, Record},
+    names::Counter,
+    record::Record,
     sink::MemorySink,
     spans::Spans,
 };
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -1,7 +1,7 @@
 //! The upstreams thread: sends the engine's attempts to replicas and reports how they end.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -27,7 +27,7 @@
     lifecycle::{Phase, PhaseWatch},
     message::{EngineToUpstreams, Targets},
     outbox::Outbox,
-    telemetry::{Hop, Record, Recorder, Span},
+    telemetry::{Counter, Hop, Record, Recorder, Span},
     trace::TraceContext,
 };
 
@@ -70,6 +70,7 @@
         pool: Pool::new(settings, notices_tx),
         to_engine,
         running: Rc::default(),
+        poll_bytes: Rc::default(),
         clock,
         recorder,
     };
@@ -90,6 +91,7 @@
     pool: Pool,
     to_engine: Outbox<Event>,
     running: Rc<RefCell<HashMap<AttemptId, AbortHandle>>>,
+    poll_bytes: Rc<PollBytes>,
     clock: Clock,
     recorder: Recorder,
 }
@@ -149,6 +151,7 @@
             Outcome::Reply(status) => Event::ReplicaStatus(status),
             _ => Event::PollFailed { replica: target.replica },
         });
+        self.poll_bytes.report(self.clock.now(), self.pool.status_bytes(), &self.recorder);
     }
 
     fn call(&self, sent: &Sent) -> Call {
@@ -174,6 +177,25 @@
     }
 }
 
+/// Reports the bytes of polls, at most once a second because one poll of each replica ends in
+/// every second.
+#[derive(Default)]
+struct PollBytes {
+    reported: Cell<u64>,
+    next: Cell<Time>,
+}
+
+impl PollBytes {
+    fn report(&self, now: Time, total: u64, recorder: &Recorder) {
+        if now < self.next.get() {
+            return;
+        }
+        self.next.set(now + Duration::from_secs(1));
+        let reported = self.reported.replace(total);
+        recorder.record(Record::Count(Counter::PollBytes, total - reported));
+    }
+}
+
 /// Records the span of an attempt when it ends in whatever way.
 struct AttemptSpan {
     recorder: Recorder,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
+use hyper::body::Body;
 
 use crate::{
     connection::{Connection, Reply},
@@ -112,6 +113,14 @@
         self.0.counters.snapshot()
     }
 
+    /// Bytes of calls and replies since the client was built: targets, bodies and header fields
+    /// before their compression, without frames and keep-alives. A call that could not be sent
+    /// counts as well.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.0.counters.bytes()
+    }
+
     pub(crate) fn settings(&self) -> &Settings {
         &self.0.settings
     }
@@ -125,8 +134,7 @@
         let wait = self.0.settings.watch_wait;
         let target = wire::watch_target(prefix, after, wait.as_millis());
         let req = request(Method::GET, &target, None, Bytes::new(), &self.0.settings);
-        self.0.counters.add(CallKind::Watch);
-        let reply = self.0.connection.call(req, wait).await?;
+        let reply = self.exchange(CallKind::Watch, req, wait).await?;
         if reply.status == StatusCode::GONE {
             return Err(CallError::Compacted);
         }
@@ -142,8 +150,23 @@
         body: impl Into<Bytes>,
     ) -> Result<Reply, CallError> {
         let req = request(method, &target, condition, body.into(), &self.0.settings);
-        self.0.counters.add(kind);
-        self.0.connection.call(req, Duration::ZERO).await
+        self.exchange(kind, req, Duration::ZERO).await
+    }
+
+    async fn exchange(
+        &self,
+        kind: CallKind,
+        req: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Reply, CallError> {
+        let Inner { connection, counters, .. } = &*self.0;
+        counters.add(kind);
+        let target = req.uri().path_and_query().map_or(0, |it| it.as_str().len());
+        let body = req.body().size_hint().exact().unwrap_or(0) as usize;
+        counters.add_bytes(target + body, req.headers());
+        let reply = connection.call(req, wait).await?;
+        counters.add_bytes(reply.body.len(), &reply.headers);
+        Ok(reply)
     }
 }
 
--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use http::HeaderMap;
+
 /// Kind of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -37,15 +39,28 @@
 }
 
 #[derive(Default)]
-pub(crate) struct Counters([AtomicU64; 6]);
+pub(crate) struct Counters {
+    calls: [AtomicU64; 6],
+    bytes: AtomicU64,
+}
 
 impl Counters {
     pub(crate) fn add(&self, kind: CallKind) {
-        self.0[kind as usize].fetch_add(1, Ordering::Relaxed);
+        self.calls[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Adds the path or the body of a message and its header fields.
+    pub(crate) fn add_bytes(&self, content: usize, headers: &HeaderMap) {
+        let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+        self.bytes.fetch_add((content + fields.sum::<usize>()) as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
     }
 
     pub(crate) fn snapshot(&self) -> CallCounts {
-        let count = |kind: CallKind| self.0[kind as usize].load(Ordering::Relaxed);
+        let count = |kind: CallKind| self.calls[kind as usize].load(Ordering::Relaxed);
         CallCounts {
             get: count(CallKind::Get),
             list: count(CallKind::List),
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -128,6 +128,24 @@
     assert_eq!(client.counts(), counts);
 }
 
+/// Guards against bytes of one direction, or of calls of one kind, that are not counted.
+#[tokio::test]
+async fn the_bytes_of_calls_and_replies_are_counted() {
+    const LEN: u64 = 10_000;
+    let client = Platform::start().await.client();
+    assert_eq!(client.bytes(), 0);
+    let path = "config/current";
+    let value = format!("\"{}\"", "x".repeat(LEN as usize));
+    applied(client.create(path, value).await);
+    let created = client.bytes();
+    assert!((LEN..LEN + 500).contains(&created), "{created}");
+    client.get(path).await.unwrap().unwrap();
+    let read = client.bytes() - created;
+    assert!((LEN..LEN + 500).contains(&read), "{read}");
+    next(&mut client.watch("config/")).await;
+    assert!(client.bytes() - created - read >= LEN);
+}
+
 /// Guards against a change that was applied but is reported as not applied.
 #[tokio::test]
 async fn a_lost_reply_is_unknown() {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,4 +1,5 @@
 //! Connections to upstreams and between instances.
 
 pub mod peer;
+pub mod traffic;
 pub mod upstream;
--- a/crates/transport/src/peer/client.rs
+++ b/crates/transport/src/peer/client.rs
@@ -20,6 +20,7 @@
 };
 
 use super::{body, codec, error::PeerError};
+use crate::traffic::{ByteCounter, header_bytes};
 
 /// Settings of a [`PeerLink`].
 ///
@@ -44,6 +45,9 @@
     /// Time allowed for a message and its answer, with the connection if there is none.
     #[builder(default = Duration::from_secs(1))]
     pub timeout: Duration,
+    /// Counts the bytes of messages and answers.
+    #[builder(default)]
+    pub bytes: ByteCounter,
 }
 
 /// Link to one peer. It connects at the first message, keeps the connection, and connects again
@@ -87,7 +91,7 @@
         let connected = timeout_at(until, self.connected()).await;
         let Open { number, sender } =
             connected.unwrap_or_else(|_| Err(PeerError::Connect("timed out".into())))?;
-        let answer = timeout_at(until, exchange(sender, self.settings.addr, body)).await;
+        let answer = timeout_at(until, exchange(sender, &self.settings, body)).await;
         let answer = answer.unwrap_or(Err(PeerError::Timeout));
         if matches!(answer, Err(PeerError::Timeout | PeerError::Lost(_))) {
             self.abandon(number).await;
@@ -140,21 +144,25 @@
 
 async fn exchange(
     sender: SendRequest<Bytes>,
-    addr: SocketAddr,
+    settings: &PeerLinkSettings,
     body: Bytes,
 ) -> Result<PeerEnvelope, PeerError> {
     let req = Request::builder()
         .method(Method::POST)
-        .uri(format!("http://{addr}/peer"))
+        .uri(format!("http://{}/peer", settings.addr))
         .header(header::CONTENT_LENGTH, body.len())
         .body(())
         .expect("the parts are valid");
     let mut sender = sender.ready().await?;
+    let sent = req.uri().path().len() + header_bytes(req.headers()) + body.len();
     let (reply, mut stream) = sender.send_request(req, false)?;
+    settings.bytes.add(sent);
     stream.send_data(body, true)?;
     let (head, body) = reply.await?.into_parts();
     if head.status != StatusCode::OK {
         return Err(PeerError::from_status(head.status));
     }
-    codec::decode(&body::read(&head.headers, body).await?)
+    let body = body::read(&head.headers, body).await?;
+    settings.bytes.add(header_bytes(&head.headers) + body.len());
+    codec::decode(&body)
 }
--- a/crates/transport/src/peer/server.rs
+++ b/crates/transport/src/peer/server.rs
@@ -17,6 +17,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{body, codec, error::PeerError};
+use crate::traffic::{ByteCounter, header_bytes};
 
 /// Answers messages.
 pub trait PeerHandler: Clone + Send + Sync + 'static {
@@ -43,6 +44,9 @@
     /// Messages at once on a connection.
     #[builder(default = 16)]
     pub max_streams: u32,
+    /// Counts the bytes of messages and answers.
+    #[builder(default)]
+    pub bytes: ByteCounter,
 }
 
 /// Serves peers until `stop` is cancelled, then finishes the messages that have begun.
@@ -132,10 +136,16 @@
     if head.method != Method::POST || head.uri.path() != "/peer" {
         return Err(PeerError::Malformed("the request is not POST /peer".into()));
     }
-    let envelope = codec::decode(&body::read(&head.headers, body).await?)?;
+    let body = body::read(&head.headers, body).await?;
+    let headers = header_bytes(&head.headers);
+    settings.bytes.add(head.uri.path().len() + headers + body.len());
+    let envelope = codec::decode(&body)?;
     let message = handler.handle(envelope).await;
     let from = settings.name.clone();
-    codec::encode(&PeerEnvelope { protocol: PEER_PROTOCOL_VERSION, from, message })
+    let body = codec::encode(&PeerEnvelope { protocol: PEER_PROTOCOL_VERSION, from, message })?;
+    // An answer has no header fields of its own.
+    settings.bytes.add(body.len());
+    Ok(body)
 }
 
 /// Hands an answer over to the connection; the sender sees when that has broken.
--- a/crates/transport/src/upstream/call.rs
+++ b/crates/transport/src/upstream/call.rs
@@ -6,6 +6,7 @@
 use tokio::time::{self, Instant};
 
 use super::{connection::Connection, replica::Replica};
+use crate::traffic::{ByteCounter, header_bytes};
 
 /// What accompanies a request.
 #[derive(Clone, Debug)]
@@ -41,36 +42,43 @@
     reply_bytes: usize,
 ) -> Outcome<T> {
     match serde_json::to_vec(body) {
-        Ok(body) => exchange(replica, Method::POST, path, body.into(), call, reply_bytes).await,
+        Ok(body) => {
+            let content = (Method::POST, path, body.into());
+            exchange(replica, content, call, reply_bytes, None).await
+        }
         Err(_) => Outcome::NotSent,
     }
 }
 
-/// Reads a JSON document.
+/// Reads a JSON document and counts its bytes.
 pub(super) async fn get<T: DeserializeOwned>(
     replica: &Replica,
     path: &str,
     call: &Call,
     reply_bytes: usize,
+    counter: &ByteCounter,
 ) -> Outcome<T> {
-    exchange(replica, Method::GET, path, Bytes::new(), call, reply_bytes).await
+    let content = (Method::GET, path, Bytes::new());
+    exchange(replica, content, call, reply_bytes, Some(counter)).await
 }
 
 async fn exchange<T: DeserializeOwned>(
     replica: &Replica,
-    method: Method,
-    path: &str,
-    body: Bytes,
+    (method, path, body): (Method, &str, Bytes),
     call: &Call,
     reply_bytes: usize,
+    counter: Option<&ByteCounter>,
 ) -> Outcome<T> {
+    let count = |bytes: usize| counter.iter().for_each(|it| it.add(bytes));
     let Some(mut conn) = replica.connection(call.deadline).await else { return Outcome::NotSent };
     // A process that was paused must not send a request whose time is over.
     let Some(req) = request(replica, method, path, call) else { return Outcome::NotSent };
+    let sent = path.len() + header_bytes(req.headers()) + body.len();
     let read_before = conn.log.bytes_read();
     let Ok((response, mut stream)) = conn.requests.send_request(req, body.is_empty()) else {
         return Outcome::NotSent;
     };
+    count(sent);
     let id = stream.stream_id().as_u32();
     if !body.is_empty() {
         // A failure to send is a failure of the stream, which the response reports.
@@ -78,7 +86,9 @@
     }
     let reading = async {
         let (head, body) = response.await?.into_parts();
-        Ok((head.status, read_body(body, reply_bytes).await?))
+        let body = read_body(body, reply_bytes).await?;
+        count(header_bytes(&head.headers) + body.as_ref().map_or(0, Bytes::len));
+        Ok((head.status, body))
     };
     match time::timeout_at(call.deadline, reading).await {
         Ok(Ok((status, body))) => decode(status, body.as_deref()),
--- a/crates/transport/src/upstream/pool.rs
+++ b/crates/transport/src/upstream/pool.rs
@@ -16,6 +16,7 @@
     call::{self, Call, Outcome},
     replica::Replica,
 };
+use crate::traffic::ByteCounter;
 
 /// Limits of a [`Pool`].
 #[derive(Clone, Copy, Debug, Builder)]
@@ -59,6 +60,7 @@
 struct Inner {
     settings: PoolSettings,
     notices: mpsc::UnboundedSender<GoingAway>,
+    status_bytes: ByteCounter,
     kept: Mutex<HashMap<ReplicaId, Kept>>,
 }
 
@@ -78,7 +80,8 @@
     /// Makes a pool without connections. GOAWAY frames are reported to `notices`.
     #[must_use]
     pub fn new(settings: PoolSettings, notices: mpsc::UnboundedSender<GoingAway>) -> Pool {
-        Pool { inner: Arc::new(Inner { settings, notices, kept: Mutex::default() }) }
+        let (status_bytes, kept) = (ByteCounter::default(), Mutex::default());
+        Pool { inner: Arc::new(Inner { settings, notices, status_bytes, kept }) }
     }
 
     /// Sets the replicas to which connections are kept open ahead of use.
@@ -125,7 +128,14 @@
     /// Asks a replica for its status.
     pub async fn status(&self, target: &Target, call: &Call) -> Outcome<ReplicaStatus> {
         let replica = self.replica(target);
-        call::get(&replica, "/status", call, self.inner.settings.reply_bytes).await
+        let Inner { settings, status_bytes, .. } = &*self.inner;
+        call::get(&replica, "/status", call, settings.reply_bytes, status_bytes).await
+    }
+
+    /// Bytes of status requests and replies since the pool was made.
+    #[must_use]
+    pub fn status_bytes(&self) -> u64 {
+        self.inner.status_bytes.total()
     }
 
     fn replica(&self, target: &Target) -> Arc<Replica> {
--- a/crates/transport/tests/peer_link.rs
+++ b/crates/transport/tests/peer_link.rs
@@ -16,8 +16,9 @@
     peer::{ConfigUpdate, MAX_PEER_MESSAGE_LEN, PeerEnvelope, PeerMessage},
     platform::SignedBundle,
 };
-use rosemarybank_transport::peer::{
-    PeerError, PeerHandler, PeerLink, PeerLinkSettings, PeerServerSettings, serve,
+use rosemarybank_transport::{
+    peer::{PeerError, PeerHandler, PeerLink, PeerLinkSettings, PeerServerSettings, serve},
+    traffic::ByteCounter,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -47,6 +48,7 @@
     addr: SocketAddr,
     stop: CancellationToken,
     handled: Arc<AtomicU32>,
+    bytes: ByteCounter,
     task: JoinHandle<()>,
 }
 
@@ -56,12 +58,14 @@
         let addr = listener.local_addr().unwrap();
         let handler = Echo { delay, handled: Arc::default() };
         let (stop, handled) = (CancellationToken::new(), handler.handled.clone());
+        let bytes = ByteCounter::default();
         let settings = PeerServerSettings::builder()
             .name("e2")
+            .bytes(bytes.clone())
             .message_timeout(Duration::from_millis(500))
             .build();
         let task = tokio::spawn(serve(listener, settings, handler, stop.clone()));
-        Server { addr, stop, handled, task }
+        Server { addr, stop, handled, bytes, task }
     }
 
     fn link(&self) -> PeerLink {
@@ -90,6 +94,25 @@
     assert_eq!(link.send(push(MAX_PEER_MESSAGE_LEN)).await, Err(PeerError::TooLarge));
 }
 
+/// Guards against bytes that only one end of a link counts, or that are counted twice.
+#[tokio::test]
+async fn both_ends_count_the_same_bytes() {
+    let server = Server::start("127.0.0.1:0", Duration::ZERO).await;
+    let bytes = ByteCounter::default();
+    let settings = PeerLinkSettings::builder().addr(server.addr).from("e1").bytes(bytes.clone());
+    let link = PeerLink::new(settings.build());
+    let mut before = 0;
+    for len in [0, 100, 70_000] {
+        link.send(push(len)).await.unwrap();
+        assert_eq!(bytes.total(), server.bytes.total());
+        let grown = bytes.total() - before;
+        before = bytes.total();
+        // The message travels in both directions; its envelope and its headers are short.
+        let least = 2 * len as u64 + 1;
+        assert!((least..least + 200).contains(&grown), "{len}: {grown}");
+    }
+}
+
 /// Guards against a link that stays broken after its peer was restarted.
 #[tokio::test]
 async fn a_link_connects_again() {
