daemon: Wait 5 s for changes, and warn of unknown outcomes

Cause: watch_wait_ms of 30,000 hides changes for as long when the store accepts calls and never answers, against the target of seconds. An action whose outcome is unknown was logged at INFO, although somebody must look it up. Ruled out: a shorter wait than 5 s, which costs calls in proportion. New test that an outcome which cannot be recorded does not hold a stop. Before and after: at rest 8 instances make 0.5 and 2.8 calls/s, 680 instances 23 and 139 calls/s (computed). The recording of outcomes was bounded already: with a grace of 1.5 s the process ends within 3 s with code 1 and names the claim, for a store that is down and one that is silent. Conclusion: no fault in the stop; changes are seen within seconds.

--- a/crates/daemon/src/control/actions.rs
+++ b/crates/daemon/src/control/actions.rs
@@ -5,7 +5,7 @@
 use rosemarybank_coordination::claim::{Action, Answer, Event, Machine, Spec};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::interface::{Dispatch, DispatchId};
-use slog::{info, warn};
+use slog::warn;
 use tokio::{sync::oneshot, time::sleep_until};
 use tokio_util::task::TaskTracker;
 
@@ -141,7 +141,7 @@
             Answer::KeyConflict => "key conflict",
         };
         if let Answer::Unknown { reason } = &answer {
-            info!(self.shared.log, "the outcome of an action is unknown";
+            warn!(self.shared.log, "the outcome of an action is unknown";
                 "caller" => %request.caller, "key" => %request.action.key, "reason" => %reason,
                 "trace_id" => %request.trace.trace_id_text());
         }
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -125,7 +125,7 @@
     let platform = Platform {
         addr: addr(&mut at),
         timeout: millis(&mut at, "timeout_ms", 1_000),
-        watch_wait: millis(&mut at, "watch_wait_ms", 30_000),
+        watch_wait: millis(&mut at, "watch_wait_ms", 5_000),
     };
     at.finish();
     platform
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -18,6 +18,7 @@
 use rosemarybank_standins::{platform::faults::PlatformFaults, upstream::faults::StandingFaults};
 
 const STOCK: [&str; 4] = ["stock-low-1", "stock-low-2", "stock-high-1", "stock-high-2"];
+const LEDGERS: [&str; 2] = ["lots-1", "lots-2"];
 
 fn slow(delay_ms: u64) -> StandingFaults {
     StandingFaults { delay_ms, ..StandingFaults::default() }
@@ -81,6 +82,34 @@
     assert_eq!(read_all(caller), "");
 }
 
+/// Guards against a stop that waits for the outcome of an action to be recorded, which is tried for
+/// a minute and a half when each call times out, and against one that hides what was not recorded.
+#[test]
+fn an_outcome_that_cannot_be_recorded_does_not_hold_a_stop() {
+    for faults in [
+        PlatformFaults { down: true, ..PlatformFaults::default() },
+        PlatformFaults { silent: true, ..PlatformFaults::default() },
+    ] {
+        let bench = Bench::start();
+        let process = Process::start(&bench, &[], 1_500);
+        bench.upstream_faults(&LEDGERS, slow(500));
+        let headers = format!("idempotency-key: {}\r\nconnection: close\r\n", key());
+        let caller =
+            process.send("/v1/services/lots/actions", &headers, r#"{"body":"reserve 12"}"#);
+        // The claim is created, and the upstream runs the action.
+        thread::sleep(Duration::from_millis(200));
+        bench.platform_faults(faults);
+        let answer = read_all(caller);
+        assert!(answer.contains(r#""state":"done""#), "{answer}");
+        process.signal();
+        let (status, took, log) = process.ended();
+        assert_eq!(status.code(), Some(1), "{log}");
+        assert!(took < Duration::from_millis(3_000), "{took:?}");
+        assert!(log.contains("claim of desk"), "{log}");
+        assert_eq!(bench.effects(), 1);
+    }
+}
+
 /// Guards against an operator who can't end a stop.
 #[test]
 fn a_second_signal_ends_a_stop_at_once() {
