--- a/crates/daemon/src/telemetry/names.rs
+++ b/crates/daemon/src/telemetry/names.rs
@@ -54,6 +54,10 @@
         PollBytes = "control_bytes_total",
         /// Bundles that were refused.
         BundlesRefused = "bundles_refused_total",
+        /// Claims that were deleted because of their age.
+        ClaimsDeleted = "claims_deleted_total",
+        /// Paths among the claims that name no claim.
+        ClaimsUnreadable = "claims_unreadable_total",
         /// Searches sent first, again and as hedges, and actions.
         Attempts = "attempts_total",
         /// Hedges of searches.
