daemon: be ready only when every key has a replica

Cause: an instance was ready with a bundle and a list of replicas, before the first status polls had told which replica serves which keys. Searches in between were answered with missing ranges (reason no_replica), and such fast failures attract a load balancer.

Ruled out: waiting for the answer of each poll, because one dead replica would delay every start. Waiting without a bound, because one lost shard would keep all instances out of service.

Change: the engine has a view that tells whether each search service of the bundle has a layout without gaps. The engine thread looks at it after events, at most every 5 ms, until it is true for the first time, and then tells control. Control lets the front take requests on this signal, or 2 s after the first list that is not empty. The test bench gives its service `hidden` a holder, because a service that nobody serves would delay each start by 2 s.

Conclusion: the gap is closed for a start. Readiness is not withdrawn when a shard is lost later, as before.

--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -19,6 +19,7 @@
     bundles::{Bundles, check},
     input::{ConfigRead, Event, Input, Inputs},
     links::Links,
+    needs::Needs,
     replicas::Replicas,
     shared::Shared,
     status::StatusWriter,
@@ -50,9 +51,8 @@
     local: LocalState,
     /// Digest of the quarantine entries held.
     digest: u64,
-    /// Whether a list of replicas that is not empty was known at any time since the start.
-    has_replicas: bool,
-    /// Front's part of the bundle in force, until the quarantine and a list of replicas are known.
+    needs: Needs,
+    /// Front's part of the bundle in force, until the quarantine and the replicas are known.
     waiting: Option<Arc<FrontConfig>>,
     refused: Option<Version>,
     queue: VecDeque<Event>,
@@ -84,7 +84,7 @@
             bundles: Bundles::default(),
             local: LocalState::default(),
             digest: 0,
-            has_replicas: false,
+            needs: Needs::default(),
             waiting: None,
             refused: None,
             queue: VecDeque::new(),
@@ -113,6 +113,13 @@
         entries.filter(|it| self.quarantine.is_quarantined(now, &quarantine::key_of(it))).count()
     }
 
+    /// Takes the news that the engine has a replica for every key of every search service.
+    pub(super) fn served(&mut self) {
+        self.needs.served();
+        // The readiness is looked at after each event.
+        self.run(Event::Membership(membership::Event::Tick));
+    }
+
     /// Lets the machines see that time has passed.
     pub(super) fn tick(&mut self) {
         self.replicas.tick();
@@ -400,9 +407,8 @@
 
     /// Lets the front take requests when it may, and keeps the heartbeats true.
     fn update_local(&mut self, now: Time) {
-        // Without replicas every search fails at once, so a load balancer would prefer this instance.
-        self.has_replicas |= self.replicas.len() > 0;
-        let has_needs = self.has_replicas && self.quarantine.is_loaded(now);
+        self.needs.listed(now, self.replicas.len());
+        let has_needs = self.needs.are_met(now) && self.quarantine.is_loaded(now);
         if has_needs && let Some(config) = self.waiting.take() {
             self.shared.front.send(ControlToFront::Config(config));
             self.shared.readiness.set_configured();
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod coordinator;
 mod input;
 mod links;
+mod needs;
 mod lookups;
 mod peer_port;
 mod replicas;
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -149,6 +149,7 @@
                 EngineToControl::Dispatched { dispatch, outcome } => {
                     actions.dispatched(dispatch, outcome);
                 }
+                EngineToControl::Served => coordinator.served(),
                 EngineToControl::Condemn { service, fingerprint, crashes } => {
                     let event = quarantine::Event::Condemned { service, fingerprint, crashes };
                     coordinator.run(Event::Quarantine(event));
--- a/crates/daemon/src/engine/driver.rs
+++ b/crates/daemon/src/engine/driver.rs
@@ -44,6 +44,12 @@
         &self.engine
     }
 
+    /// Whether every key of every search service of the bundle has a replica.
+    #[must_use]
+    pub fn is_served(&mut self) -> bool {
+        self.engine.is_served()
+    }
+
     /// Takes a message of the front.
     pub fn front(&mut self, now: Time, message: FrontToEngine, out: &mut Outgoing) {
         match message {
--- a/crates/daemon/src/engine/mod.rs
+++ b/crates/daemon/src/engine/mod.rs
@@ -3,6 +3,7 @@
 
 mod driver;
 mod report;
+mod served;
 mod run;
 mod texts;
 
--- a/crates/daemon/src/engine/run.rs
+++ b/crates/daemon/src/engine/run.rs
@@ -7,6 +7,7 @@
 use super::{
     driver::{Driver, Outgoing},
     report::{REPORT_INTERVAL, Report},
+    served::ServedCheck,
 };
 use crate::{
     clock::Clock,
@@ -53,6 +54,7 @@
     let EngineSetup { clock, settings, seed, recorder, phase } = setup;
     let mut thread = EngineThread {
         driver: Driver::new(settings, seed, recorder.clone()),
+        served: ServedCheck::default(),
         out: Outgoing::default(),
         held: Held::new(rings.to_upstreams.len()),
         rings,
@@ -63,6 +65,10 @@
     while phase.now() < Phase::Ending {
         thread.register(&waker);
         let is_busy = thread.turn();
+        if thread.served.run(thread.clock.now(), is_busy, &mut thread.driver) {
+            thread.out.control.push(EngineToControl::Served);
+            thread.flush();
+        }
         report.run(thread.clock.now(), thread.driver.engine());
         if !is_busy {
             thread.sleep();
@@ -72,6 +78,7 @@
 
 struct EngineThread {
     driver: Driver,
+    served: ServedCheck,
     out: Outgoing,
     held: Held,
     rings: EngineRings,
@@ -157,7 +164,8 @@
 
     fn sleep(&self) {
         let now = self.clock.now();
-        let until = self.driver.engine().next_wakeup().unwrap_or(Time::MAX);
+        let wakeups = [self.driver.engine().next_wakeup(), self.served.next_wakeup()];
+        let until = wakeups.into_iter().flatten().min().unwrap_or(Time::MAX);
         let wait = until.saturating_sub(now).min(REPORT_INTERVAL);
         if !wait.is_zero() {
             thread::park_timeout(wait);
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -168,6 +168,8 @@
         /// What became of it.
         outcome: ActionOutcome,
     },
+    /// Every key of every search service has a replica, for the first time since the start.
+    Served,
     /// A fingerprint crashed replicas.
     Condemn {
         /// Service that was asked.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -327,12 +327,14 @@
         ledgers: Vec::new(),
     };
     let half = |name: &str, upstream: &str, first: u64, last: u64| ReplicaSpec {
-        holdings: vec![HoldingSpec {
-            service: "stock".into(),
-            snapshot: 7,
-            records: 1_000,
-            ranges: vec![KeyRange::new(first, last).unwrap()],
-        }],
+        holdings: [("stock", KeyRange::new(first, last).unwrap()), ("hidden", KeyRange::ALL)]
+            .map(|(service, range)| HoldingSpec {
+                service: service.into(),
+                snapshot: 7,
+                records: 1_000,
+                ranges: vec![range],
+            })
+            .into(),
         ..spec(name, upstream)
     };
     let middle = 1 << 63;
--- a/crates/daemon/tests/common/process.rs
+++ b/crates/daemon/tests/common/process.rs
@@ -9,6 +9,7 @@
 };
 
 use http::Method;
+use serde_json::Value;
 
 use super::{Bench, TOKEN, eventually, free_addrs};
 
@@ -29,7 +30,29 @@
 }
 
 impl Process {
+    /// Starts a process and waits until its searches are complete.
     pub fn start(bench: &Bench, peers: &[SocketAddr], grace_ms: u32) -> Process {
+        let process = Process::spawn(bench, peers, grace_ms);
+        eventually("searches are complete", || {
+            let (status, body) = process.ask_search(bench);
+            status == 200 && body["complete"] == true
+        });
+        process
+    }
+
+    /// Searches and reads the answer.
+    pub fn ask_search(&self, bench: &Bench) -> (u16, Value) {
+        let (path, body) = ("/v1/services/stock/search", r#"{"query":"cherry"}"#);
+        bench.ask(Method::POST, self.callers, path, &[], body)
+    }
+
+    /// Whether the process says that it is ready.
+    pub fn is_ready(&self, bench: &Bench) -> bool {
+        bench.send(Method::GET, self.admin, "/ready", &[], "").status().is_success()
+    }
+
+    /// Starts a process and waits until its admin port is open.
+    pub fn spawn(bench: &Bench, peers: &[SocketAddr], grace_ms: u32) -> Process {
         let addrs = free_addrs(3);
         let public = bench.key.public_key();
         let peers: Vec<_> = peers.iter().map(ToString::to_string).collect();
@@ -62,12 +85,6 @@
             .unwrap();
         let process = Process { child, callers: addrs[0], admin: addrs[2], _settings: settings };
         eventually("the process answers", || TcpStream::connect(process.admin).is_ok());
-        eventually("searches are complete", || {
-            let path = "/v1/services/stock/search";
-            let body = r#"{"query":"cherry"}"#;
-            let (status, body) = bench.ask(Method::POST, process.callers, path, &[], body);
-            status == 200 && body["complete"] == true
-        });
         process
     }
 
--- a/crates/query/src/views.rs
+++ b/crates/query/src/views.rs
@@ -132,6 +132,19 @@
         self.admission.queued() as usize
     }
 
+    /// Whether a bundle is in force and every key of each of its search services has a usable
+    /// replica. Builds the layouts that are not up to date.
+    #[must_use]
+    pub fn is_served(&mut self) -> bool {
+        let replicas = &mut self.replicas;
+        let mut searched = self.services.iter().filter(|(_, it)| it.kind == ServiceKind::Search);
+        !self.services.is_empty()
+            && searched.all(|(index, _)| {
+                let layout = replicas.choose_layout(*index);
+                layout.is_some_and(|it| it.is_full)
+            })
+    }
+
     /// Fingerprints in quarantine at `now`, by service and fingerprint.
     #[must_use]
     pub fn quarantined(&self, now: Time) -> Vec<QuarantineView> {
