--- a/crates/daemon/src/engine/mod.rs
+++ b/crates/daemon/src/engine/mod.rs
@@ -2,6 +2,8 @@
 //! actions out through them.
 
 mod driver;
+mod report;
+mod served;
 mod run;
 mod texts;
 
