coordination: Check that a change of callers skips no claims

Cause: of the guards of the collector, the drop of a list that was asked for before the callers changed was covered by no test. Ruled out: a longer property test; the random steps seldom change the callers between a list and its answer. Change: a test for this order of events. Before: without the guard all tests passed. After: without the guard the new test fails (claims/desk is listed instead of claims/new), with it 5 tests pass. Conclusion: each guard that changes what is deleted has a test that needs it.

--- a/crates/coordination/tests/prop_collect.rs
+++ b/crates/coordination/tests/prop_collect.rs
@@ -281,6 +281,32 @@
     }
 }
 
+/// Guards against a list of another caller's claims that counts as that of a new first caller,
+/// whose claims would then stay.
+#[test]
+fn a_change_of_callers_skips_no_caller() {
+    let mut bench = Bench::new(&[]);
+    bench.feed(0, duty(true));
+    for _ in 0..20 {
+        bench.answer(0, Answer::Right);
+        bench.now = bench.now.max(bench.machines[0].next_wakeup().unwrap_or_default());
+        bench.feed(0, Event::Tick);
+        let Some((_, Action::List { prefix })) = bench.pending.first().cloned() else { panic!() };
+        let slot = prefix.rsplit('/').next().expect("a path has parts").to_owned();
+        let callers = vec!["new".into(), "desk".into(), "portal".into()];
+        bench.feed(0, Event::Duty { is_collector: true, callers });
+        bench.answer(0, Answer::Right);
+        bench.now += Duration::from_secs(1);
+        bench.feed(0, Event::Tick);
+        let Some((_, Action::List { prefix })) = bench.pending.first().cloned() else { panic!() };
+        assert_eq!(prefix, format!("claims/new/{slot}"));
+        bench.feed(0, duty(true));
+        bench.answer(0, Answer::Right);
+        bench.now += Duration::from_secs(1);
+        bench.feed(0, Event::Tick);
+    }
+}
+
 /// Guards against members that agree on the live instances and choose different collectors.
 #[test]
 fn the_collector_changes_only_when_it_leaves() {
