--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,8 +5,10 @@
 //! implement serde, so a test bench can drive the same code as the daemon.
 
 pub mod claim;
+pub mod collect;
 pub mod config;
 mod hash;
 pub mod key;
 pub mod membership;
 pub mod quarantine;
+pub mod replica_list;
--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -48,7 +48,11 @@
     status: StatusWriter,
     watch: Option<Watch>,
     local: LocalState,
-    /// Front's part of the bundle in force, while the quarantine is not loaded.
+    /// Digest of the quarantine entries held.
+    digest: u64,
+    /// Whether a list of replicas that is not empty was known at any time since the start.
+    has_replicas: bool,
+    /// Front's part of the bundle in force, until the quarantine and a list of replicas are known.
     waiting: Option<Arc<FrontConfig>>,
     refused: Option<Version>,
     queue: VecDeque<Event>,
@@ -59,7 +63,7 @@
     pub(super) fn new(
         shared: Rc<Shared>,
         replicas: Replicas,
-        inputs: Inputs,
+        (inputs, links): (Inputs, Links),
         membership: membership::Settings,
     ) -> Coordinator {
         let instances = membership.peers.len() as u32 + 1;
@@ -71,7 +75,7 @@
                 quarantine::Settings::builder().unix_ms_at_zero(unix_ms).build(),
             ),
             role: Role::Follower,
-            links: Links::new(Rc::clone(&shared), inputs.clone()),
+            links,
             status: StatusWriter::new(Rc::clone(&shared), inputs.clone()),
             watch: Some(shared.platform.watch(CONFIG_PATH)),
             shared,
@@ -79,6 +83,8 @@
             replicas,
             bundles: Bundles::default(),
             local: LocalState::default(),
+            digest: 0,
+            has_replicas: false,
             waiting: None,
             refused: None,
             queue: VecDeque::new(),
@@ -95,7 +101,9 @@
     /// Time at which [`Coordinator::tick`] is needed next.
     pub(super) fn next_wakeup(&self) -> Option<Time> {
         let membership = self.membership.next_wakeup().into_iter();
-        membership.chain(self.config.next_wakeup()).chain(self.quarantine.next_wakeup()).min()
+        let config = self.config.next_wakeup().into_iter();
+        let rest = self.quarantine.next_wakeup().into_iter().chain(self.replicas.next_wakeup());
+        membership.chain(config).chain(rest).min()
     }
 
     /// Number of fingerprints that are refused now.
@@ -107,9 +115,12 @@
 
     /// Lets the machines see that time has passed.
     pub(super) fn tick(&mut self) {
+        self.replicas.tick();
         self.run(Event::Membership(membership::Event::Tick));
         self.run(Event::Quarantine(quarantine::Event::Tick));
         self.run(Event::Config(config::Event::Tick));
+        // Not at each event: a heartbeat must not cost a look at all peers.
+        self.status.offer(self.membership.status());
     }
 
     /// Announces that this instance is about to stop.
@@ -140,6 +151,10 @@
                 let event = bundle.map_or(config::Event::FetchFailed, config::Event::PeerBundle);
                 self.run(Event::Config(event));
             }
+            Input::PeerReplicas { answer: PeerMessage::Instances(list) } => {
+                self.replicas.offer(list);
+            }
+            Input::PeerReplicas { .. } => {}
             Input::StoreRead { event, watch } => {
                 if watch.is_some() {
                     self.watch = watch;
@@ -164,11 +179,11 @@
             }
             self.update_local(now);
         }
-        self.status.offer(self.membership.status());
     }
 
     fn run_membership(&mut self, now: Time, event: membership::Event) {
         let mut out = Vec::new();
+        let mut may_change_role = !matches!(event, membership::Event::Heard { .. });
         self.membership.handle(now, event, &mut out);
         for action in out {
             match action {
@@ -178,6 +193,7 @@
                     }
                 }
                 membership::Action::PeerChanged { instance, incarnation, phase } => {
+                    may_change_role = true;
                     info!(self.shared.log, "a peer changed"; "peer" => %instance,
                         "incarnation" => incarnation, "phase" => ?phase);
                     if matches!(phase, Phase::Dead | Phase::Leaving) {
@@ -192,6 +208,13 @@
                 }
             }
         }
+        if may_change_role {
+            self.update_role();
+        }
+    }
+
+    fn update_role(&mut self) {
+        self.shared.is_collector.set(self.membership.is_collector());
         let role = self.membership.role();
         if role != self.role {
             self.role = role;
@@ -226,7 +249,11 @@
 
     fn run_quarantine(&mut self, now: Time, event: quarantine::Event) {
         let mut out = Vec::new();
+        let may_change_entries = !matches!(event, quarantine::Event::PeerDigest { .. });
         self.quarantine.handle(now, event, &mut out);
+        if may_change_entries {
+            self.digest = self.quarantine.entries().digest();
+        }
         for action in out {
             match action {
                 quarantine::Action::LoadStore => {
@@ -260,7 +287,6 @@
                 }
             }
         }
-        self.shared.gauge(Gauge::Quarantined, self.quarantined() as u64);
     }
 
     fn message(&mut self, from: InstanceId, message: PeerMessage) -> PeerMessage {
@@ -282,7 +308,8 @@
                 self.run(Event::Quarantine(quarantine::Event::PeerEntries(entries)));
                 PeerMessage::Ack
             }
-            PeerMessage::Ack => PeerMessage::Ack,
+            PeerMessage::InstancesFetch => PeerMessage::Instances(self.replicas.entries()),
+            PeerMessage::Instances(_) | PeerMessage::Ack => PeerMessage::Ack,
         }
     }
 
@@ -373,16 +400,18 @@
 
     /// Lets the front take requests when it may, and keeps the heartbeats true.
     fn update_local(&mut self, now: Time) {
-        let is_loaded = self.quarantine.is_loaded(now);
-        if is_loaded && let Some(config) = self.waiting.take() {
+        // Without replicas every search fails at once, so a load balancer would prefer this instance.
+        self.has_replicas |= self.replicas.len() > 0;
+        let has_needs = self.has_replicas && self.quarantine.is_loaded(now);
+        if has_needs && let Some(config) = self.waiting.take() {
             self.shared.front.send(ControlToFront::Config(config));
             self.shared.readiness.set_configured();
         }
         let version = self.shared.in_force.borrow().as_ref().map(|(version, _)| *version);
         let local = LocalState {
             version,
-            quarantine_digest: self.quarantine.entries().digest(),
-            ready: version.is_some() && is_loaded,
+            quarantine_digest: self.digest,
+            ready: version.is_some() && has_needs,
         };
         if local != self.local {
             self.local = local;
