--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -10,14 +10,14 @@
     pin::pin,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
 };
 
 use gotham::helpers::http::Body;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -36,6 +36,13 @@
 /// Pause after a failed accept, which means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Silence after which an HTTP/1.1 connection is closed once a stop has begun.
+///
+/// HTTP/1.1 has no GOAWAY: a connection that is closed as soon as it is idle loses a request that
+/// is already on the wire. Within this time the next request is served, and its answer carries
+/// `connection: close`.
+const CLOSE_DELAY: Duration = Duration::from_millis(500);
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
@@ -132,8 +139,8 @@
     let _ = socket.set_nodelay(true);
     let activity = Arc::new(Activity::default());
     let requests = Arc::clone(&activity);
-    let service = service_fn(move |req| {
-        let in_flight = InFlight::begin(Arc::clone(&requests));
+    let service = service_fn(move |req: Request<Incoming>| {
+        let in_flight = InFlight::begin(Arc::clone(&requests), req.version());
         let handler = handler.clone();
         async move {
             let response = handler.handle(req, peer).await;
@@ -144,8 +151,12 @@
     let builder = builder(limits);
     let mut conn = pin!(builder.serve_connection(TokioIo::new(socket), service));
     let mut draining = pin!(phase.reached(limits.close_at));
-    let mut is_closing = false;
+    let mut state = State::Open;
     loop {
+        let silence = match state {
+            State::Waiting => CLOSE_DELAY,
+            State::Open | State::Closing => limits.head_timeout,
+        };
         tokio::select! {
             result = conn.as_mut() => {
                 if let Err(err) = result {
@@ -153,22 +164,36 @@
                 }
                 return;
             }
-            () = &mut draining, if !is_closing => {
-                is_closing = true;
-                conn.as_mut().graceful_shutdown();
+            () = &mut draining, if state == State::Open => {
+                state = State::Waiting;
+                if activity.is_h2.load(Ordering::Acquire) {
+                    state = State::Closing;
+                    conn.as_mut().graceful_shutdown();
+                }
             }
-            () = activity.idle_for(limits.head_timeout) => {
-                if is_closing {
+            () = activity.idle_for(silence) => {
+                if state == State::Closing {
                     observer.silenced();
                     return;
                 }
-                is_closing = true;
+                state = State::Closing;
                 conn.as_mut().graceful_shutdown();
             }
         }
     }
 }
 
+/// State of a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Serves requests.
+    Open,
+    /// A stop has begun; one more request is served.
+    Waiting,
+    /// Was told to close after the requests in flight.
+    Closing,
+}
+
 fn builder(limits: HttpLimits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -190,6 +215,8 @@
 #[derive(Default)]
 struct Activity {
     in_flight: AtomicU32,
+    /// Whether a request came over h2.
+    is_h2: AtomicBool,
     changed: Notify,
 }
 
@@ -211,7 +238,8 @@
 struct InFlight(Arc<Activity>);
 
 impl InFlight {
-    fn begin(activity: Arc<Activity>) -> InFlight {
+    fn begin(activity: Arc<Activity>, version: Version) -> InFlight {
+        activity.is_h2.store(version == Version::HTTP_2, Ordering::Release);
         activity.in_flight.fetch_add(1, Ordering::AcqRel);
         activity.changed.notify_one();
         InFlight(activity)
