--- a/crates/coordination/src/quarantine/interface.rs
+++ b/crates/coordination/src/quarantine/interface.rs
@@ -10,7 +10,7 @@
 pub struct Settings {
     /// Wall-clock time at `Time` zero, in milliseconds since the Unix epoch.
     pub unix_ms_at_zero: u64,
-    /// Time for which a condemned fingerprint is refused.
+    /// Longest time for which a condemned fingerprint is refused.
     #[builder(default = Duration::from_secs(600))]
     pub duration: Duration,
     /// Pause between a failed store call and the next one.
@@ -41,6 +41,8 @@
         fingerprint: Fingerprint,
         /// Replicas that it crashed here.
         crashes: u32,
+        /// Time for which it is refused; at most [`Settings::duration`].
+        duration: Duration,
     },
     /// An operator releases a fingerprint.
     Release {
--- a/crates/coordination/src/quarantine/machine.rs
+++ b/crates/coordination/src/quarantine/machine.rs
@@ -21,7 +21,9 @@
 ///
 /// let settings = Settings::builder().unix_ms_at_zero(1_704_067_200_000).build();
 /// let (mut machine, mut out) = (Machine::new(settings), Vec::new());
-/// let condemned = Event::Condemned { service: "orders".into(), fingerprint: 7, crashes: 2 };
+/// let duration = std::time::Duration::from_secs(30);
+/// let condemned =
+///     Event::Condemned { service: "orders".into(), fingerprint: 7, crashes: 2, duration };
 /// machine.handle(Time::from_secs(10), condemned, &mut out);
 /// assert!(matches!(&out[0], Action::Apply { until, .. } if *until == Time::from_secs(610)));
 /// assert!(matches!(&out[1], Action::PushAll(entries) if entries.len() == 1));
@@ -114,8 +116,8 @@
                 self.started = now;
                 self.load = Load::Due(now);
             }
-            Event::Condemned { service, fingerprint, crashes } => {
-                self.condemn(now, (service, fingerprint), crashes, out);
+            Event::Condemned { service, fingerprint, crashes, duration } => {
+                self.condemn(now, (service, fingerprint), crashes, duration, out);
             }
             Event::Release { service, fingerprint } => self.release(now, service, fingerprint, out),
             Event::PeerEntries(entries) => {
@@ -149,7 +151,14 @@
 
     /// A condemnation must win over a release that is known here, also when the clock of the
     /// instance that made the release is ahead.
-    fn condemn(&mut self, now: Time, key: EntryKey, crashes: u32, out: &mut Vec<Action>) {
+    fn condemn(
+        &mut self,
+        now: Time,
+        key: EntryKey,
+        crashes: u32,
+        duration: Duration,
+        out: &mut Vec<Action>,
+    ) {
         let release = self.set.get(&key).filter(|held| held.released);
         let above = release.map_or(0, |held| held.expires_unix_ms + 1);
         let (service, fingerprint) = key;
@@ -157,7 +166,7 @@
             service,
             fingerprint,
             crashes,
-            expires_unix_ms: self.expiry(now).max(above),
+            expires_unix_ms: self.unix_ms(now + duration.min(self.settings.duration)).max(above),
             released: false,
         };
         self.originate(now, entry, out);
--- a/crates/coordination/tests/model_quarantine.rs
+++ b/crates/coordination/tests/model_quarantine.rs
@@ -161,7 +161,9 @@
         self.instances[i].signs = 0;
         self.condemned_since_release = true;
         let crashes = u32::from(SIGNS);
-        let event = Event::Condemned { service: "s".into(), fingerprint: FINGERPRINT, crashes };
+        let duration = Duration::from_secs(600);
+        let (service, fingerprint) = ("s".into(), FINGERPRINT);
+        let event = Event::Condemned { service, fingerprint, crashes, duration };
         self.feed(i, event);
         if !self.refuses(i) {
             self.broken = Some("a condemned fingerprint is not refused");
--- a/crates/coordination/tests/prop_quarantine.rs
+++ b/crates/coordination/tests/prop_quarantine.rs
@@ -93,7 +93,8 @@
 #[test]
 fn writes_are_repeated_until_the_store_holds_the_newest_entry() {
     let (mut machine, mut out) = (machine(), Vec::new());
-    let event = Event::Condemned { service: "s".into(), fingerprint: 1, crashes: 2 };
+    let duration = std::time::Duration::from_secs(600);
+    let event = Event::Condemned { service: "s".into(), fingerprint: 1, crashes: 2, duration };
     machine.handle(Time::ZERO, event, &mut out);
     let Some(Action::WriteStore(first)) = out.pop() else { panic!("no write: {out:?}") };
     let reply = |entry: &QuarantineEntry, result| Event::StoreWrite { key: key_of(entry), result };
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -150,8 +150,9 @@
                     actions.dispatched(dispatch, outcome);
                 }
                 EngineToControl::Served => coordinator.served(),
-                EngineToControl::Condemn { service, fingerprint, crashes } => {
-                    let event = quarantine::Event::Condemned { service, fingerprint, crashes };
+                EngineToControl::Condemn { service, fingerprint, crashes, duration } => {
+                    let event =
+                        quarantine::Event::Condemned { service, fingerprint, crashes, duration };
                     coordinator.run(Event::Quarantine(event));
                 }
             },
--- a/crates/daemon/src/engine/driver.rs
+++ b/crates/daemon/src/engine/driver.rs
@@ -104,8 +104,14 @@
             Action::Poll { replica, addr } => {
                 out.upstreams.push(EngineToUpstreams::Poll { replica, addr });
             }
-            Action::Condemn { service, fingerprint, crashes } => {
-                out.control.push(EngineToControl::Condemn { service, fingerprint, crashes });
+            Action::Condemn { service, fingerprint, crashes, quarantine } => {
+                let duration = quarantine;
+                out.control.push(EngineToControl::Condemn {
+                    service,
+                    fingerprint,
+                    crashes,
+                    duration,
+                });
             }
         }
     }
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -1,6 +1,6 @@
 //! What the daemon's threads tell each other through the rings.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use rosemarybank_coordination::claim;
 use rosemarybank_protocol::{
@@ -178,6 +178,8 @@
         fingerprint: Fingerprint,
         /// Replicas that it crashed.
         crashes: u32,
+        /// Time for which it is refused.
+        duration: Duration,
     },
 }
 
--- a/crates/query/src/interface.rs
+++ b/crates/query/src/interface.rs
@@ -165,6 +165,8 @@
         fingerprint: Fingerprint,
         /// Crashes that are known at least.
         crashes: u32,
+        /// Time for which it is refused. It grows when the request returns and crashes again.
+        quarantine: Duration,
     },
 }
 
--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -39,7 +39,7 @@
             Verdict::Condemned { crashes, quarantine } => {
                 self.counters.condemned += 1;
                 let service = self.replicas.services.name(suspect.0).clone();
-                out.push(Action::Condemn { service, fingerprint: suspect.1, crashes });
+                out.push(Action::Condemn { service, fingerprint: suspect.1, crashes, quarantine });
                 self.quarantine(now, suspect, now + quarantine, out);
                 true
             }
