Need three crash signs against a search that succeeded lately

Cause: an innocent search that had succeeded hundreds of times was quarantined beside a crash-causing one sent through two instances, because the replicas of both of its signs were crashed by the other request; a success before the first sign was not remembered. Ruled out: sharing the blame among all requests in flight at a crashed replica, which raises the bound on crashes under load; no condemnation of proven requests at all, since an upstream can be rolled to a version on which a formerly good request crashes. The bound for a request that once succeeded is one crash higher.

--- a/crates/query/src/crash.rs
+++ b/crates/query/src/crash.rs
@@ -6,8 +6,8 @@
 //! flight for the fingerprint, and everything else of it is held.
 //!
 //! A request that crashes each replica succeeds nowhere, so two signs condemn it. When it has
-//! succeeded at other keys, or may still do so, the signs are more likely independent losses, and
-//! a third sign is needed.
+//! succeeded lately or at other keys, or may still do so, the signs are more likely independent
+//! losses or the work of another request, and a third sign is needed.
 //!
 //! A condemnation can still be false, so the first one is short. After its end the fingerprint is a
 //! suspect with one canary, and a single sign condemns it for twice the time.
@@ -31,7 +31,7 @@
 /// Signs that condemn a fingerprint that has no success.
 const SIGNS: u32 = 2;
 
-/// Signs that condemn a fingerprint that has succeeded at other keys.
+/// Signs that condemn a fingerprint that has succeeded lately or at other keys.
 const SIGNS_AGAINST_SUCCESS: u32 = 3;
 
 /// Time between the second of three signs and the next canary, so that it does not meet a third
@@ -57,6 +57,7 @@
 struct Record {
     /// `None` for a fingerprint that was never run.
     signs: Option<Signs>,
+    /// Whether it succeeded before the first sign or, since then, at other keys.
     has_success: bool,
     canary: Option<AttemptId>,
     /// Nothing is sent before this time.
@@ -68,6 +69,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     records: HashMap<Suspect, Record>,
+    /// Last success of fingerprints that are not under suspicion.
     proven: HashMap<Suspect, Time>,
     quarantine: HashMap<Suspect, Quarantine>,
 }
@@ -188,13 +190,15 @@
         now: Time,
     ) -> Verdict {
         make_room(&mut self.records, |it| it.seen + RECORD_RETENTION > now);
-        self.proven.remove(&suspect);
+        let proven = self.proven.remove(&suspect);
+        let was_proven = proven.is_some_and(|it| it + RECORD_RETENTION > now);
         let ended = self.ended_quarantine(suspect, now).copied();
         let record = self.records.entry(suspect).or_default();
         if record.seen + RECORD_RETENTION <= now {
             *record = Record { canary: record.canary, ..Record::default() };
         }
         record.seen = now;
+        record.has_success |= was_proven;
         match &mut record.signs {
             Some(signs)
                 if sent >= signs.last
@@ -247,11 +251,18 @@
         }
         self.records.remove(&suspect);
         self.quarantine.remove(&suspect);
-        make_room(&mut self.proven, |seen| *seen + RECORD_RETENTION > now);
-        self.proven.insert(suspect, now);
+        self.prove(suspect, now);
         true
     }
 
+    /// Remembers a success of a fingerprint that is not under suspicion.
+    pub(crate) fn prove(&mut self, suspect: Suspect, now: Time) {
+        if !self.has_records() || !self.records.contains_key(&suspect) {
+            make_room(&mut self.proven, |seen| *seen + RECORD_RETENTION > now);
+            self.proven.insert(suspect, now);
+        }
+    }
+
     pub(crate) fn has_records(&self) -> bool {
         !self.records.is_empty()
     }
--- a/crates/query/src/query.rs
+++ b/crates/query/src/query.rs
@@ -310,6 +310,7 @@
             CoverageMode::Partial => query.segments.covered_any(),
         };
         let answer = if has_result {
+            self.crashes.prove(query.suspect(), now);
             self.counters.answered += 1;
             self.counters.complete += u64::from(coverage.is_complete());
             let hits = query.merge.finish();
--- a/crates/query/tests/crash.rs
+++ b/crates/query/tests/crash.rs
@@ -127,6 +127,23 @@
     assert_eq!(condemned(&crash(&mut engine, ms(5), &canary)), Some((42, 2)));
 }
 
+/// Guards against condemning a search that succeeds all day, when another request crashes the
+/// replicas beneath it one after the other.
+#[test]
+fn a_search_that_succeeded_lately_needs_three_signs_at_the_same_keys() {
+    let mut engine = engine(settings(), 1, 4);
+    let proof = sends(&submit(&mut engine, ms(1), 1, 42)).remove(0);
+    feed(&mut engine, ms(2), done(proof.attempt, reply(&proof)));
+
+    let first = sends(&submit(&mut engine, ms(3), 2, 42)).remove(0);
+    let second = sends(&crash(&mut engine, ms(4), &first)).remove(0);
+    let out = crash(&mut engine, ms(5), &second);
+    assert_eq!(condemned(&out), None);
+
+    let third = sends(&submit(&mut engine, ms(1_100), 3, 42)).remove(0);
+    assert_eq!(condemned(&crash(&mut engine, ms(1_101), &third)), Some((42, 3)));
+}
+
 /// Guards against one replica that breaks again and again and condemns what it is asked.
 #[test]
 fn crashes_of_one_replica_do_not_condemn() {
