protocol: State the status of upstream refusals once

Cause: the table from refusal to HTTP status stood in the upstream client and again in the stand-in, so the two could drift apart. Change: UpstreamErrorKind::status in the protocol package; both sides use it.

--- a/crates/protocol/src/upstream.rs
+++ b/crates/protocol/src/upstream.rs
@@ -110,6 +110,29 @@
     Failed,
 }
 
+impl UpstreamErrorKind {
+    /// HTTP status of the refusal.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use rosemarybank_protocol::upstream::UpstreamErrorKind;
+    ///
+    /// assert_eq!(UpstreamErrorKind::SnapshotRetired.status(), 409);
+    /// ```
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            UpstreamErrorKind::Shed | UpstreamErrorKind::Draining | UpstreamErrorKind::Cold => 503,
+            UpstreamErrorKind::SnapshotRetired => 409,
+            UpstreamErrorKind::WrongRange => 421,
+            UpstreamErrorKind::Expired => 504,
+            UpstreamErrorKind::BadRequest => 400,
+            UpstreamErrorKind::Failed => 500,
+        }
+    }
+}
+
 /// Body of `GET /status`. It can lag or mislead.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaStatus {
--- a/crates/standins/src/upstream/service.rs
+++ b/crates/standins/src/upstream/service.rs
@@ -147,7 +147,11 @@
         pause(one_way + Duration::from_millis(faults.delay_ms)).await;
         match result {
             Ok(reply) => Ok(reply),
-            Err(Refusal::Error(error)) => Ok(json(status_of(error.error), &error)),
+            Err(Refusal::Error(error)) => {
+                let status = StatusCode::from_u16(error.error.status())
+                    .expect("the table holds valid status codes");
+                Ok(json(status, &error))
+            }
             Err(Refusal::NoReply) => Err(NoReply),
         }
     }
@@ -212,16 +216,3 @@
     let millis = millis.ok_or(UpstreamErrorKind::BadRequest)?;
     Ok(Some(Instant::now() + Duration::from_millis(millis.into())))
 }
-
-fn status_of(error: UpstreamErrorKind) -> StatusCode {
-    match error {
-        UpstreamErrorKind::Shed | UpstreamErrorKind::Draining | UpstreamErrorKind::Cold => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
-        UpstreamErrorKind::SnapshotRetired => StatusCode::CONFLICT,
-        UpstreamErrorKind::WrongRange => StatusCode::MISDIRECTED_REQUEST,
-        UpstreamErrorKind::Expired => StatusCode::GATEWAY_TIMEOUT,
-        UpstreamErrorKind::BadRequest => StatusCode::BAD_REQUEST,
-        UpstreamErrorKind::Failed => StatusCode::INTERNAL_SERVER_ERROR,
-    }
-}
--- a/crates/transport/src/upstream/call.rs
+++ b/crates/transport/src/upstream/call.rs
@@ -138,7 +138,7 @@
         return serde_json::from_slice(body).map_or_else(|_| unreadable(), Outcome::Reply);
     }
     match serde_json::from_slice::<UpstreamError>(body) {
-        Ok(err) if status_of(err.error) == status => Outcome::Refused(err),
+        Ok(err) if err.error.status() == status.as_u16() => Outcome::Refused(err),
         // A refusal promises that nothing ran, so it must be exactly of the documented form.
         _ => unreadable(),
     }
@@ -156,16 +156,3 @@
     let error = UpstreamErrorKind::Failed;
     Outcome::Refused(UpstreamError { error, snapshots: Vec::new() })
 }
-
-fn status_of(error: UpstreamErrorKind) -> StatusCode {
-    match error {
-        UpstreamErrorKind::Shed | UpstreamErrorKind::Draining | UpstreamErrorKind::Cold => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
-        UpstreamErrorKind::SnapshotRetired => StatusCode::CONFLICT,
-        UpstreamErrorKind::WrongRange => StatusCode::MISDIRECTED_REQUEST,
-        UpstreamErrorKind::Expired => StatusCode::GATEWAY_TIMEOUT,
-        UpstreamErrorKind::BadRequest => StatusCode::BAD_REQUEST,
-        UpstreamErrorKind::Failed => StatusCode::INTERNAL_SERVER_ERROR,
-    }
-}
