--- a/crates/coordination/src/quarantine/machine.rs
+++ b/crates/coordination/src/quarantine/machine.rs
@@ -25,7 +25,7 @@
 /// let condemned =
 ///     Event::Condemned { service: "orders".into(), fingerprint: 7, crashes: 2, duration };
 /// machine.handle(Time::from_secs(10), condemned, &mut out);
-/// assert!(matches!(&out[0], Action::Apply { until, .. } if *until == Time::from_secs(610)));
+/// assert!(matches!(&out[0], Action::Apply { until, .. } if *until == Time::from_secs(40)));
 /// assert!(matches!(&out[1], Action::PushAll(entries) if entries.len() == 1));
 /// assert!(matches!(&out[2], Action::WriteStore(entry) if entry.fingerprint == 7));
 /// ```
