Serve requests on the company platform

One process per machine with one event loop: HTTP/1.1 towards clients, replicas and the store. The decisions are a pure state machine in query::forward; platform/ decodes names and formats.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,7 @@
     daemon::{Daemon, Notice},
     logging, settings,
     stop::{self, Ending},
+    tier,
 };
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
@@ -16,11 +17,23 @@
 fn main() -> Result<ExitCode> {
     let flags = xflags::parse_or_exit! {
         /// File with the settings of the instance; config/rosemarybankd.yaml shows every key.
-        required --settings file: PathBuf
+        optional --settings file: PathBuf
+        /// Run on the company platform, which names the settings file itself.
+        optional --platform
+        /// With --platform: port on which metrics are served.
+        optional --metrics-port port: u16
         /// Check the settings, report every fault and exit.
         optional --check-settings
     };
-    let settings = match settings::load(&flags.settings) {
+    if flags.platform {
+        tier::run(flags.metrics_port)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let Some(path) = flags.settings else {
+        eprintln!("--settings FILE or --platform is needed; see --help");
+        return Ok(ExitCode::from(2));
+    };
+    let settings = match settings::load(&path) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
@@ -28,7 +41,7 @@
         }
     };
     if flags.check_settings {
-        println!("{}: the settings have no faults", flags.settings.display());
+        println!("{}: the settings have no faults", path.display());
         return Ok(ExitCode::SUCCESS);
     }
     run(settings)
--- /dev/null
+++ b/crates/daemon/src/tier/metrics.rs
@@ -0,0 +1,112 @@
+//! Counters and latencies as text.
+
+use std::{fmt::Write as _, time::Duration};
+
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_query::forward::Answer;
+
+use crate::tier::node::{Node, error_text};
+
+/// Upper bounds of the latency histogram in milliseconds: the objectives and limits of requests
+/// lie between them.
+const BOUNDS_MS: [u64; 12] = [5, 10, 20, 40, 75, 100, 150, 300, 600, 1_200, 3_000, 6_000];
+
+/// What the event loop counts.
+#[derive(Debug, Default)]
+pub(super) struct Metrics {
+    pub(super) requests: u64,
+    pub(super) rejected: u64,
+    pub(super) clients_gone: u64,
+    /// By kind: first, retry, hedge.
+    pub(super) sends: [u64; 3],
+    /// By failure: not sent, other replica, broken, abandoned.
+    pub(super) attempt_failures: [u64; 4],
+    pub(super) failed_replies: u64,
+    pub(super) foreign_replies: u64,
+    pub(super) connects: u64,
+    pub(super) connect_timeouts: u64,
+    pub(super) store_calls: u64,
+    pub(super) store_failures: u64,
+    pub(super) instances: u32,
+    relayed: u64,
+    merged_whole: u64,
+    merged_partly: u64,
+    missing_parts: u64,
+    refused: [u64; ErrorKind::ALL.len()],
+    latency: [u64; BOUNDS_MS.len() + 1],
+    latency_sum: Duration,
+}
+
+impl Metrics {
+    pub(super) fn count_answer(&mut self, answer: &Answer, took: Duration) {
+        match answer {
+            Answer::Relay(_) => self.relayed += 1,
+            Answer::Merged { missing: 0, .. } => self.merged_whole += 1,
+            Answer::Merged { missing, .. } => {
+                self.merged_partly += 1;
+                self.missing_parts += *missing as u64;
+            }
+            Answer::Refused { kind, .. } => self.refused[*kind as usize] += 1,
+        }
+        let ms = took.as_millis() as u64;
+        let bucket = BOUNDS_MS.iter().position(|it| ms <= *it).unwrap_or(BOUNDS_MS.len());
+        self.latency[bucket] += 1;
+        self.latency_sum += took;
+    }
+}
+
+impl Node {
+    /// All metrics in the text format of Prometheus.
+    pub(super) fn render_metrics(&self) -> String {
+        let mut out = String::new();
+        let metrics = &self.metrics;
+        let mut put = |name: &str, value: u64| {
+            // Writing to a string does not fail.
+            let _ = writeln!(out, "rosemarybank_{name} {value}");
+        };
+        put("requests_total", metrics.requests);
+        put("requests_rejected_total", metrics.rejected);
+        put("clients_gone_total", metrics.clients_gone);
+        for (kind, count) in ["first", "retry", "hedge"].iter().zip(metrics.sends) {
+            put(&format!("sends_total{{kind=\"{kind}\"}}"), count);
+        }
+        let failures = ["not_sent", "other_replica", "broken", "abandoned"];
+        for (failure, count) in failures.iter().zip(metrics.attempt_failures) {
+            put(&format!("attempt_failures_total{{failure=\"{failure}\"}}"), count);
+        }
+        put("failed_replies_total", metrics.failed_replies);
+        put("foreign_replies_total", metrics.foreign_replies);
+        put("connects_total", metrics.connects);
+        put("connect_timeouts_total", metrics.connect_timeouts);
+        put("store_calls_total", metrics.store_calls);
+        put("store_failures_total", metrics.store_failures);
+        put("answers_total{kind=\"relayed\"}", metrics.relayed);
+        put("answers_total{kind=\"whole\"}", metrics.merged_whole);
+        put("answers_total{kind=\"partial\"}", metrics.merged_partly);
+        put("missing_parts_total", metrics.missing_parts);
+        for kind in ErrorKind::ALL {
+            let count = metrics.refused[kind as usize];
+            if count > 0 {
+                put(&format!("refusals_total{{reason=\"{}\"}}", error_text(kind)), count);
+            }
+        }
+        let mut sum = 0;
+        for (bound, count) in BOUNDS_MS.iter().zip(metrics.latency) {
+            sum += count;
+            put(&format!("answer_ms_bucket{{le=\"{bound}\"}}"), sum);
+        }
+        sum += metrics.latency[BOUNDS_MS.len()];
+        put("answer_ms_bucket{le=\"+Inf\"}", sum);
+        put("answer_ms_sum", metrics.latency_sum.as_millis() as u64);
+        put("answer_ms_count", sum);
+        let (usable, known) = self.forwarder.replica_counts();
+        put("replicas_usable", usable as u64);
+        put("replicas_known", known as u64);
+        put("requests_in_flight", self.forwarder.in_flight() as u64);
+        put("connections_open", self.conns.len() as u64);
+        put("instances_registered", u64::from(metrics.instances));
+        put("config_version", self.forwarder.table().map_or(0, |it| it.version));
+        put("is_ready", u64::from(self.is_ready()));
+        out
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tier/upstream.rs
@@ -0,0 +1,456 @@
+//! Connections to replicas.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use rosemarybank_adapter::HEADERS;
+use rosemarybank_http1::{BodyReader, Progress, ResponseHead};
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_query::forward::{
+    Action, AttemptKey, Event, Failure, ReplicaKey, Reply, SendKind,
+};
+
+use crate::tier::{
+    client::State as ClientState,
+    journal::Kind,
+    node::{Conn, Node},
+    socket::{ReadEnd, Socket, WriteEnd},
+};
+
+/// Longest time to open a connection. A lost opening packet is sent again only after a second, and
+/// by then another replica has answered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Longest idle time of a connection that carries a request which must not run twice. A replica
+/// that closes an idle connection at that moment would leave open whether it ran.
+const ONCE_IDLE: Duration = Duration::from_millis(800);
+
+/// Share of the idle time that a replica announces for which its connection is used.
+const IDLE_SHARE: f32 = 0.7;
+
+/// Longest body of a reply in bytes.
+const MAX_BODY_LEN: usize = 8 << 20;
+
+/// Bytes that are buffered of a reply before they are parsed.
+const READ_LEN: usize = 16 << 20;
+
+/// Connections to a replica.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    /// The one used last is at the end.
+    idle: Vec<usize>,
+    is_forgotten: bool,
+}
+
+/// A connection to a replica.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    pub(super) socket: Socket,
+    pub(super) replica: ReplicaKey,
+    pub(super) state: State,
+    /// Start of the state.
+    pub(super) since: Time,
+    /// Longest idle time that the replica announced.
+    idle_timeout: Option<Duration>,
+    /// Whether bytes that belong to no request were seen: the connection is not used again.
+    is_doubtful: bool,
+    buf: Vec<u8>,
+}
+
+/// An attempt on a connection.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    pub(super) attempt: AttemptKey,
+    request_id: CompactString,
+    has_no_body: bool,
+    head: Option<ResponseHead>,
+    body: Option<BodyReader>,
+    /// Whether the reply being read answers another request.
+    skips: bool,
+    /// Time to close the connection if the reply has not come.
+    pub(super) close_at: Option<Time>,
+}
+
+#[derive(Debug)]
+pub(super) enum State {
+    Connecting(Exchange),
+    Busy(Exchange),
+    Idle,
+}
+
+impl Node {
+    /// Sends a request to a replica.
+    pub(super) fn send(&mut self, action: Action) {
+        let Action::Send { attempt, request, replica, id, addr, deadline, is_once, service, kind } =
+            action
+        else {
+            return;
+        };
+        let now = self.now;
+        let client = self.requests.get(request).and_then(|it| self.conns.get_mut(*it));
+        let Some(Conn::Client(client)) = client else {
+            return self.attempt_failed(attempt, Failure::NotSent);
+        };
+        let ClientState::Waiting(_, pending) = &mut client.state else {
+            return self.attempt_failed(attempt, Failure::NotSent);
+        };
+        pending.sends += 1;
+        let left = deadline.saturating_sub(now);
+        let mut message = Vec::new();
+        pending.head.render(&mut message, &HEADERS, &id, left, &pending.body);
+        let exchange = Exchange {
+            attempt,
+            request_id: pending.head.request_id.clone(),
+            has_no_body: pending.head.is_head,
+            head: None,
+            body: None,
+            skips: false,
+            close_at: None,
+        };
+        self.metrics.sends[kind as usize] += 1;
+        if kind != SendKind::First {
+            let name = if kind == SendKind::Retry { "retry" } else { "hedge" };
+            self.journal.line(
+                now,
+                Kind::Attempt,
+                name,
+                format_args!(
+                    r#""request":{:?},"service":{:?},"replica":{:?},"left_ms":{}"#,
+                    exchange.request_id.as_str(),
+                    service.as_str(),
+                    id.as_str(),
+                    left.as_millis()
+                ),
+            );
+        }
+        if self.pools.get(replica).is_none() {
+            self.pools.insert(replica, Pool::default());
+        }
+        match self.take_idle(replica, is_once) {
+            Some(index) => self.use_conn(index, exchange, &message),
+            None => self.open_conn(replica, addr, exchange, &message),
+        }
+    }
+
+    /// Gives up an attempt. Its connection is kept for a while, in case the reply still comes.
+    pub(super) fn abandon(&mut self, attempt: AttemptKey, close_at: Time) {
+        let Some(index) = self.attempts.get(attempt).copied() else { return };
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
+        match &mut conn.state {
+            State::Busy(exchange) => exchange.close_at = Some(close_at),
+            State::Connecting(_) => {
+                self.drop_conn(index);
+                self.attempt_failed(attempt, Failure::Abandoned);
+            }
+            State::Idle => {}
+        }
+    }
+
+    /// Closes the connections of a lifetime that is over, those in use after their replies.
+    pub(super) fn forget(&mut self, replica: ReplicaKey) {
+        let Some(pool) = self.pools.get_mut(replica) else { return };
+        pool.is_forgotten = true;
+        for index in std::mem::take(&mut pool.idle) {
+            self.drop_conn(index);
+        }
+    }
+
+    /// Handles an event of a connection.
+    pub(super) fn upstream_event(&mut self, index: usize, is_writable: bool) {
+        if is_writable && !self.write_upstream(index) {
+            return;
+        }
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
+        if matches!(conn.state, State::Connecting(_)) {
+            return;
+        }
+        let end = conn.socket.read(&mut conn.buf, &mut self.scratch, READ_LEN);
+        if matches!(conn.state, State::Idle) {
+            if end != ReadEnd::Drained || !conn.buf.is_empty() {
+                self.close_idle(index);
+            }
+            return;
+        }
+        self.parse_replies(index, end);
+    }
+
+    /// Closes connections whose time is over.
+    pub(super) fn sweep_upstream(&mut self, index: usize) {
+        let now = self.now;
+        let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
+        match &conn.state {
+            State::Connecting(exchange) if now >= conn.since + CONNECT_TIMEOUT => {
+                let attempt = exchange.attempt;
+                self.metrics.connect_timeouts += 1;
+                self.drop_conn(index);
+                self.attempt_failed(attempt, Failure::NotSent);
+            }
+            State::Busy(exchange) if exchange.close_at.is_some_and(|it| it <= now) => {
+                let (attempt, replica, since) = (exchange.attempt, conn.replica, conn.since);
+                self.drop_conn(index);
+                self.distrust(replica, since);
+                self.attempt_failed(attempt, Failure::Abandoned);
+            }
+            _ => {}
+        }
+    }
+
+    /// Closes connections that were idle before an attempt that got no reply: they may have gone
+    /// silent at the same moment.
+    fn distrust(&mut self, replica: ReplicaKey, since: Time) {
+        let Some(pool) = self.pools.get(replica) else { return };
+        let old: Vec<usize> = pool.idle.iter().copied().filter(|it| {
+            matches!(self.conns.get(*it), Some(Conn::Upstream(conn)) if conn.since <= since)
+        }).collect();
+        for index in old {
+            self.close_idle(index);
+        }
+    }
+
+    fn take_idle(&mut self, replica: ReplicaKey, is_once: bool) -> Option<usize> {
+        loop {
+            let index = *self.pools.get(replica)?.idle.last()?;
+            let Some(Conn::Upstream(conn)) = self.conns.get(index) else {
+                self.pools.get_mut(replica)?.idle.pop();
+                continue;
+            };
+            let age = self.now.saturating_sub(conn.since);
+            let is_stale = conn.idle_timeout.is_some_and(|it| age >= it.mul_f32(IDLE_SHARE));
+            if is_stale || (is_once && age >= ONCE_IDLE) {
+                self.close_idle(index);
+                continue;
+            }
+            self.pools.get_mut(replica)?.idle.pop();
+            return Some(index);
+        }
+    }
+
+    fn use_conn(&mut self, index: usize, exchange: Exchange, message: &[u8]) {
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
+        self.attempts.insert(exchange.attempt, index);
+        conn.socket.out().extend_from_slice(message);
+        conn.state = State::Busy(exchange);
+        conn.since = self.now;
+        self.begin_write(index);
+    }
+
+    fn open_conn(
+        &mut self,
+        replica: ReplicaKey,
+        addr: std::net::SocketAddr,
+        exchange: Exchange,
+        message: &[u8],
+    ) {
+        self.metrics.connects += 1;
+        let entry = self.conns.vacant_entry();
+        let index = entry.key();
+        let attempt = exchange.attempt;
+        match Socket::connect(addr, self.poll.registry(), index) {
+            Ok(mut socket) => {
+                socket.out().extend_from_slice(message);
+                self.attempts.insert(attempt, index);
+                entry.insert(Conn::Upstream(Upstream {
+                    socket,
+                    replica,
+                    state: State::Connecting(exchange),
+                    since: self.now,
+                    idle_timeout: None,
+                    is_doubtful: false,
+                    buf: Vec::new(),
+                }));
+            }
+            Err(err) => {
+                self.journal.line(
+                    self.now,
+                    Kind::Attempt,
+                    "connect_failed",
+                    format_args!(r#""addr":"{addr}","error":"{err}""#),
+                );
+                self.attempt_failed(attempt, Failure::NotSent);
+            }
+        }
+    }
+
+    /// Writes the first bytes of a request.
+    fn begin_write(&mut self, index: usize) {
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
+        let State::Busy(exchange) = &conn.state else { return };
+        let attempt = exchange.attempt;
+        match conn.socket.flush() {
+            WriteEnd::Broken(true) => {
+                self.drop_conn(index);
+                self.attempt_failed(attempt, Failure::NotSent);
+            }
+            WriteEnd::Broken(false) => {
+                self.forwarder.handle(self.now, Event::Sent(attempt), &mut self.actions);
+                self.break_exchange(index, Failure::Broken);
+            }
+            WriteEnd::Done | WriteEnd::Blocked => {
+                self.forwarder.handle(self.now, Event::Sent(attempt), &mut self.actions);
+            }
+        }
+    }
+
+    /// Goes on writing. Returns whether the connection is still there.
+    fn write_upstream(&mut self, index: usize) -> bool {
+        let now = self.now;
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return false };
+        match &conn.state {
+            State::Connecting(exchange) => {
+                let attempt = exchange.attempt;
+                match conn.socket.is_connected() {
+                    Ok(false) => return true,
+                    Ok(true) => {}
+                    Err(_) => {
+                        self.drop_conn(index);
+                        self.attempt_failed(attempt, Failure::NotSent);
+                        return false;
+                    }
+                }
+                let State::Connecting(exchange) = std::mem::replace(&mut conn.state, State::Idle)
+                else {
+                    return false;
+                };
+                conn.state = State::Busy(exchange);
+                conn.since = now;
+                self.begin_write(index);
+            }
+            State::Busy(_) if !conn.socket.is_flushed() => {
+                if matches!(conn.socket.flush(), WriteEnd::Broken(_)) {
+                    // The replica may have replied before it closed.
+                    return true;
+                }
+            }
+            State::Busy(_) | State::Idle => {}
+        }
+        self.conns.contains(index)
+    }
+
+    fn parse_replies(&mut self, index: usize, end: ReadEnd) {
+        loop {
+            match self.parse_step(index, end) {
+                Step::Again => {}
+                Step::Wait => return,
+                Step::Broken => return self.break_exchange(index, Failure::Broken),
+            }
+        }
+    }
+
+    fn parse_step(&mut self, index: usize, end: ReadEnd) -> Step {
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return Step::Wait };
+        let State::Busy(exchange) = &mut conn.state else { return Step::Wait };
+        if exchange.head.is_none() {
+            return match ResponseHead::parse(&conn.buf, &HEADERS) {
+                Ok(None) if end == ReadEnd::Drained => Step::Wait,
+                Ok(None) | Err(_) => Step::Broken,
+                Ok(Some((head, len))) => {
+                    conn.buf.drain(..len);
+                    if head.status < 200 {
+                        return Step::Again;
+                    }
+                    exchange.skips =
+                        head.request_id.as_ref().is_some_and(|it| *it != exchange.request_id);
+                    conn.is_doubtful |= exchange.skips;
+                    let framing = head.framing.filter(|_| !exchange.has_no_body);
+                    exchange.body = framing.map(|it| BodyReader::new(it, MAX_BODY_LEN));
+                    exchange.head = Some(head);
+                    Step::Again
+                }
+            };
+        }
+        let progress = match &mut exchange.body {
+            None => Ok(Progress::Complete(0)),
+            Some(body) => body.read(&conn.buf),
+        };
+        match progress {
+            Ok(Progress::Complete(len)) => {
+                conn.buf.drain(..len);
+                self.finish_reply(index)
+            }
+            Ok(Progress::NeedsMore) => {
+                conn.buf.clear();
+                let ends = exchange.body.as_ref().is_some_and(BodyReader::ends_with_connection);
+                match end {
+                    ReadEnd::Drained => Step::Wait,
+                    ReadEnd::Closed if ends => self.finish_reply(index),
+                    ReadEnd::Closed | ReadEnd::Broken => Step::Broken,
+                }
+            }
+            Err(_) => Step::Broken,
+        }
+    }
+
+    fn finish_reply(&mut self, index: usize) -> Step {
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return Step::Wait };
+        let State::Busy(exchange) = &mut conn.state else { return Step::Wait };
+        let body = exchange.body.take().map(BodyReader::into_bytes).unwrap_or_default();
+        let Some(head) = exchange.head.take() else { return Step::Broken };
+        if exchange.skips {
+            self.metrics.foreign_replies += 1;
+            return if head.closes { Step::Broken } else { Step::Again };
+        }
+        let attempt = exchange.attempt;
+        conn.idle_timeout = head.idle_timeout.or(conn.idle_timeout);
+        let is_reusable = !head.closes
+            && !conn.is_doubtful
+            && conn.buf.is_empty()
+            && conn.socket.is_flushed()
+            && self.pools.get(conn.replica).is_some_and(|it| !it.is_forgotten);
+        if is_reusable {
+            conn.state = State::Idle;
+            conn.since = self.now;
+            if let Some(pool) = self.pools.get_mut(conn.replica) {
+                pool.idle.push(index);
+            }
+        } else {
+            self.drop_conn(index);
+        }
+        self.report(attempt, head, body);
+        Step::Wait
+    }
+
+    /// Tells the forwarder how an attempt ended.
+    fn report(&mut self, attempt: AttemptKey, head: ResponseHead, body: Vec<u8>) {
+        if head.status == 421 {
+            return self.attempt_failed(attempt, Failure::OtherReplica);
+        }
+        if head.is_encoded {
+            return self.attempt_failed(attempt, Failure::Broken);
+        }
+        self.attempts.remove(attempt);
+        let reply = Reply {
+            status: head.status,
+            stamp: head.stamp,
+            is_not_run: head.is_not_run,
+            fields: head.forward,
+            body,
+        };
+        if !(200..300).contains(&reply.status) {
+            self.metrics.failed_replies += 1;
+        }
+        self.forwarder.handle(self.now, Event::Replied(attempt, reply), &mut self.actions);
+    }
+
+    fn break_exchange(&mut self, index: usize, failure: Failure) {
+        let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
+        let State::Busy(exchange) = &conn.state else { return };
+        let attempt = exchange.attempt;
+        self.drop_conn(index);
+        self.attempt_failed(attempt, failure);
+    }
+
+    fn close_idle(&mut self, index: usize) {
+        if let Some(Conn::Upstream(conn)) = self.conns.get(index)
+            && let Some(pool) = self.pools.get_mut(conn.replica)
+        {
+            pool.idle.retain(|it| *it != index);
+        }
+        self.drop_conn(index);
+    }
+}
+
+enum Step {
+    Again,
+    Wait,
+    Broken,
+}
--- /dev/null
+++ b/crates/http1/tests/messages.rs
@@ -0,0 +1,119 @@
+//! Heads and bodies, above all those that must not be understood in two ways.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rosemarybank_http1::{
+    BodyReader, Framing, HeaderNames, MessageError, Progress, RequestHead, ResponseHead,
+};
+
+const NAMES: HeaderNames = HeaderNames {
+    request_id: "x-id",
+    deadline_ms: "x-deadline",
+    stamp: "x-stamp",
+    expect_replica: "x-expect",
+    not_run: "x-not-run",
+    part_stamps: "x-parts",
+    missing_parts: "x-missing",
+};
+
+fn request(text: &str) -> Result<Option<(RequestHead, usize)>, MessageError> {
+    RequestHead::parse(text.as_bytes(), 4096, &NAMES)
+}
+
+fn response(text: &str) -> Result<Option<(ResponseHead, usize)>, MessageError> {
+    ResponseHead::parse(text.as_bytes(), &NAMES)
+}
+
+#[test]
+fn forwards_all_fields_but_those_of_the_connection() {
+    let text = "GET /a/b?q=1 HTTP/1.1\r\nHost: H.example:80\r\nX-Id: 7\r\nX-Deadline: 900\r\n\
+                X-Expect: forged\r\nConnection: close, x-hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n";
+    let (head, len) = request(text).unwrap().unwrap();
+    assert_eq!((head.host.as_str(), head.path.as_str(), len), ("h.example", "/a/b", text.len()));
+    assert_eq!((head.deadline, head.keep_alive), (Some(Duration::from_millis(900)), false));
+    let mut out = Vec::new();
+    head.render(&mut out, &NAMES, "r1", Duration::from_millis(850), b"");
+    let expected = "GET /a/b?q=1 HTTP/1.1\r\nHost: H.example:80\r\nX-Id: 7\r\nX-Kept: 2\r\n\
+                    x-deadline: 850\r\nx-expect: r1\r\n\r\n";
+    assert_eq!(String::from_utf8(out).unwrap(), expected);
+}
+
+#[test]
+fn rejects_requests_that_two_readers_would_frame_differently() {
+    let cases = [
+        ("Content-Length: 3\r\nTransfer-Encoding: chunked", MessageError::AmbiguousLength),
+        ("Content-Length: 3\r\nContent-Length: 4", MessageError::AmbiguousLength),
+        ("Content-Length: +3", MessageError::AmbiguousLength),
+        ("Content-Length: 3, 3", MessageError::AmbiguousLength),
+        ("Transfer-Encoding: gzip, chunked", MessageError::AmbiguousLength),
+        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", MessageError::AmbiguousLength),
+        ("Host: other", MessageError::MalformedHost),
+        ("Bad Name: 1", MessageError::MalformedHead),
+    ];
+    for (fields, expected) in cases {
+        let result = request(&format!("POST / HTTP/1.1\r\nHost: a\r\n{fields}\r\n\r\n"));
+        assert_eq!(result.unwrap_err(), expected, "{fields}");
+    }
+    assert_eq!(request("GET / HTTP/1.1\r\n\r\n").unwrap_err(), MessageError::MalformedHost);
+    let long = format!("GET / HTTP/1.1\r\nHost: a\r\nX: {}\r\n\r\n", "y".repeat(5000));
+    assert_eq!(request(&long).unwrap_err(), MessageError::HeadTooLarge);
+}
+
+#[test]
+fn a_reply_without_a_length_lasts_until_the_end_of_its_connection() {
+    let (head, _) = response("HTTP/1.1 200 OK\r\nX-Stamp: s\r\n\r\n").unwrap().unwrap();
+    assert_eq!((head.framing, head.closes), (Some(Framing::UntilClose), true));
+    let (head, _) = response("HTTP/1.1 204 No Content\r\n\r\n").unwrap().unwrap();
+    assert_eq!((head.framing, head.closes), (None, false));
+    let text = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\nKeep-Alive: timeout=4\r\n\r\n";
+    let (head, _) = response(text).unwrap().unwrap();
+    assert!(head.is_not_run);
+    assert_eq!(head.idle_timeout, Some(Duration::from_secs(4)));
+}
+
+#[test]
+fn a_body_ends_where_its_framing_says() {
+    let mut body = BodyReader::new(Framing::Length(4), 10);
+    assert_eq!(body.read(b"abcdHTTP"), Ok(Progress::Complete(4)));
+    let mut body = BodyReader::new(Framing::Length(40), 10);
+    assert_eq!(body.read(b"0123456789a"), Err(MessageError::BodyTooLarge));
+    for bad in ["x\r\n", "\r\n", "5\n", "3\r\nabcd\r\n", "-1\r\n", "ffffffffffffffffff\r\n"] {
+        let mut body = BodyReader::new(Framing::Chunked, 100);
+        assert_eq!(body.read(bad.as_bytes()), Err(MessageError::MalformedChunk), "{bad:?}");
+    }
+}
+
+proptest! {
+    /// A chunked body reads the same however the network cuts it.
+    #[test]
+    fn chunks_read_the_same_in_any_pieces(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..6),
+        cut in 1_usize..17,
+    ) {
+        let mut wire = Vec::new();
+        for it in &chunks {
+            wire.extend_from_slice(format!("{:x}\r\n", it.len()).as_bytes());
+            wire.extend_from_slice(it);
+            wire.extend_from_slice(b"\r\n");
+        }
+        wire.extend_from_slice(b"0\r\nx: y\r\n\r\n");
+        let mut body = BodyReader::new(Framing::Chunked, 1000);
+        let mut last = Progress::NeedsMore;
+        for piece in wire.chunks(cut) {
+            prop_assert_eq!(last, Progress::NeedsMore);
+            last = body.read(piece).unwrap();
+        }
+        prop_assert!(matches!(last, Progress::Complete(_)));
+        prop_assert_eq!(body.into_bytes(), chunks.concat());
+    }
+
+    /// Arbitrary bytes are a message, part of one or an error, never a panic.
+    #[test]
+    fn arbitrary_bytes_do_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = RequestHead::parse(&bytes, 300, &NAMES);
+        let _ = ResponseHead::parse(&bytes, &NAMES);
+        let mut body = BodyReader::new(Framing::Chunked, 100);
+        let _ = body.read(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/query/src/forward/choice.rs
@@ -0,0 +1,102 @@
+//! Chooses the replica for an attempt.
+//!
+//! Load pattern: replicas stop for a moment, turn slow, fail part of their requests or refuse work
+//! while their check is good, and no instance sees the load of the others. Each candidate gets the
+//! time that a request sent to it is expected to take; the least wins. The data centre of the
+//! instance is preferred, because links between data centres are slow and priced.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use rosemarybank_protocol::prelude::*;
+
+use crate::{
+    forward::{
+        interface::ReplicaKey,
+        replicas::Replica,
+        services::Service,
+    },
+    latency::micros,
+};
+
+/// Price of using another data centre beyond its latency, in microseconds.
+const CROSSING_US: f32 = 15_000.0;
+
+/// What a failure costs: the time to notice it and to ask another replica, in microseconds.
+const FAILURE_US: f32 = 200_000.0;
+
+/// Expected rest of a pause that has shown itself by a late attempt, in microseconds.
+const STALL_US: f32 = 150_000.0;
+
+/// How much longer requests take at a replica that has just started.
+const COLD_FACTOR: f32 = 1.6;
+
+/// Random part of the cost, so that instances which know the same do not all choose the same.
+const JITTER: f32 = 0.1;
+
+/// A candidate that fits and its expected time in microseconds.
+pub(crate) type Candidate = (ReplicaKey, f32);
+
+/// What the choice depends on.
+pub(crate) struct Chooser<'a, R> {
+    pub(crate) now: Time,
+    pub(crate) rng: &'a mut Rng,
+    pub(crate) service: &'a Service,
+    pub(crate) replica: R,
+    /// Connections that this instance may have to one replica.
+    pub(crate) connections: usize,
+    /// Age from which an attempt is late, for near and far replicas.
+    pub(crate) late_after: [Duration; 2],
+}
+
+impl<'a, R: Fn(ReplicaKey) -> Option<&'a Replica>> Chooser<'a, R> {
+    /// The candidate with the least expected time that was not tried.
+    pub(crate) fn best(&mut self, tried: &[ReplicaKey]) -> Option<Candidate> {
+        self.least(tried, false).or_else(|| self.least(tried, true))
+    }
+
+    /// The best candidate that neither rests nor stalls, for a hedge.
+    pub(crate) fn best_for_hedge(&mut self, tried: &[ReplicaKey]) -> Option<Candidate> {
+        self.least(tried, false).filter(|it| it.1 < STALL_US)
+    }
+
+    fn least(&mut self, tried: &[ReplicaKey], may_rest: bool) -> Option<Candidate> {
+        let mut best: Option<Candidate> = None;
+        for key in &self.service.replicas {
+            let Some(replica) = (self.replica)(*key) else { continue };
+            let fits = replica.takes_work()
+                && replica.in_flight.len() < self.connections
+                && !tried.contains(key)
+                && (may_rest || !replica.rests(self.now));
+            if !fits {
+                continue;
+            }
+            let cost = self.cost(replica) * (1.0 + JITTER * self.rng.f32());
+            if best.is_none_or(|it| cost < it.1) {
+                best = Some((*key, cost));
+            }
+        }
+        best
+    }
+
+    fn cost(&self, replica: &Replica) -> f32 {
+        let now = self.now;
+        let latency_us = replica.latency_us(now, self.service.usual_us(replica.is_near));
+        let slots = replica.info.slots.max(1) as f32;
+        let beyond = (replica.in_flight.len() as f32 + 1.0 - slots).max(0.0);
+        let mut cost = latency_us * (1.0 + beyond / slots);
+        if now < replica.cold_until {
+            cost *= COLD_FACTOR;
+        }
+        if !replica.is_near {
+            cost += CROSSING_US;
+        }
+        cost += replica.failing(now) * FAILURE_US;
+        let age = replica.oldest_age(now);
+        let late = self.late_after[usize::from(!replica.is_near)];
+        if age > late {
+            cost += (STALL_US - micros(age)).max(STALL_US / 2.0);
+        }
+        cost
+    }
+}
--- /dev/null
+++ b/crates/query/src/forward/gather.rs
@@ -0,0 +1,53 @@
+//! Merges the records of the parts.
+
+/// Length of a record in bytes.
+const RECORD_LEN: usize = 16;
+
+type Record = [u8; RECORD_LEN];
+
+/// The greatest records of all parts so far.
+#[derive(Clone, Debug)]
+pub struct TopRecords {
+    limit: usize,
+    /// Falling.
+    records: Vec<Record>,
+}
+
+impl TopRecords {
+    /// Keeps `limit` records.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use rosemarybank_query::forward::TopRecords;
+    ///
+    /// let mut top = TopRecords::new(1);
+    /// top.add(b"aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbbtoo short");
+    /// assert_eq!(top.into_bytes(), b"bbbbbbbbbbbbbbbb");
+    /// ```
+    #[must_use]
+    pub fn new(limit: usize) -> TopRecords {
+        TopRecords { limit, records: Vec::with_capacity(limit.min(64)) }
+    }
+
+    /// Adds the records of a part. A remainder that is shorter than a record is not one.
+    pub fn add(&mut self, part: &[u8]) {
+        let (records, _) = part.as_chunks::<RECORD_LEN>();
+        for record in records {
+            if self.records.len() == self.limit {
+                match self.records.last() {
+                    Some(least) if least < record => self.records.pop(),
+                    _ => continue,
+                };
+            }
+            let at = self.records.partition_point(|it| it >= record);
+            self.records.insert(at, *record);
+        }
+    }
+
+    /// The records, greatest first.
+    #[must_use]
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.records.concat()
+    }
+}
--- /dev/null
+++ b/crates/query/src/forward/interface.rs
@@ -0,0 +1,155 @@
+//! Events that drive the forwarder and the actions it returns.
+
+use std::{net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+use rosemarybank_protocol::prelude::*;
+use slotmap::new_key_type;
+
+use crate::forward::routes::{ReplicaInfo, RouteTable};
+
+new_key_type! {
+    /// A request of a client.
+    pub struct RequestKey;
+    /// A request to one replica.
+    pub struct AttemptKey;
+    /// A lifetime of a replica.
+    pub struct ReplicaKey;
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A client went away.
+    ClientGone(RequestKey),
+    /// The connection of an attempt is open and the request is being written.
+    Sent(AttemptKey),
+    /// An attempt ended with a reply. Each attempt ends once, also one that was abandoned.
+    Replied(AttemptKey, Reply),
+    /// An attempt ended without a usable reply.
+    Failed(AttemptKey, Failure),
+    /// A version of the configuration came; an older one than that in force is ignored.
+    Configure(Box<RouteTable>),
+    /// The replicas that may be used now, whole.
+    Replicas(Vec<ReplicaInfo>),
+    /// Number of entry instances that share budgets and connections, this one included.
+    Instances(u32),
+    /// Time has passed.
+    Tick,
+}
+
+/// A request of a client.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Host in lower case.
+    pub host: CompactString,
+    /// Path.
+    pub path: CompactString,
+    /// Time that the client waits, if it said so.
+    pub wait: Option<Duration>,
+}
+
+/// A complete reply of a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Status code.
+    pub status: u16,
+    /// Proof of the replica.
+    pub stamp: Option<CompactString>,
+    /// Whether the replica states that it did not run the request.
+    pub is_not_run: bool,
+    /// Field lines to pass on.
+    pub fields: Vec<u8>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// How an attempt ended without a usable reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request was sent.
+    NotSent,
+    /// Another replica has the address; it did not run the request.
+    OtherReplica,
+    /// The connection ended, or carried something that is not the reply; the request may have run.
+    Broken,
+    /// The attempt was abandoned and its connection closed.
+    Abandoned,
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a request to a replica.
+    Send {
+        /// Number of the attempt.
+        attempt: AttemptKey,
+        /// The request.
+        request: RequestKey,
+        /// The replica.
+        replica: ReplicaKey,
+        /// Its id.
+        id: ReplicaId,
+        /// Its address.
+        addr: SocketAddr,
+        /// Time after which the reply is useless.
+        deadline: Time,
+        /// Whether the request must not run twice.
+        is_once: bool,
+        /// Service and reason, for the log.
+        service: ServiceId,
+        /// Why it is sent.
+        kind: SendKind,
+    },
+    /// The reply of an attempt is no longer wanted. Its connection may be kept if the reply still
+    /// comes by the given time, and is closed then.
+    Abandon {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Time to close the connection.
+        close_at: Time,
+    },
+    /// Answer a request; given once for each request whose client did not go away.
+    Answer {
+        /// The request.
+        request: RequestKey,
+        /// The answer.
+        answer: Answer,
+    },
+    /// The lifetime of a replica is over: its idle connections are of no use.
+    Forget(ReplicaKey),
+}
+
+/// Answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The reply of a replica, unchanged.
+    Relay(Reply),
+    /// Parts of several shards.
+    Merged {
+        /// Proofs of the parts.
+        stamps: Vec<CompactString>,
+        /// Shards that are left out.
+        missing: usize,
+        /// The greatest records, greatest first.
+        body: Vec<u8>,
+    },
+    /// No success.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// Time after which a retry makes sense.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// Why an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendKind {
+    /// First attempt at a service.
+    First,
+    /// The one before it failed.
+    Retry,
+    /// The one before it is late.
+    Hedge,
+}
--- /dev/null
+++ b/crates/query/src/forward/replicas.rs
@@ -0,0 +1,134 @@
+//! What an instance knows of a replica from its own traffic.
+
+use std::time::Duration;
+
+use rosemarybank_protocol::prelude::*;
+
+use crate::{
+    forward::{interface::AttemptKey, routes::ReplicaInfo, routes::ReplicaState},
+    latency::micros,
+};
+
+/// Weight of a new sample in the latency estimate.
+const LATENCY_WEIGHT: f32 = 0.2;
+
+/// Weight of a failure in the failure estimate. A success weighs half, so that a replica which
+/// fails every third request does not look healthy between two failures.
+const FAILURE_WEIGHT: f32 = 0.3;
+
+/// Time in which an estimate without new samples loses half of its meaning, so that a replica which
+/// was avoided is tried again.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Time without use after the first failed connect; it doubles with each further one.
+const FIRST_REST: Duration = Duration::from_millis(400);
+
+/// Longest time without use after failed connects. A replica that returned is found this late.
+const LONGEST_REST: Duration = Duration::from_secs(3);
+
+/// Time without use after the replica refused a request because its queue was full.
+const FULL_REST: Duration = Duration::from_millis(25);
+
+/// A lifetime of a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    pub(crate) info: ReplicaInfo,
+    /// Whether the list still has this lifetime.
+    pub(crate) is_listed: bool,
+    /// Whether it is in the data centre of this instance.
+    pub(crate) is_near: bool,
+    pub(crate) cold_until: Time,
+    /// Attempts in flight with their start, the oldest first.
+    pub(crate) in_flight: Vec<(AttemptKey, Time)>,
+    rest_until: Time,
+    rest: Duration,
+    latency_us: f32,
+    failing: f32,
+    sampled: Time,
+}
+
+impl Replica {
+    pub(crate) fn new(now: Time, info: ReplicaInfo, is_near: bool) -> Replica {
+        Replica {
+            cold_until: now + info.cold,
+            info,
+            is_listed: true,
+            is_near,
+            in_flight: Vec::new(),
+            rest_until: Time::ZERO,
+            rest: FIRST_REST,
+            latency_us: 0.0,
+            failing: 0.0,
+            sampled: Time::ZERO,
+        }
+    }
+
+    /// Whether new requests may go to it.
+    pub(crate) fn takes_work(&self) -> bool {
+        self.is_listed && self.info.state == ReplicaState::Ready
+    }
+
+    /// Whether it rests after a failed connect or a refusal.
+    pub(crate) fn rests(&self, now: Time) -> bool {
+        now < self.rest_until
+    }
+
+    /// Age of the oldest attempt.
+    pub(crate) fn oldest_age(&self, now: Time) -> Duration {
+        self.in_flight.first().map_or(Duration::ZERO, |it| now.saturating_sub(it.1))
+    }
+
+    /// Expected latency in microseconds, given what is usual for its service.
+    pub(crate) fn latency_us(&self, now: Time, usual_us: f32) -> f32 {
+        let known = self.weight(now);
+        if self.latency_us == 0.0 { usual_us } else { lerp(usual_us, self.latency_us, known) }
+    }
+
+    /// Share of its requests that fail, as far as it is known.
+    pub(crate) fn failing(&self, now: Time) -> f32 {
+        self.failing * self.weight(now)
+    }
+
+    pub(crate) fn note_success(&mut self, now: Time, took: Duration) {
+        self.note_latency(now, took);
+        self.failing *= 1.0 - FAILURE_WEIGHT / 2.0;
+        self.rest = FIRST_REST;
+    }
+
+    pub(crate) fn note_failure(&mut self, now: Time) {
+        self.failing = lerp(self.failing(now), 1.0, FAILURE_WEIGHT);
+        self.sampled = now;
+    }
+
+    pub(crate) fn note_full(&mut self, now: Time) {
+        self.note_failure(now);
+        self.rest_until = now + FULL_REST;
+    }
+
+    pub(crate) fn note_unreachable(&mut self, now: Time) {
+        self.note_failure(now);
+        self.rest_until = now + self.rest;
+        self.rest = (self.rest * 2).min(LONGEST_REST);
+    }
+
+    /// Records the time of a reply, or the age of an attempt that has none yet.
+    pub(crate) fn note_latency(&mut self, now: Time, took: Duration) {
+        let sample = micros(took);
+        let known = self.weight(now);
+        self.latency_us = match self.latency_us {
+            0.0 => sample,
+            // An estimate that has lost its meaning yields to the sample.
+            it => lerp(sample, it, known * (1.0 - LATENCY_WEIGHT)),
+        };
+        self.sampled = now;
+    }
+
+    fn weight(&self, now: Time) -> f32 {
+        let age = now.saturating_sub(self.sampled);
+        (-age.as_secs_f32() / HALF_LIFE.as_secs_f32()).exp2()
+    }
+}
+
+fn lerp(from: f32, to: f32, share: f32) -> f32 {
+    from + (to - from) * share
+}
--- /dev/null
+++ b/crates/query/src/forward/request.rs
@@ -0,0 +1,133 @@
+//! A request in flight.
+
+use std::{sync::Arc, time::Duration};
+
+use compact_str::CompactString;
+use rosemarybank_protocol::prelude::*;
+use smallvec::SmallVec;
+
+use crate::forward::{
+    gather::TopRecords,
+    interface::{AttemptKey, ReplicaKey, Reply, RequestKey, SendKind},
+    routes::{Route, Target},
+};
+
+/// A request to one replica.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) request: RequestKey,
+    pub(crate) part: usize,
+    pub(crate) replica: ReplicaKey,
+    pub(crate) sent: Time,
+    pub(crate) kind: SendKind,
+    /// Whether the request no longer waits for it.
+    pub(crate) is_abandoned: bool,
+    /// Whether its age was already counted as a latency.
+    pub(crate) is_late: bool,
+}
+
+/// The part of a request that one service answers.
+#[derive(Clone, Debug)]
+pub(crate) struct Part {
+    pub(crate) service: ServiceId,
+    pub(crate) is_done: bool,
+    /// Attempts in flight.
+    pub(crate) running: SmallVec<[AttemptKey; 2]>,
+    pub(crate) tried: SmallVec<[ReplicaKey; 3]>,
+    /// Attempts that replicas may have run.
+    pub(crate) runs: u32,
+    /// Attempts that may have arrived at a replica.
+    pub(crate) arrivals: u32,
+    /// Time from which the running attempt is late; `Time::MAX` when it was hedged.
+    pub(crate) late_at: Time,
+}
+
+impl Part {
+    fn new(service: ServiceId) -> Part {
+        Part {
+            service,
+            is_done: false,
+            running: SmallVec::new(),
+            tried: SmallVec::new(),
+            runs: 0,
+            arrivals: 0,
+            late_at: Time::MAX,
+        }
+    }
+}
+
+/// A request of a client.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) route: Arc<Route>,
+    pub(crate) arrived: Time,
+    /// Time from which an answer with parts missing is worth more than waiting.
+    pub(crate) cut_at: Time,
+    /// Time of the final answer at the latest.
+    pub(crate) answer_at: Time,
+    /// Time that replicas are given.
+    pub(crate) deadline: Time,
+    pub(crate) parts: Vec<Part>,
+    pub(crate) stamps: Vec<CompactString>,
+    pub(crate) top: TopRecords,
+    /// The last failure that a replica answered with.
+    pub(crate) failure: Option<Reply>,
+    /// Whether a replica may have run any part of it.
+    pub(crate) may_have_run: bool,
+    /// Time of the earliest timer.
+    pub(crate) armed: Time,
+}
+
+impl Request {
+    pub(crate) fn new(
+        now: Time,
+        route: Arc<Route>,
+        services: impl Iterator<Item = ServiceId>,
+        times: (Time, Time, Time),
+    ) -> Request {
+        let top = match route.target {
+            Target::Gather { top, .. } => top,
+            Target::Split(_) => 0,
+        };
+        let (cut_at, answer_at, deadline) = times;
+        Request {
+            parts: services.map(Part::new).collect(),
+            route,
+            arrived: now,
+            cut_at,
+            answer_at,
+            deadline,
+            stamps: Vec::new(),
+            top: TopRecords::new(top),
+            failure: None,
+            may_have_run: false,
+            armed: Time::MAX,
+        }
+    }
+
+    pub(crate) fn is_gather(&self) -> bool {
+        matches!(self.route.target, Target::Gather { .. })
+    }
+
+    /// Parts that are in.
+    pub(crate) fn done(&self) -> usize {
+        self.parts.iter().filter(|it| it.is_done).count()
+    }
+
+    /// Parts that an attempt may still bring.
+    pub(crate) fn open(&self) -> usize {
+        self.parts.iter().filter(|it| !it.is_done && !it.running.is_empty()).count()
+    }
+
+    /// Time of the next timer.
+    pub(crate) fn next_timer(&self, now: Time) -> Time {
+        let late = self.parts.iter().filter(|it| !it.is_done).map(|it| it.late_at).min();
+        let cut = if self.cut_at > now { self.cut_at } else { Time::MAX };
+        self.answer_at.min(cut).min(late.unwrap_or(Time::MAX))
+    }
+
+    /// Time that replicas have left.
+    pub(crate) fn time_left(&self, now: Time) -> Duration {
+        self.deadline.saturating_sub(now)
+    }
+}
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -4,6 +4,7 @@
 //! no I/O and reads no clock, so the daemon, a property test and a test bench drive the same code.
 
 pub mod engine;
+pub mod forward;
 pub mod interface;
 pub mod settings;
 pub mod views;
