Let parts wait briefly for room, park requests during a start

Ruled out: slow store replies (98 ms to the list of replicas). Change: a part waits a quarter of the objective for room, requests are parked while the first store replies are due, a replica that can't be reached gets one probe at a time, idle connections end.

--- a/crates/daemon/src/tier/client.rs
+++ b/crates/daemon/src/tier/client.rs
@@ -18,6 +18,10 @@
 /// connection before the client has read the answer.
 pub(super) const LINGER: Duration = Duration::from_millis(800);
 
+/// Time for which a request waits for the first configuration and list of replicas. A start takes
+/// about 100 ms while the store answers.
+const START_WAIT: Duration = Duration::from_millis(200);
+
 /// Bytes of further requests that are buffered while one is in progress.
 const PIPELINE_LEN: usize = 64 << 10;
 
@@ -49,6 +53,8 @@
     Head,
     /// Reads the body of a request.
     Body(Box<RequestHead>, BodyReader),
+    /// Waits for the first configuration and list of replicas.
+    Parked(Box<Pending>),
     /// Waits for the answer.
     Waiting(RequestKey, Box<Pending>),
     /// Has sent its last answer, and drops what still arrives.
@@ -89,7 +95,7 @@
         }
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
         let limit = match client.state {
-            State::Waiting(..) => PIPELINE_LEN,
+            State::Waiting(..) | State::Parked(_) => PIPELINE_LEN,
             _ => limits.head_bytes + limits.body_bytes + PIPELINE_LEN,
         };
         let end = client.socket.read(&mut client.buf, &mut self.scratch, limit);
@@ -133,7 +139,26 @@
                     }
                     Err(err) => return self.reject(index, err),
                 },
-                State::Waiting(..) | State::Lingering => return,
+                State::Parked(_) | State::Waiting(..) | State::Lingering => return,
+            }
+        }
+    }
+
+    /// Submits the requests that came before the instance could serve them, once it can or when
+    /// that takes too long.
+    pub(super) fn release_parked(&mut self) {
+        let is_over = !self.is_starting();
+        for index in std::mem::take(&mut self.parked) {
+            let Some(Conn::Client(client)) = self.conns.get_mut(index) else { continue };
+            if !matches!(client.state, State::Parked(_)) {
+                continue;
+            }
+            if !is_over && self.now < client.since + START_WAIT {
+                self.parked.push(index);
+                continue;
+            }
+            if let State::Parked(pending) = std::mem::replace(&mut client.state, State::Head) {
+                self.submit(index, *pending);
             }
         }
     }
@@ -174,7 +199,7 @@
     fn after_flush(&mut self, index: usize) {
         let now = self.now;
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
-        if client.closes && !matches!(client.state, State::Waiting(..) | State::Lingering) {
+        if client.closes && matches!(client.state, State::Head) {
             client.socket.finish();
             client.state = State::Lingering;
             client.since = now;
@@ -213,7 +238,14 @@
     fn begin_request(&mut self, index: usize, head: RequestHead, body: Vec<u8>) {
         let Some(Conn::Client(client)) = self.conns.get(index) else { return };
         match client.port {
-            Port::Front => self.submit(index, head, body),
+            Port::Front => {
+                self.metrics.requests += 1;
+                let pending = Pending { head, body, arrived: self.now, sends: 0 };
+                match self.is_starting() {
+                    true => self.park(index, pending),
+                    false => self.submit(index, pending),
+                }
+            }
             Port::Ready => {
                 let is_asked = head.path == READY_PATH;
                 let status = match (is_asked, self.is_ready()) {
@@ -231,12 +263,20 @@
         }
     }
 
-    fn submit(&mut self, index: usize, head: RequestHead, body: Vec<u8>) {
+    fn park(&mut self, index: usize, pending: Pending) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
+        client.state = State::Parked(Box::new(pending));
+        client.since = self.now;
+        self.parked.push(index);
+    }
+
+    fn submit(&mut self, index: usize, pending: Pending) {
         let now = self.now;
-        self.metrics.requests += 1;
-        let submission =
-            Submission { host: head.host.clone(), path: head.path.clone(), wait: head.deadline };
-        let pending = Pending { head, body, arrived: now, sends: 0 };
+        let submission = Submission {
+            host: pending.head.host.clone(),
+            path: pending.head.path.clone(),
+            wait: pending.head.deadline,
+        };
         match self.forwarder.submit(now, &submission, &mut self.actions) {
             Ok(key) => {
                 self.requests.insert(key, index);
--- a/crates/daemon/src/tier/journal.rs
+++ b/crates/daemon/src/tier/journal.rs
@@ -42,8 +42,7 @@
 }
 
 impl Kind {
-    const ALL: [Kind; 5] =
-        [Kind::Life, Kind::Belief, Kind::Failure, Kind::Attempt, Kind::Answer];
+    const ALL: [Kind; 5] = [Kind::Life, Kind::Belief, Kind::Failure, Kind::Attempt, Kind::Answer];
 
     /// Most lines per second. Failures come first; complete answers are only sampled.
     const fn limit(self) -> u32 {
@@ -148,7 +147,11 @@
         for (kind, count) in Kind::ALL.iter().zip(suppressed) {
             if count > 0 {
                 let name = kind.name();
-                self.push(now, "lines_left_out", format_args!(r#""kind":"{name}","count":{count}"#));
+                self.push(
+                    now,
+                    "lines_left_out",
+                    format_args!(r#""kind":"{name}","count":{count}"#),
+                );
             }
         }
         let lost = std::mem::take(&mut self.lost_batches);
--- a/crates/daemon/src/tier/lanes.rs
+++ b/crates/daemon/src/tier/lanes.rs
@@ -122,6 +122,12 @@
         self.is_reachable
     }
 
+    /// Whether the last call failed.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.backoff > FIRST_BACKOFF
+    }
+
     /// The next call, if it is due.
     #[must_use]
     pub fn next_call(&self, now: Time) -> Option<Timed> {
--- a/crates/daemon/src/tier/node.rs
+++ b/crates/daemon/src/tier/node.rs
@@ -80,6 +80,8 @@
     pub(super) actions: Vec<Action>,
     /// Clients whose buffers may hold another request.
     pub(super) resumed: Vec<usize>,
+    /// Clients whose requests came before the first configuration.
+    pub(super) parked: Vec<usize>,
     pub(super) scratch: Vec<u8>,
     pub(super) journal: Journal,
     pub(super) metrics: Metrics,
@@ -114,6 +116,7 @@
             attempts: SparseSecondaryMap::new(),
             actions: Vec::new(),
             resumed: Vec::new(),
+            parked: Vec::new(),
             scratch: vec![0; SCRATCH_LEN],
             journal,
             metrics: Metrics::default(),
@@ -151,6 +154,9 @@
             self.act();
         }
         self.sweep();
+        if !self.parked.is_empty() {
+            self.release_parked();
+        }
         self.act();
         self.journal.tick(self.now);
         Ok(())
@@ -166,6 +172,12 @@
         self.forwarder.table().is_some() && self.has_list && !self.stop.is_asked()
     }
 
+    /// Whether the first configuration or list of replicas is still on its way.
+    pub(super) fn is_starting(&self) -> bool {
+        let is_served = self.forwarder.table().is_some() && self.has_list;
+        !is_served && !self.stop.is_asked() && self.lanes.iter().all(|it| !it.lane.has_failed())
+    }
+
     /// Ends listening, so that new connections are refused at once.
     pub(super) fn close_front(&mut self) {
         self.listeners.retain(|it| it.1 != Port::Front);
--- a/crates/daemon/src/tier/socket.rs
+++ b/crates/daemon/src/tier/socket.rs
@@ -45,11 +45,7 @@
         token: usize,
     ) -> io::Result<Socket> {
         stream.set_nodelay(true)?;
-        registry.register(
-            &mut stream,
-            Token(token),
-            Interest::READABLE | Interest::WRITABLE,
-        )?;
+        registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE)?;
         Ok(Socket { stream, out: Vec::new(), written: 0 })
     }
 
--- a/crates/daemon/src/tier/sweep.rs
+++ b/crates/daemon/src/tier/sweep.rs
@@ -53,7 +53,7 @@
         let limits = self.limits();
         let age = self.now.saturating_sub(client.since);
         match client.state {
-            State::Waiting(..) => false,
+            State::Parked(_) | State::Waiting(..) => false,
             State::Lingering => age >= LINGER,
             State::Head if client.is_idle() => {
                 let is_front = client.port == Port::Front;
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -25,6 +25,10 @@
 /// that closes an idle connection at that moment would leave open whether it ran.
 const ONCE_IDLE: Duration = Duration::from_millis(800);
 
+/// Longest idle time of a connection. A pause of a replica needs further connections for a moment;
+/// kept for long, they use up what the replica accepts from all instances together.
+const IDLE_KEEP: Duration = Duration::from_secs(5);
+
 /// Share of the idle time that a replica announces for which its connection is used.
 const IDLE_SHARE: f32 = 0.7;
 
@@ -191,6 +195,7 @@
                 self.distrust(replica, since);
                 self.attempt_failed(attempt, Failure::Abandoned);
             }
+            State::Idle if now >= conn.since + IDLE_KEEP => self.close_idle(index),
             _ => {}
         }
     }
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -66,7 +66,8 @@
     assert_eq!((head.framing, head.closes), (Some(Framing::UntilClose), true));
     let (head, _) = response("HTTP/1.1 204 No Content\r\n\r\n").unwrap().unwrap();
     assert_eq!((head.framing, head.closes), (None, false));
-    let text = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\nKeep-Alive: timeout=4\r\n\r\n";
+    let text =
+        "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\nKeep-Alive: timeout=4\r\n\r\n";
     let (head, _) = response(text).unwrap().unwrap();
     assert!(head.is_not_run);
     assert_eq!(head.idle_timeout, Some(Duration::from_secs(4)));
--- a/crates/query/src/forward/choice.rs
+++ b/crates/query/src/forward/choice.rs
@@ -11,11 +11,7 @@
 use rosemarybank_protocol::prelude::*;
 
 use crate::{
-    forward::{
-        interface::ReplicaKey,
-        replicas::Replica,
-        services::Service,
-    },
+    forward::{interface::ReplicaKey, replicas::Replica, services::Service},
     latency::micros,
 };
 
@@ -34,8 +30,16 @@
 /// Random part of the cost, so that instances which know the same do not all choose the same.
 const JITTER: f32 = 0.1;
 
-/// A candidate that fits and its expected time in microseconds.
-pub(crate) type Candidate = (ReplicaKey, f32);
+/// What the choice found.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Choice {
+    /// The candidate with the least expected time.
+    Use(ReplicaKey),
+    /// Candidates are there, but each has as many requests as it may get; one ends soon.
+    Busy,
+    /// No candidate.
+    Nobody,
+}
 
 /// What the choice depends on.
 pub(crate) struct Chooser<'a, R> {
@@ -51,32 +55,37 @@
 
 impl<'a, R: Fn(ReplicaKey) -> Option<&'a Replica>> Chooser<'a, R> {
     /// The candidate with the least expected time that was not tried.
-    pub(crate) fn best(&mut self, tried: &[ReplicaKey]) -> Option<Candidate> {
-        self.least(tried, false).or_else(|| self.least(tried, true))
+    pub(crate) fn best(&mut self, tried: &[ReplicaKey]) -> Choice {
+        self.least(tried, f32::MAX)
     }
 
-    /// The best candidate that neither rests nor stalls, for a hedge.
-    pub(crate) fn best_for_hedge(&mut self, tried: &[ReplicaKey]) -> Option<Candidate> {
-        self.least(tried, false).filter(|it| it.1 < STALL_US)
+    /// The best candidate that does not stall, for a hedge.
+    pub(crate) fn best_for_hedge(&mut self, tried: &[ReplicaKey]) -> Choice {
+        self.least(tried, STALL_US)
     }
 
-    fn least(&mut self, tried: &[ReplicaKey], may_rest: bool) -> Option<Candidate> {
-        let mut best: Option<Candidate> = None;
+    fn least(&mut self, tried: &[ReplicaKey], limit_us: f32) -> Choice {
+        let mut best: Option<(ReplicaKey, f32)> = None;
+        let mut is_busy = false;
         for key in &self.service.replicas {
             let Some(replica) = (self.replica)(*key) else { continue };
-            let fits = replica.takes_work()
-                && replica.in_flight.len() < self.connections
-                && !tried.contains(key)
-                && (may_rest || !replica.rests(self.now));
-            if !fits {
+            if !replica.takes_work() || replica.is_down(self.now) || tried.contains(key) {
+                continue;
+            }
+            if replica.in_flight.len() >= self.connections || replica.is_full(self.now) {
+                is_busy = true;
                 continue;
             }
             let cost = self.cost(replica) * (1.0 + JITTER * self.rng.f32());
-            if best.is_none_or(|it| cost < it.1) {
+            if cost < limit_us && best.is_none_or(|it| cost < it.1) {
                 best = Some((*key, cost));
             }
         }
-        best
+        match best {
+            Some((key, _)) => Choice::Use(key),
+            None if is_busy => Choice::Busy,
+            None => Choice::Nobody,
+        }
     }
 
     fn cost(&self, replica: &Replica) -> f32 {
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -14,13 +14,13 @@
 use crate::{
     forward::{
         account::Budget,
-        choice::{Candidate, Chooser},
+        choice::{Choice, Chooser},
         interface::{
             Action, Answer, AttemptKey, Event, Failure, ReplicaKey, Reply, RequestKey, SendKind,
             Submission,
         },
         replicas::Replica,
-        request::{Attempt, Request},
+        request::{Attempt, Request, Times},
         routes::{ReplicaInfo, Route, RouteTable, Target},
         services::Service,
         splits::Split,
@@ -43,6 +43,13 @@
 /// which another reply changes the budget or the choice.
 const RECHECK: Duration = Duration::from_millis(10);
 
+/// Part of the objective for which a part waits for a replica with room. After it the client is
+/// better served by another instance.
+const WAIT_SHARE: f32 = 0.25;
+
+/// Time after which a part that waits for room looks again: about the time of a short request.
+const LOOK_EVERY: Duration = Duration::from_millis(4);
+
 /// Sends that replicas refused, beyond the attempts of the route, before a part is given up.
 const MAX_REFUSED: u32 = 2;
 
@@ -166,9 +173,13 @@
         let wait = submission.wait.map_or(route.timeout, |it| it.min(route.timeout));
         let deadline = now + wait;
         let answer_at = deadline.saturating_sub(ANSWER_MARGIN.min(wait / 4));
-        let cut_at = (now + route.objective).saturating_sub(RETURN_MARGIN).min(answer_at);
-        let times = (cut_at, answer_at, deadline);
-        let request = Request::new(now, route.clone(), services.into_iter(), times);
+        let times = Times {
+            wait_until: now + route.objective.mul_f32(WAIT_SHARE).min(wait / 4),
+            cut_at: (now + route.objective).saturating_sub(RETURN_MARGIN).min(answer_at),
+            answer_at,
+            deadline,
+        };
+        let request = Request::new(route.clone(), services.into_iter(), times);
         let key = self.requests.insert(request);
         self.begin(now, key, out);
         Ok(key)
@@ -211,30 +222,50 @@
             let budget = self.settings.budget;
             self.service(service).account.add_request(now, &budget);
         }
-        let chosen: Vec<Option<Candidate>> =
+        let chosen: Vec<Choice> =
             (0..services.len()).map(|part| self.choose(now, key, part, SendKind::First)).collect();
-        if chosen.iter().flatten().count() < min {
+        let possible = chosen.iter().filter(|it| **it != Choice::Nobody).count();
+        if possible < min {
             self.refuse(now, key, ErrorKind::NoReplica, Some(RETRY_AFTER), out);
             return;
         }
-        for (part, candidate) in chosen.into_iter().enumerate() {
-            if let Some((replica, _)) = candidate {
-                self.send(now, key, part, replica, SendKind::First, out);
+        for (part, choice) in chosen.into_iter().enumerate() {
+            match choice {
+                Choice::Use(replica) => self.send(now, key, part, replica, SendKind::First, out),
+                Choice::Busy => self.wait(now, key, part),
+                Choice::Nobody => {}
             }
         }
         self.arm(now, key);
     }
 
-    fn choose(
-        &mut self,
-        now: Time,
-        key: RequestKey,
-        part: usize,
-        kind: SendKind,
-    ) -> Option<Candidate> {
-        let request = self.requests.get(key)?;
+    /// Makes a part wait for a replica with room.
+    fn wait(&mut self, now: Time, key: RequestKey, part: usize) {
+        let part = &mut self.requests[key].parts[part];
+        part.is_waiting = true;
+        part.look_at = now + LOOK_EVERY;
+    }
+
+    /// Sends a part that waits, if a replica has room by now.
+    fn end_wait(&mut self, now: Time, key: RequestKey, index: usize, out: &mut Vec<Action>) {
+        let is_over = now >= self.requests[key].wait_until;
+        let choice = self.choose(now, key, index, SendKind::First);
+        if choice == Choice::Busy && !is_over {
+            return self.wait(now, key, index);
+        }
+        let part = &mut self.requests[key].parts[index];
+        part.is_waiting = false;
+        part.look_at = Time::MAX;
+        match choice {
+            Choice::Use(replica) => self.send(now, key, index, replica, SendKind::First, out),
+            Choice::Busy | Choice::Nobody => self.settle(now, key, out),
+        }
+    }
+
+    fn choose(&mut self, now: Time, key: RequestKey, part: usize, kind: SendKind) -> Choice {
+        let Some(request) = self.requests.get(key) else { return Choice::Nobody };
         let (objective, part) = (request.route.objective, &request.parts[part]);
-        let service = self.services.get(&part.service)?;
+        let Some(service) = self.services.get(&part.service) else { return Choice::Nobody };
         let cap = objective.mul_f32(LATE_SHARE);
         let mut chooser = Chooser {
             now,
@@ -246,9 +277,7 @@
         };
         match kind {
             SendKind::Hedge => chooser.best_for_hedge(&part.tried),
-            // All other replicas may have refused; the same one is better than none.
-            SendKind::Retry => chooser.best(&part.tried),
-            SendKind::First => chooser.best(&[]),
+            SendKind::First | SendKind::Retry => chooser.best(&part.tried),
         }
     }
 
@@ -275,10 +304,10 @@
         part.running.push(attempt);
         part.tried.push(replica_key);
         let replica = &mut self.replicas[replica_key];
-        replica.in_flight.push((attempt, now));
+        replica.begin(now, attempt);
         let cap = request.route.objective.mul_f32(LATE_SHARE);
         let service = &self.services[&part.service];
-        part.late_at = match kind {
+        part.look_at = match kind {
             SendKind::Hedge => Time::MAX,
             _ if !request.route.is_idempotent => Time::MAX,
             _ => now + service.late_after(replica.is_near, cap),
@@ -381,13 +410,7 @@
         }
     }
 
-    fn complete_part(
-        &mut self,
-        now: Time,
-        attempt: &Attempt,
-        reply: Reply,
-        out: &mut Vec<Action>,
-    ) {
+    fn complete_part(&mut self, now: Time, attempt: &Attempt, reply: Reply, out: &mut Vec<Action>) {
         let key = attempt.request;
         let Some(request) = self.requests.get_mut(key) else { return };
         if !request.is_gather() {
@@ -407,7 +430,7 @@
     fn part_failed(&mut self, now: Time, attempt: &Attempt, out: &mut Vec<Action>) {
         let (key, index) = (attempt.request, attempt.part);
         if self.may_retry(now, key, index)
-            && let Some((replica, _)) = self.choose(now, key, index, SendKind::Retry)
+            && let Choice::Use(replica) = self.choose(now, key, index, SendKind::Retry)
         {
             let part = &self.requests[key].parts[index];
             let (arrived, name) = (part.arrivals > 0, part.service.clone());
@@ -549,8 +572,11 @@
         while let Some(request) = self.requests.get(key)
             && let Some(part) = request.parts.get(index)
         {
-            if !part.is_done && part.late_at <= now {
-                self.hedge(now, key, index, out);
+            if !part.is_done && part.look_at <= now {
+                match part.is_waiting {
+                    true => self.end_wait(now, key, index, out),
+                    false => self.hedge(now, key, index, out),
+                }
             }
             index += 1;
         }
@@ -569,7 +595,7 @@
     /// Asks a second replica for a part whose attempt is late.
     fn hedge(&mut self, now: Time, key: RequestKey, index: usize, out: &mut Vec<Action>) {
         let part = &mut self.requests[key].parts[index];
-        part.late_at = now + RECHECK;
+        part.look_at = now + RECHECK;
         let (runs, tried, name) = (part.runs, part.tried.len() as u32, part.service.clone());
         let running = part.running.clone();
         for attempt in &running {
@@ -579,14 +605,14 @@
         let attempts = request.route.attempts;
         let is_possible = running.len() < 2 && runs < attempts && tried < attempts + MAX_REFUSED;
         if !is_possible || request.time_left(now) < LEAST_LEFT {
-            self.requests[key].parts[index].late_at = Time::MAX;
+            self.requests[key].parts[index].look_at = Time::MAX;
             return;
         }
         let (budget, instances) = (self.settings.budget, self.instances);
         if !self.service(&name).account.allows_hedge(now, &budget, instances) {
             return;
         }
-        let Some((replica, _)) = self.choose(now, key, index, SendKind::Hedge) else { return };
+        let Choice::Use(replica) = self.choose(now, key, index, SendKind::Hedge) else { return };
         self.service(&name).account.add_extra(now, &budget);
         self.send(now, key, index, replica, SendKind::Hedge, out);
     }
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -23,6 +23,6 @@
 pub use forwarder::{Forwarder, Settings};
 pub use gather::TopRecords;
 pub use interface::{
-    Action, Answer, AttemptKey, Event, Failure, Reply, ReplicaKey, RequestKey, SendKind, Submission,
+    Action, Answer, AttemptKey, Event, Failure, ReplicaKey, Reply, RequestKey, SendKind, Submission,
 };
 pub use routes::{ClientLimits, ReplicaInfo, ReplicaState, Route, RouteTable, ServiceInfo, Target};
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -21,10 +21,10 @@
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Time without use after the first failed connect; it doubles with each further one.
-const FIRST_REST: Duration = Duration::from_millis(400);
+const FIRST_REST: Duration = Duration::from_millis(200);
 
 /// Longest time without use after failed connects. A replica that returned is found this late.
-const LONGEST_REST: Duration = Duration::from_secs(3);
+const LONGEST_REST: Duration = Duration::from_millis(1_600);
 
 /// Time without use after the replica refused a request because its queue was full.
 const FULL_REST: Duration = Duration::from_millis(25);
@@ -40,7 +40,9 @@
     pub(crate) cold_until: Time,
     /// Attempts in flight with their start, the oldest first.
     pub(crate) in_flight: Vec<(AttemptKey, Time)>,
-    rest_until: Time,
+    full_until: Time,
+    down_until: Time,
+    /// Length of the next time without use.
     rest: Duration,
     latency_us: f32,
     failing: f32,
@@ -55,7 +57,8 @@
             is_listed: true,
             is_near,
             in_flight: Vec::new(),
-            rest_until: Time::ZERO,
+            full_until: Time::ZERO,
+            down_until: Time::ZERO,
             rest: FIRST_REST,
             latency_us: 0.0,
             failing: 0.0,
@@ -68,9 +71,22 @@
         self.is_listed && self.info.state == ReplicaState::Ready
     }
 
-    /// Whether it rests after a failed connect or a refusal.
-    pub(crate) fn rests(&self, now: Time) -> bool {
-        now < self.rest_until
+    /// Whether it could not be reached lately and is left alone.
+    pub(crate) fn is_down(&self, now: Time) -> bool {
+        now < self.down_until
+    }
+
+    /// Whether it refused a request a moment ago because its queue was full.
+    pub(crate) fn is_full(&self, now: Time) -> bool {
+        now < self.full_until
+    }
+
+    /// Notes that a request is sent. A replica that was down gets one at a time until it answers.
+    pub(crate) fn begin(&mut self, now: Time, attempt: AttemptKey) {
+        self.in_flight.push((attempt, now));
+        if self.rest > FIRST_REST {
+            self.down_until = now + self.rest;
+        }
     }
 
     /// Age of the oldest attempt.
@@ -93,6 +109,7 @@
         self.note_latency(now, took);
         self.failing *= 1.0 - FAILURE_WEIGHT / 2.0;
         self.rest = FIRST_REST;
+        self.down_until = Time::ZERO;
     }
 
     pub(crate) fn note_failure(&mut self, now: Time) {
@@ -102,12 +119,12 @@
 
     pub(crate) fn note_full(&mut self, now: Time) {
         self.note_failure(now);
-        self.rest_until = now + FULL_REST;
+        self.full_until = now + FULL_REST;
     }
 
     pub(crate) fn note_unreachable(&mut self, now: Time) {
         self.note_failure(now);
-        self.rest_until = now + self.rest;
+        self.down_until = now + self.rest;
         self.rest = (self.rest * 2).min(LONGEST_REST);
     }
 
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -38,8 +38,10 @@
     pub(crate) runs: u32,
     /// Attempts that may have arrived at a replica.
     pub(crate) arrivals: u32,
-    /// Time from which the running attempt is late; `Time::MAX` when it was hedged.
-    pub(crate) late_at: Time,
+    /// Whether it waits for a replica that has room.
+    pub(crate) is_waiting: bool,
+    /// Time to look at it again: the running attempt is late, or a replica may have room.
+    pub(crate) look_at: Time,
 }
 
 impl Part {
@@ -51,16 +53,27 @@
             tried: SmallVec::new(),
             runs: 0,
             arrivals: 0,
-            late_at: Time::MAX,
+            is_waiting: false,
+            look_at: Time::MAX,
         }
     }
 }
 
+/// Times of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Times {
+    pub(crate) wait_until: Time,
+    pub(crate) cut_at: Time,
+    pub(crate) answer_at: Time,
+    pub(crate) deadline: Time,
+}
+
 /// A request of a client.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
     pub(crate) route: Arc<Route>,
-    pub(crate) arrived: Time,
+    /// Time until which a part may wait for room before its first attempt.
+    pub(crate) wait_until: Time,
     /// Time from which an answer with parts missing is worth more than waiting.
     pub(crate) cut_at: Time,
     /// Time of the final answer at the latest.
@@ -80,20 +93,19 @@
 
 impl Request {
     pub(crate) fn new(
-        now: Time,
         route: Arc<Route>,
         services: impl Iterator<Item = ServiceId>,
-        times: (Time, Time, Time),
+        times: Times,
     ) -> Request {
         let top = match route.target {
             Target::Gather { top, .. } => top,
             Target::Split(_) => 0,
         };
-        let (cut_at, answer_at, deadline) = times;
+        let Times { wait_until, cut_at, answer_at, deadline } = times;
         Request {
             parts: services.map(Part::new).collect(),
             route,
-            arrived: now,
+            wait_until,
             cut_at,
             answer_at,
             deadline,
@@ -116,14 +128,15 @@
 
     /// Parts that an attempt may still bring.
     pub(crate) fn open(&self) -> usize {
-        self.parts.iter().filter(|it| !it.is_done && !it.running.is_empty()).count()
+        let is_open = |it: &&Part| !it.is_done && (it.is_waiting || !it.running.is_empty());
+        self.parts.iter().filter(is_open).count()
     }
 
     /// Time of the next timer.
     pub(crate) fn next_timer(&self, now: Time) -> Time {
-        let late = self.parts.iter().filter(|it| !it.is_done).map(|it| it.late_at).min();
+        let look = self.parts.iter().filter(|it| !it.is_done).map(|it| it.look_at).min();
         let cut = if self.cut_at > now { self.cut_at } else { Time::MAX };
-        self.answer_at.min(cut).min(late.unwrap_or(Time::MAX))
+        self.answer_at.min(cut).min(look.unwrap_or(Time::MAX))
     }
 
     /// Time that replicas have left.
