--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod membership;
 pub mod quarantine;
 pub mod replica_list;
+pub mod source;
--- a/crates/daemon/src/tier/client.rs
+++ b/crates/daemon/src/tier/client.rs
@@ -10,6 +10,7 @@
 
 use crate::tier::{
     answers::error_body,
+    feed::Pull,
     node::{Conn, Node, Port},
     socket::{ReadEnd, Socket, WriteEnd},
 };
@@ -55,6 +56,8 @@
     Body(Box<RequestHead>, BodyReader),
     /// Waits for the first configuration and list of replicas.
     Parked(Box<Pending>),
+    /// Asked for news that are not there yet.
+    Pulling(Pull),
     /// Waits for the answer.
     Waiting(RequestKey, Box<Pending>),
     /// Has sent its last answer, and drops what still arrives.
@@ -95,7 +98,7 @@
         }
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
         let limit = match client.state {
-            State::Waiting(..) | State::Parked(_) => PIPELINE_LEN,
+            State::Waiting(..) | State::Parked(_) | State::Pulling(_) => PIPELINE_LEN,
             _ => limits.head_bytes + limits.body_bytes + PIPELINE_LEN,
         };
         let end = client.socket.read(&mut client.buf, &mut self.scratch, limit);
@@ -139,7 +142,9 @@
                     }
                     Err(err) => return self.reject(index, err),
                 },
-                State::Parked(_) | State::Waiting(..) | State::Lingering => return,
+                State::Parked(_) | State::Pulling(_) | State::Waiting(..) | State::Lingering => {
+                    return;
+                }
             }
         }
     }
@@ -255,6 +260,7 @@
                 };
                 self.write_answer(index, status, b"", b"");
             }
+            Port::Peer => self.park_pull(index, &head, &body),
             Port::Metrics => {
                 let text = self.render_metrics();
                 let fields = b"content-type: text/plain; version=0.0.4\r\n";
--- /dev/null
+++ b/crates/daemon/src/tier/feed.rs
@@ -0,0 +1,266 @@
+//! News of the platform that instances pass on to one another.
+//!
+//! A follower asks with what it has, and is answered when there is more or after a while. One
+//! question is open at a time, so a slow link gets the newest state and no backlog.
+
+use std::time::Duration;
+
+use rosemarybank_adapter::config;
+use rosemarybank_coordination::source::{Member, Source};
+use rosemarybank_http1::RequestHead;
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_query::forward::{Event, ReplicaInfo, directory::Change};
+use serde::{Deserialize, Serialize};
+
+use crate::tier::{
+    client::State,
+    journal::Kind,
+    node::{Conn, Node},
+    store::Purpose,
+};
+
+/// Longest time for which a question stays open. The answer then carries only the age of the news.
+const PULL_WAIT: Duration = Duration::from_millis(400);
+
+/// Longest time for an answer beyond that.
+const PULL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Pause after a member did not answer.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Path of the question.
+const PATH: &str = "/feed";
+
+/// What a follower has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Pull {
+    /// Lifetime of the instance whose changes are counted.
+    epoch: u64,
+    /// Changes of the list that the follower has.
+    seq: u64,
+    /// Version of its configuration.
+    config_version: u64,
+}
+
+/// What the other has beyond that.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Feed {
+    epoch: u64,
+    seq: u64,
+    /// Time since the read of the store on which all of it rests; `None` if there was none.
+    age: Option<Duration>,
+    replicas: ReplicaNews,
+    config: Option<Vec<u8>>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum ReplicaNews {
+    Changes(Vec<Change>),
+    All(Vec<ReplicaInfo>),
+}
+
+/// What an instance follows.
+#[derive(Debug, Default)]
+pub(super) struct Following {
+    /// The open question, with whom it was put to.
+    asked: Option<(usize, Member)>,
+    next_at: Time,
+    /// What came from whom.
+    has: (Option<InstanceId>, Pull),
+}
+
+impl Node {
+    /// Puts the next question, or ends one that takes too long.
+    pub(super) fn sweep_feed(&mut self) {
+        if let Some((index, member)) = self.following.asked.clone() {
+            let is_late = match self.conns.get(index) {
+                Some(Conn::Store(call)) => call.until.is_some_and(|it| it <= self.now),
+                _ => true,
+            };
+            if is_late {
+                self.drop_conn(index);
+                self.feed_failed(&member, "the answer did not come in time");
+            }
+        } else if self.now >= self.following.next_at {
+            self.pull();
+        }
+    }
+
+    /// Handles the end of a question without an answer.
+    pub(super) fn pull_failed(&mut self, reason: &str) {
+        if let Some((_, member)) = self.following.asked.clone() {
+            self.feed_failed(&member, reason);
+        }
+    }
+
+    /// Takes the answer to a question.
+    pub(super) fn pull_replied(&mut self, index: usize, status: u16, body: &[u8], closes: bool) {
+        let Some((_, member)) = self.following.asked.take() else { return };
+        let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
+        match decoded {
+            Ok((feed, _)) if status == 200 => {
+                self.take_feed(&member, feed);
+                if closes {
+                    self.drop_conn(index);
+                } else if self.chooser.source(self.now) == Source::Peer(member.clone()) {
+                    self.ask(index, member);
+                } else {
+                    self.drop_conn(index);
+                }
+            }
+            Ok(_) => self.feed_refused(index, &member, &format!("status {status}")),
+            Err(err) => self.feed_refused(index, &member, &err.to_string()),
+        }
+    }
+
+    /// Keeps the question of a follower until there is an answer.
+    pub(super) fn park_pull(&mut self, index: usize, head: &RequestHead, body: &[u8]) {
+        let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
+        let Ok((pull, _)) = decoded else {
+            return self.write_answer(index, 400, b"", b"");
+        };
+        if head.path != PATH {
+            return self.write_answer(index, 404, b"", b"");
+        }
+        if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
+            client.state = State::Pulling(pull);
+            client.since = self.now;
+            self.pulls.push(index);
+        }
+    }
+
+    /// Answers the questions for which there are news, and those that have waited long enough.
+    pub(super) fn release_pulls(&mut self) {
+        let (seq, epoch) = (self.directory.seq(), self.epoch);
+        let version = self.forwarder.table().map_or(0, |it| it.version);
+        for index in std::mem::take(&mut self.pulls) {
+            let Some(Conn::Client(client)) = self.conns.get(index) else { continue };
+            let State::Pulling(pull) = client.state else { continue };
+            let has_all = pull.epoch == epoch && pull.seq == seq && pull.config_version >= version;
+            if has_all && self.now < client.since + PULL_WAIT {
+                self.pulls.push(index);
+                continue;
+            }
+            let feed = self.feed_for(pull);
+            match bincode::serde::encode_to_vec(&feed, bincode::config::standard()) {
+                Ok(body) => self.write_answer(index, 200, b"", &body),
+                Err(err) => {
+                    self.log_feed("feed_not_encoded", &err.to_string());
+                    self.write_answer(index, 500, b"", b"");
+                }
+            }
+        }
+    }
+
+    fn feed_for(&self, pull: Pull) -> Feed {
+        let known = (pull.epoch == self.epoch).then(|| self.directory.changes_since(pull.seq));
+        let replicas = match known.flatten() {
+            Some(changes) => ReplicaNews::Changes(changes),
+            None => ReplicaNews::All(self.directory.list()),
+        };
+        let version = self.forwarder.table().map_or(0, |it| it.version);
+        let is_newer = pull.config_version < version;
+        Feed {
+            epoch: self.epoch,
+            seq: self.directory.seq(),
+            age: self.chooser.age(self.now).filter(|_| self.has_list),
+            replicas,
+            config: is_newer.then(|| self.config_text.clone()),
+        }
+    }
+
+    fn pull(&mut self) {
+        let Source::Peer(member) = self.chooser.source(self.now) else { return };
+        match self.open_call(member.addr, Purpose::Feed) {
+            Ok(index) => self.ask(index, member),
+            Err(err) => self.feed_failed(&member, &err.to_string()),
+        }
+    }
+
+    fn ask(&mut self, index: usize, member: Member) {
+        let version = self.forwarder.table().map_or(0, |it| it.version);
+        if self.following.has.0.as_ref() != Some(&member.id) {
+            self.following.has = (Some(member.id.clone()), Pull::default());
+        }
+        self.following.has.1.config_version = version;
+        let pull = self.following.has.1;
+        let body = match bincode::serde::encode_to_vec(pull, bincode::config::standard()) {
+            Ok(body) => body,
+            Err(err) => return self.feed_refused(index, &member, &err.to_string()),
+        };
+        let head = format!(
+            "POST {PATH} HTTP/1.1\r\nhost: {}\r\ncontent-length: {}\r\n\r\n",
+            member.addr,
+            body.len()
+        );
+        let message = [head.as_bytes(), &body].concat();
+        self.following.asked = Some((index, member));
+        self.begin_call(index, &message, PULL_WAIT + PULL_TIMEOUT);
+    }
+
+    fn take_feed(&mut self, member: &Member, feed: Feed) {
+        let now = self.now;
+        let is_same = self.following.has.1.epoch == feed.epoch;
+        match feed.replicas {
+            ReplicaNews::Changes(changes) if is_same => self.directory.mirror(now, changes),
+            // Changes of another lifetime do not fit to what is here.
+            ReplicaNews::Changes(_) => return,
+            ReplicaNews::All(_) if feed.age.is_none() => return,
+            ReplicaNews::All(list) => self.directory.mirror_all(now, list),
+        }
+        self.following.has.1.epoch = feed.epoch;
+        self.following.has.1.seq = feed.seq;
+        if let Some(age) = feed.age {
+            self.has_list = true;
+            self.chooser.learnt(now.saturating_sub(age));
+        }
+        self.publish_replicas();
+        let Some(text) = feed.config else { return };
+        let decoded = serde_json::from_slice(&text).map_err(|it| it.to_string());
+        match decoded.and_then(|it| config::decode(&it).map_err(|it| it.to_string())) {
+            Ok(table) => self.take_config(Box::new(table), text, &member.id.clone()),
+            Err(err) => self.log_feed("unusable_config", &err),
+        }
+    }
+
+    /// Puts a configuration into force unless it is older than the one that is.
+    pub(super) fn take_config(
+        &mut self,
+        table: Box<rosemarybank_query::forward::RouteTable>,
+        text: Vec<u8>,
+        from: &str,
+    ) {
+        let before = self.forwarder.table().map_or(0, |it| it.version);
+        let (version, routes) = (table.version, table.routes().count());
+        if version <= before {
+            return;
+        }
+        self.config_text = text;
+        self.journal.line(
+            self.now,
+            Kind::Belief,
+            "config",
+            format_args!(
+                r#""before":{before},"version":{version},"routes":{routes},"from":{from:?}"#
+            ),
+        );
+        self.forwarder.handle(self.now, Event::Configure(table), &mut self.actions);
+    }
+
+    fn feed_refused(&mut self, index: usize, member: &Member, reason: &str) {
+        self.drop_conn(index);
+        self.feed_failed(member, reason);
+    }
+
+    fn feed_failed(&mut self, member: &Member, reason: &str) {
+        self.following.asked = None;
+        self.following.next_at = self.now + PAUSE;
+        self.chooser.failed(self.now, &member.id);
+        let reason = format!("{}: {reason}", member.id);
+        self.log_feed("source_lost", &reason);
+    }
+
+    fn log_feed(&mut self, event: &str, reason: &str) {
+        self.journal.line(self.now, Kind::Life, event, format_args!(r#""reason":{reason:?}"#));
+    }
+}
--- a/crates/daemon/src/tier/lanes.rs
+++ b/crates/daemon/src/tier/lanes.rs
@@ -10,11 +10,11 @@
 use compact_str::CompactString;
 use rosemarybank_adapter::{
     calls::{self, Call, Freshness, Listing, Object, Revision, WatchPage},
-    config, registration,
+    config, instances, registration,
 };
+use rosemarybank_coordination::source::Member;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{ReplicaInfo, RouteTable, directory::Change};
-use serde_json::json;
 
 /// Time for which a watch of the configuration waits. Connections may go silent without a sign, so
 /// this and the call timeout bound the age of the configuration.
@@ -24,8 +24,12 @@
 /// seconds after it said so.
 const REPLICAS_EVERY: Duration = Duration::from_millis(700);
 
-/// Time between two looks at the other instances, which share the budgets.
-const INSTANCES_EVERY: Duration = Duration::from_secs(5);
+/// Time between the first looks at the other instances, which start at the same time; it doubles
+/// with each look.
+const FIRST_INSTANCES_EVERY: Duration = Duration::from_secs(1);
+
+/// Longest time between two looks at the other instances, which share the budgets.
+const INSTANCES_EVERY: Duration = Duration::from_secs(10);
 
 /// Longest time for a call, beyond the time for which it waits.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -50,14 +54,14 @@
 /// What a reply says.
 #[derive(Clone, Debug)]
 pub enum News {
-    /// A configuration.
-    Config(Box<RouteTable>),
+    /// A configuration, with its text for other instances.
+    Config(Box<RouteTable>, Vec<u8>),
     /// All replicas.
     ReplicaList(Vec<ReplicaInfo>),
     /// Some replicas.
     ReplicaChanges(Vec<Change>),
-    /// Number of instances that are registered.
-    Instances(usize),
+    /// Instances that are registered.
+    Instances(Vec<Member>),
     /// An entry that can't be used, and why.
     Unusable(CompactString, CompactString),
 }
@@ -73,13 +77,17 @@
 #[derive(Clone, Debug)]
 pub struct Lane {
     subject: Subject,
-    instance: InstanceId,
+    own: Member,
     step: Step,
+    /// What the open call asks for.
+    asked: Option<Step>,
     /// Pages of a list so far.
     items: Vec<Object>,
     next_at: Time,
     backoff: Duration,
+    instances_every: Duration,
     is_reachable: bool,
+    is_suspended: bool,
 }
 
 /// A call and the time after which it counts as lost.
@@ -94,19 +102,22 @@
 impl Lane {
     /// A lane that has learnt nothing yet.
     #[must_use]
-    pub fn new(subject: Subject, instance: InstanceId) -> Lane {
+    pub fn new(subject: Subject, own: Member) -> Lane {
         let step = match subject {
             Subject::Instances => Step::Register,
             Subject::Config | Subject::Replicas => Step::List { after: None },
         };
         Lane {
             subject,
-            instance,
+            own,
             step,
+            asked: None,
             items: Vec::new(),
             next_at: Time::ZERO,
             backoff: FIRST_BACKOFF,
+            instances_every: FIRST_INSTANCES_EVERY,
             is_reachable: false,
+            is_suspended: false,
         }
     }
 
@@ -128,17 +139,30 @@
         self.backoff > FIRST_BACKOFF
     }
 
+    /// Makes no calls until it is resumed, because another instance passes on what it asks for.
+    pub fn suspend(&mut self) {
+        self.is_suspended = true;
+    }
+
+    /// Goes on after a suspension, with a whole list.
+    pub fn resume(&mut self, now: Time) {
+        if std::mem::take(&mut self.is_suspended) {
+            self.restart();
+            self.next_at = now;
+        }
+    }
+
     /// The next call, if it is due.
     #[must_use]
-    pub fn next_call(&self, now: Time) -> Option<Timed> {
-        if now < self.next_at {
+    pub fn next_call(&mut self, now: Time) -> Option<Timed> {
+        if now < self.next_at || self.is_suspended {
             return None;
         }
         let kind = self.kind();
         let (call, wait) = match &self.step {
             Step::Register => {
-                let spec = json!({ "instance": self.instance.as_str() });
-                (Call::create(kind, &self.instance, &spec), Duration::ZERO)
+                let spec = instances::encode(&self.own);
+                (Call::create(kind, &self.own.id, &spec), Duration::ZERO)
             }
             Step::List { after } => {
                 let freshness = match self.subject {
@@ -155,6 +179,7 @@
                 (Call::watch(kind, *since, wait), wait)
             }
         };
+        self.asked = Some(self.step.clone());
         Some(Timed { call, timeout: CALL_TIMEOUT + wait })
     }
 
@@ -168,6 +193,10 @@
     /// Takes a reply.
     pub fn replied(&mut self, now: Time, status: u16, body: &[u8]) -> Vec<News> {
         let mut news = Vec::new();
+        // The lane may have begun anew while the call was open.
+        if self.asked.take().as_ref() != Some(&self.step) {
+            return news;
+        }
         let is_known = matches!((&self.step, status), (Step::Register, 409));
         match status {
             410 => self.restart(),
@@ -246,10 +275,12 @@
                 self.next_at = now + REPLICAS_EVERY;
             }
             Subject::Instances => {
-                news.push(News::Instances(items.len()));
+                let members = items.iter().filter_map(|it| member(it, news)).collect();
+                news.push(News::Instances(members));
                 // The list itself is cheap when it may be stale, and a watch is not.
                 self.step = Step::List { after: None };
-                self.next_at = now + INSTANCES_EVERY;
+                self.next_at = now + self.instances_every;
+                self.instances_every = (self.instances_every * 2).min(INSTANCES_EVERY);
             }
         }
     }
@@ -282,9 +313,22 @@
         return;
     }
     match config::decode(&object.spec) {
-        Ok(table) => news.push(News::Config(Box::new(table))),
+        Ok(table) => {
+            let text = object.spec.to_string().into_bytes();
+            news.push(News::Config(Box::new(table), text));
+        }
+        Err(err) => {
+            unusable(&object.meta.name, &err, news);
+        }
+    }
+}
+
+fn member(object: &Object, news: &mut Vec<News>) -> Option<Member> {
+    match instances::decode(&object.spec) {
+        Ok(member) => Some(member),
         Err(err) => {
             unusable(&object.meta.name, &err, news);
+            None
         }
     }
 }
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -9,6 +9,7 @@
 
 mod answers;
 mod client;
+mod feed;
 mod metrics;
 mod node;
 mod run;
--- a/crates/daemon/src/tier/node.rs
+++ b/crates/daemon/src/tier/node.rs
@@ -7,6 +7,7 @@
     net::{TcpListener, TcpStream},
 };
 use rosemarybank_adapter::NodeSettings;
+use rosemarybank_coordination::source::{Chooser, Member};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
     Action, AttemptKey, Directory, Event, Failure, Forwarder, ReplicaKey, RequestKey,
@@ -16,6 +17,7 @@
 
 use crate::tier::{
     client::Client,
+    feed::Following,
     journal::Journal,
     lanes::{Lane, Subject},
     metrics::Metrics,
@@ -33,6 +35,9 @@
 /// Token of the listener for metrics.
 const METRICS: Token = Token(usize::MAX - 3);
 
+/// Token of the listener for other instances.
+const PEER: Token = Token(usize::MAX - 4);
+
 /// Bytes that one system call reads at most; larger than nearly all messages.
 const SCRATCH_LEN: usize = 32 << 10;
 
@@ -46,6 +51,8 @@
     Front,
     /// The platform, asking for readiness.
     Ready,
+    /// Another instance.
+    Peer,
     /// A reader of metrics.
     Metrics,
 }
@@ -71,6 +78,14 @@
     pub(super) forwarder: Forwarder,
     pub(super) directory: Directory,
     pub(super) has_list: bool,
+    /// Tells this lifetime of the process from others.
+    pub(super) epoch: u64,
+    /// The configuration in force as text, for other instances.
+    pub(super) config_text: Vec<u8>,
+    pub(super) chooser: Chooser,
+    pub(super) following: Following,
+    /// Other instances that wait for news.
+    pub(super) pulls: Vec<usize>,
     pub(super) pools: SecondaryMap<ReplicaKey, Pool>,
     /// Connections of the clients that wait for an answer.
     pub(super) requests: SparseSecondaryMap<RequestKey, usize>,
@@ -100,7 +115,14 @@
     ) -> io::Result<Node> {
         let poll = Poll::new()?;
         let subjects = [Subject::Config, Subject::Replicas, Subject::Instances];
-        let lane = |it| StoreLane::new(Lane::new(it, settings.instance.clone()));
+        let own = Member {
+            id: settings.instance.clone(),
+            addr: (settings.ip, settings.peer_ports.0).into(),
+            data_centre: settings.data_centre.clone(),
+            millicores: settings.millicores,
+        };
+        let chooser = Chooser::new(own.id.clone(), own.data_centre.clone());
+        let lane = |it| StoreLane::new(Lane::new(it, own.clone()));
         let mut node = Node {
             lanes: subjects.into_iter().map(lane).collect(),
             settings,
@@ -111,6 +133,11 @@
             forwarder,
             directory: Directory::default(),
             has_list: false,
+            epoch: crate::clock::unix_ms(),
+            config_text: Vec::new(),
+            chooser,
+            following: Following::default(),
+            pulls: Vec::new(),
             pools: SecondaryMap::new(),
             requests: SparseSecondaryMap::new(),
             attempts: SparseSecondaryMap::new(),
@@ -126,6 +153,7 @@
         };
         node.listen(FRONT, Port::Front, node.settings.front)?;
         node.listen(READY, Port::Ready, node.settings.ready)?;
+        node.listen(PEER, Port::Peer, own.addr)?;
         if let Some(port) = metrics_port {
             let addr = (node.settings.ip, port).into();
             node.listen(METRICS, Port::Metrics, addr)?;
@@ -143,7 +171,7 @@
         self.now = self.clock();
         for event in events.iter() {
             match event.token() {
-                token @ (FRONT | READY | METRICS) => self.accept(token),
+                token @ (FRONT | READY | METRICS | PEER) => self.accept(token),
                 Token(index) => self.connection_event(index, event.is_writable()),
             }
             self.act();
@@ -154,6 +182,9 @@
             self.act();
         }
         self.sweep();
+        if !self.pulls.is_empty() {
+            self.release_pulls();
+        }
         if !self.parked.is_empty() {
             self.release_parked();
         }
--- a/crates/daemon/src/tier/store.rs
+++ b/crates/daemon/src/tier/store.rs
@@ -1,7 +1,9 @@
-//! Calls to the platform's store.
+//! Calls to the platform's store, and the connections for calls.
+
+use std::time::Duration;
 
-use compact_str::CompactString;
 use rosemarybank_adapter::{Call, HEADERS, calls};
+use rosemarybank_coordination::source::Source;
 use rosemarybank_http1::{BodyReader, Progress, ResponseHead};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::Event;
@@ -21,21 +23,32 @@
 pub(super) struct StoreLane {
     pub(super) lane: Lane,
     conn: Option<usize>,
+    /// Start of the last call.
+    called_at: Time,
 }
 
 impl StoreLane {
     pub(super) fn new(lane: Lane) -> StoreLane {
-        StoreLane { lane, conn: None }
+        StoreLane { lane, conn: None, called_at: Time::ZERO }
     }
 }
 
-/// A connection to the store.
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// The store, for a lane.
+    Lane(usize),
+    /// Another instance.
+    Feed,
+}
+
+/// A connection to the store or to another instance.
 #[derive(Debug)]
 pub(super) struct StoreCall {
     pub(super) socket: Socket,
-    lane: usize,
+    pub(super) purpose: Purpose,
     /// Time after which the call counts as lost; `None` between calls.
-    until: Option<Time>,
+    pub(super) until: Option<Time>,
     buf: Vec<u8>,
     head: Option<ResponseHead>,
     body: Option<BodyReader>,
@@ -44,7 +57,14 @@
 impl Node {
     /// Makes the calls that are due and ends those that took too long.
     pub(super) fn sweep_store(&mut self) {
+        let reads = self.chooser.reads_store(self.now);
         for lane in 0..self.lanes.len() {
+            let it = &mut self.lanes[lane].lane;
+            match (it.subject(), reads) {
+                (Subject::Instances, _) => {}
+                (_, true) => it.resume(self.now),
+                (_, false) => it.suspend(),
+            }
             let index = self.lanes[lane].conn;
             let until = index.and_then(|it| match self.conns.get(it) {
                 Some(Conn::Store(call)) => call.until,
@@ -80,9 +100,13 @@
             Parsed::Reply(status, body) => {
                 let Some(Conn::Store(call)) = self.conns.get_mut(index) else { return };
                 call.until = None;
-                let lane = call.lane;
+                let purpose = call.purpose;
                 let closes = call.head.take().is_none_or(|it| it.closes) || !call.buf.is_empty();
-                if closes || end != ReadEnd::Drained {
+                let closes = closes || end != ReadEnd::Drained;
+                let Purpose::Lane(lane) = purpose else {
+                    return self.pull_replied(index, status, &body, closes);
+                };
+                if closes {
                     self.lanes[lane].conn = None;
                     self.drop_conn(index);
                 }
@@ -98,57 +122,70 @@
         if let Some(index) = self.lanes[lane].conn.take() {
             self.drop_conn(index);
         }
-        self.call_store(lane, &call, std::time::Duration::from_secs(1));
+        self.call_store(lane, &call, Duration::from_secs(1));
     }
 
     fn next_store_call(&mut self, lane: usize) {
-        if let Some(timed) = self.lanes[lane].lane.next_call(self.now)
-            && !self.stop.is_asked()
-        {
+        let it = &mut self.lanes[lane].lane;
+        // A process that stops is no longer registered, but serves until its end.
+        if self.stop.is_asked() && it.subject() == Subject::Instances {
+            return;
+        }
+        if let Some(timed) = it.next_call(self.now) {
+            self.lanes[lane].called_at = self.now;
             self.call_store(lane, &timed.call, timed.timeout);
         }
     }
 
-    fn call_store(&mut self, lane: usize, call: &Call, timeout: std::time::Duration) {
+    fn call_store(&mut self, lane: usize, call: &Call, timeout: Duration) {
         self.metrics.store_calls += 1;
         let addr = self.settings.store;
         let message = call.render(&addr.to_string());
-        let until = Some(self.now + timeout);
-        let open = self.lanes[lane].conn.and_then(|it| self.conns.get_mut(it));
-        if let Some(Conn::Store(conn)) = open {
-            conn.socket.out().extend_from_slice(&message);
-            conn.until = until;
-            if let Some(index) = self.lanes[lane].conn {
-                self.store_event(index);
-            }
-            return;
+        if let Some(index) = self.lanes[lane].conn {
+            return self.begin_call(index, &message, timeout);
         }
-        let entry = self.conns.vacant_entry();
-        let index = entry.key();
-        match Socket::connect(addr, self.poll.registry(), index) {
-            Ok(mut socket) => {
-                socket.out().extend_from_slice(&message);
-                entry.insert(Conn::Store(StoreCall {
-                    socket,
-                    lane,
-                    until,
-                    buf: Vec::new(),
-                    head: None,
-                    body: None,
-                }));
+        match self.open_call(addr, Purpose::Lane(lane)) {
+            Ok(index) => {
                 self.lanes[lane].conn = Some(index);
+                self.begin_call(index, &message, timeout);
             }
-            Err(err) => {
-                let reason = err.to_string();
-                self.lane_failed(lane, &reason);
-            }
+            Err(err) => self.lane_failed(lane, &err.to_string()),
         }
     }
 
+    /// Opens a connection for calls.
+    pub(super) fn open_call(
+        &mut self,
+        addr: std::net::SocketAddr,
+        purpose: Purpose,
+    ) -> std::io::Result<usize> {
+        let entry = self.conns.vacant_entry();
+        let index = entry.key();
+        let socket = Socket::connect(addr, self.poll.registry(), index)?;
+        entry.insert(Conn::Store(StoreCall {
+            socket,
+            purpose,
+            until: None,
+            buf: Vec::new(),
+            head: None,
+            body: None,
+        }));
+        Ok(index)
+    }
+
+    /// Begins a call on a connection that is open or about to be.
+    pub(super) fn begin_call(&mut self, index: usize, message: &[u8], timeout: Duration) {
+        let Some(Conn::Store(call)) = self.conns.get_mut(index) else { return };
+        call.socket.out().extend_from_slice(message);
+        call.until = Some(self.now + timeout);
+        self.store_event(index);
+    }
+
     fn store_failed(&mut self, index: usize, reason: &str) {
         let Some(Conn::Store(call)) = self.conns.get(index) else { return };
-        let (lane, was_calling) = (call.lane, call.until.is_some());
+        let (purpose, was_calling) = (call.purpose, call.until.is_some());
         self.drop_conn(index);
+        let Purpose::Lane(lane) = purpose else { return self.pull_failed(reason) };
         self.lanes[lane].conn = None;
         // The store may close a connection between calls; the next call opens another.
         if was_calling {
@@ -177,13 +214,17 @@
 
     fn store_replied(&mut self, lane: usize, status: u16, body: &[u8]) {
         let now = self.now;
+        let called_at = self.lanes[lane].called_at;
         let lane = &mut self.lanes[lane].lane;
         let was_reachable = lane.is_reachable();
         let news = lane.replied(now, status, body);
         let (subject, is_reachable) = (lane.subject(), lane.is_reachable());
         if subject == Subject::Replicas {
             match is_reachable {
-                true => self.directory.store_reached(now),
+                true => {
+                    self.directory.store_reached(now);
+                    self.chooser.learnt(called_at);
+                }
                 false => self.directory.store_lost(),
             }
         }
@@ -204,18 +245,7 @@
     fn take_news(&mut self, news: News) {
         let now = self.now;
         match news {
-            News::Config(table) => {
-                let version = table.version;
-                let before = self.forwarder.table().map_or(0, |it| it.version);
-                let routes = table.routes().count();
-                self.journal.line(
-                    now,
-                    Kind::Belief,
-                    "config",
-                    format_args!(r#""before":{before},"version":{version},"routes":{routes}"#),
-                );
-                self.forwarder.handle(now, Event::Configure(table), &mut self.actions);
-            }
+            News::Config(table, text) => self.take_config(table, text, "store"),
             News::ReplicaList(list) => {
                 self.directory.replace(now, list);
                 self.has_list = true;
@@ -227,9 +257,20 @@
                 }
                 self.publish_replicas();
             }
-            News::Instances(count) => {
-                let count = u32::try_from(count).unwrap_or(u32::MAX);
+            News::Instances(members) => {
+                self.chooser.set_members(members);
+                let count = u32::try_from(self.chooser.members()).unwrap_or(u32::MAX);
                 self.metrics.instances = count;
+                let source = match self.chooser.source(now) {
+                    Source::Store => "store".into(),
+                    Source::Peer(it) => it.id,
+                };
+                self.journal.line(
+                    now,
+                    Kind::Belief,
+                    "instances",
+                    format_args!(r#""count":{count},"source":{:?}"#, source.as_str()),
+                );
                 self.forwarder.handle(now, Event::Instances(count), &mut self.actions);
             }
             News::Unusable(what, reason) => self.journal.line(
@@ -265,7 +306,7 @@
 fn parse(call: &mut StoreCall, end: ReadEnd) -> Parsed {
     let ended = match end {
         ReadEnd::Drained => None,
-        ReadEnd::Closed | ReadEnd::Broken => Some(CompactString::const_new("closed")),
+        ReadEnd::Closed | ReadEnd::Broken => Some(()),
     };
     if call.head.is_none() {
         match ResponseHead::parse(&call.buf, &HEADERS) {
--- a/crates/daemon/src/tier/sweep.rs
+++ b/crates/daemon/src/tier/sweep.rs
@@ -16,6 +16,7 @@
         }
         self.publish_replicas();
         self.sweep_store();
+        self.sweep_feed();
         let phase = self.phase();
         if phase == Phase::Closing {
             self.close_front();
@@ -53,7 +54,7 @@
         let limits = self.limits();
         let age = self.now.saturating_sub(client.since);
         match client.state {
-            State::Parked(_) | State::Waiting(..) => false,
+            State::Parked(_) | State::Pulling(_) | State::Waiting(..) => false,
             State::Lingering => age >= LINGER,
             State::Head if client.is_idle() => {
                 let is_front = client.port == Port::Front;
--- a/crates/query/src/forward/directory.rs
+++ b/crates/query/src/forward/directory.rs
@@ -5,9 +5,13 @@
 //! first look would take away most replicas of a service at once, so a missing entry counts as
 //! gone only when the store has been reachable for the time in which live replicas return.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use rosemarybank_protocol::prelude::*;
+use serde::{Deserialize, Serialize};
 
 use crate::forward::routes::ReplicaInfo;
 
@@ -15,8 +19,12 @@
 /// two seconds, the rest is the age of the look itself.
 const RETURN_GRACE: Duration = Duration::from_millis(2_600);
 
+/// Changes that are kept for instances that follow this one. One that is further behind gets the
+/// whole list.
+const MAX_LOG: usize = 512;
+
 /// A change of one entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The entry is there.
     Present(ReplicaInfo),
@@ -37,6 +45,10 @@
     /// Missing entries are kept until this time; `Time::MAX` while the store is unreachable.
     grace_until: Time,
     has_changed: bool,
+    /// Number of changes so far.
+    seq: u64,
+    /// The last changes.
+    log: VecDeque<Change>,
 }
 
 impl Directory {
@@ -74,7 +86,9 @@
                     // The remaining cold time shrinks with each heartbeat and is no news.
                     it.is_missing || ReplicaInfo { cold: info.cold, ..it.info.clone() } != info
                 });
-                self.has_changed |= is_new;
+                if is_new {
+                    self.note(Change::Present(info.clone()));
+                }
                 self.entries.insert(info.id.clone(), Entry { info, is_missing: false });
             }
             Change::Absent(id) if now < self.grace_until => {
@@ -82,22 +96,71 @@
                     entry.is_missing = true;
                 }
             }
-            Change::Absent(id) => self.has_changed |= self.entries.remove(&id).is_some(),
+            Change::Absent(id) => {
+                if self.entries.remove(&id).is_some() {
+                    self.note(Change::Absent(id));
+                }
+            }
         }
     }
 
     /// Removes what is still missing after the grace.
     pub fn tick(&mut self, now: Time) {
         if now >= self.grace_until {
-            let before = self.entries.len();
-            self.entries.retain(|_, it| !it.is_missing);
-            self.has_changed |= before != self.entries.len();
+            let missing = self.entries.iter().filter(|it| it.1.is_missing);
+            let missing: Vec<ReplicaId> = missing.map(|it| it.0.clone()).collect();
+            for id in missing {
+                self.apply(now, Change::Absent(id));
+            }
         }
     }
 
+    /// Takes what another instance made of its list: its graces are over.
+    pub fn mirror(&mut self, now: Time, changes: impl IntoIterator<Item = Change>) {
+        self.grace_until = now;
+        for change in changes {
+            self.apply(now, change);
+        }
+    }
+
+    /// Takes the whole list of another instance.
+    pub fn mirror_all(&mut self, now: Time, list: Vec<ReplicaInfo>) {
+        self.grace_until = now;
+        self.replace(now, list);
+    }
+
+    /// Number of changes so far.
+    #[must_use]
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// Changes after a number; `None` when they are not kept any more.
+    #[must_use]
+    pub fn changes_since(&self, seq: u64) -> Option<Vec<Change>> {
+        let count = usize::try_from(self.seq.checked_sub(seq)?).ok()?;
+        let start = self.log.len().checked_sub(count)?;
+        Some(self.log.iter().skip(start).cloned().collect())
+    }
+
+    /// All replicas.
+    #[must_use]
+    pub fn list(&self) -> Vec<ReplicaInfo> {
+        self.entries.values().map(|it| it.info.clone()).collect()
+    }
+
     /// All replicas, if they changed since the last call.
     pub fn take_change(&mut self) -> Option<Vec<ReplicaInfo>> {
         let has_changed = std::mem::take(&mut self.has_changed);
-        has_changed.then(|| self.entries.values().map(|it| it.info.clone()).collect())
+        has_changed.then(|| self.list())
+    }
+
+    fn note(&mut self, change: Change) {
+        self.has_changed = true;
+        self.seq += 1;
+        if self.log.len() == MAX_LOG {
+            self.log.pop_front();
+        }
+        self.log.push_back(change);
     }
 }
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -20,7 +20,7 @@
             Submission,
         },
         replicas::Replica,
-        request::{Attempt, Request, Times},
+        request::{Attempt, Part, Request, Times},
         routes::{ReplicaInfo, Route, RouteTable, Target},
         services::Service,
         splits::Split,
@@ -297,6 +297,7 @@
             replica: replica_key,
             sent: now,
             kind,
+            is_sent: false,
             is_abandoned: false,
             is_late: false,
         });
@@ -326,7 +327,8 @@
     }
 
     fn note_sent(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else { return };
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.is_sent = true;
         if let Some(request) = self.requests.get_mut(attempt.request) {
             request.may_have_run = true;
             request.parts[attempt.part].arrivals += 1;
@@ -402,6 +404,13 @@
         self.part_failed(now, &attempt, out);
     }
 
+    /// Attempts of a part that replicas have run or may still run. One whose connection is being
+    /// opened counts, because its bytes follow without another decision.
+    fn may_run(&self, part: &Part) -> u32 {
+        let is_unsent = |it: &&AttemptKey| self.attempts.get(**it).is_some_and(|it| !it.is_sent);
+        part.runs + part.running.iter().filter(is_unsent).count() as u32
+    }
+
     fn note_not_run(&mut self, attempt: &Attempt) {
         if let Some(request) = self.requests.get_mut(attempt.request) {
             let part = &mut request.parts[attempt.part];
@@ -449,7 +458,8 @@
         let Some(request) = self.requests.get(key) else { return false };
         let part = &request.parts[index];
         let attempts = request.route.attempts.max(1);
-        let has_room = part.runs < attempts && (part.tried.len() as u32) < attempts + MAX_REFUSED;
+        let has_room =
+            self.may_run(part) < attempts && (part.tried.len() as u32) < attempts + MAX_REFUSED;
         let is_safe = request.route.is_idempotent || part.runs == 0;
         if !has_room || !is_safe || request.time_left(now) < LEAST_LEFT || !part.running.is_empty()
         {
@@ -596,13 +606,14 @@
     fn hedge(&mut self, now: Time, key: RequestKey, index: usize, out: &mut Vec<Action>) {
         let part = &mut self.requests[key].parts[index];
         part.look_at = now + RECHECK;
-        let (runs, tried, name) = (part.runs, part.tried.len() as u32, part.service.clone());
+        let (tried, name) = (part.tried.len() as u32, part.service.clone());
         let running = part.running.clone();
         for attempt in &running {
             self.note_late(now, *attempt);
         }
         let request = &self.requests[key];
         let attempts = request.route.attempts;
+        let runs = self.may_run(&request.parts[index]);
         let is_possible = running.len() < 2 && runs < attempts && tried < attempts + MAX_REFUSED;
         if !is_possible || request.time_left(now) < LEAST_LEFT {
             self.requests[key].parts[index].look_at = Time::MAX;
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -20,6 +20,8 @@
     pub(crate) replica: ReplicaKey,
     pub(crate) sent: Time,
     pub(crate) kind: SendKind,
+    /// Whether its bytes were sent, so that the replica may run it.
+    pub(crate) is_sent: bool,
     /// Whether the request no longer waits for it.
     pub(crate) is_abandoned: bool,
     /// Whether its age was already counted as a latency.
--- a/crates/query/src/forward/routes.rs
+++ b/crates/query/src/forward/routes.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use rosemarybank_protocol::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// Version of a configuration.
 pub type ConfigVersion = u64;
@@ -93,7 +94,7 @@
 }
 
 /// Whether a replica takes new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReplicaState {
     /// It does.
     Ready,
@@ -102,7 +103,7 @@
 }
 
 /// A replica as the list describes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaInfo {
     /// Id.
     pub id: ReplicaId,
