--- a/crates/daemon/src/tier/run.rs
+++ b/crates/daemon/src/tier/run.rs
@@ -89,6 +89,7 @@
 fn forwarder_settings(settings: &NodeSettings) -> Settings {
     Settings {
         data_centre: settings.data_centre.clone(),
+        region: settings.region(),
         budget: settings.budget,
         seed: crate::clock::unix_ms() ^ u64::from(settings.front.port()),
     }
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -25,10 +25,14 @@
 /// that closes an idle connection at that moment would leave open whether it ran.
 const ONCE_IDLE: Duration = Duration::from_millis(800);
 
-/// Longest idle time of a connection. A pause of a replica needs further connections for a moment;
-/// kept for long, they use up what the replica accepts from all instances together.
+/// Longest idle time of a connection beyond [`KEPT`]. A pause of a replica needs further
+/// connections for a moment; kept for long, they use up what the replica accepts from all
+/// instances together.
 const IDLE_KEEP: Duration = Duration::from_secs(5);
 
+/// Idle connections to a replica that are kept until the replica closes them.
+const KEPT: usize = 1;
+
 /// Share of the idle time that a replica announces for which its connection is used.
 const IDLE_SHARE: f32 = 0.7;
 
@@ -195,7 +199,9 @@
                 self.distrust(replica, since);
                 self.attempt_failed(attempt, Failure::Abandoned);
             }
-            State::Idle if now >= conn.since + IDLE_KEEP => self.close_idle(index),
+            State::Idle if now >= conn.since + IDLE_KEEP && self.is_surplus(conn.replica) => {
+                self.close_idle(index);
+            }
             _ => {}
         }
     }
@@ -212,6 +218,10 @@
         }
     }
 
+    fn is_surplus(&self, replica: ReplicaKey) -> bool {
+        self.pools.get(replica).is_none_or(|it| it.idle.len() > KEPT)
+    }
+
     fn take_idle(&mut self, replica: ReplicaKey, is_once: bool) -> Option<usize> {
         loop {
             let index = *self.pools.get(replica)?.idle.last()?;
--- a/crates/query/src/forward/choice.rs
+++ b/crates/query/src/forward/choice.rs
@@ -11,12 +11,19 @@
 use rosemarybank_protocol::prelude::*;
 
 use crate::{
-    forward::{interface::ReplicaKey, replicas::Replica, services::Service},
+    forward::{
+        interface::ReplicaKey,
+        replicas::Replica,
+        services::{Service, Usual},
+    },
     latency::micros,
 };
 
-/// Price of using another data centre beyond its latency, in microseconds.
-const CROSSING_US: f32 = 15_000.0;
+/// Price of each distance beyond its latency, in microseconds.
+const CROSSING_US: [f32; 3] = [0.0, 6_000.0, 15_000.0];
+
+/// Time to open a connection at each distance, in microseconds: one round trip and the handshake.
+const CONNECT_US: [f32; 3] = [6_000.0, 15_000.0, 30_000.0];
 
 /// What a failure costs: the time to notice it and to ask another replica, in microseconds.
 const FAILURE_US: f32 = 200_000.0;
@@ -46,11 +53,12 @@
     pub(crate) now: Time,
     pub(crate) rng: &'a mut Rng,
     pub(crate) service: &'a Service,
+    pub(crate) usual: &'a Usual,
     pub(crate) replica: R,
     /// Connections that this instance may have to one replica.
     pub(crate) connections: usize,
-    /// Age from which an attempt is late, for near and far replicas.
-    pub(crate) late_after: [Duration; 2],
+    /// Longest age at which an attempt is not late.
+    pub(crate) late_cap: Duration,
 }
 
 impl<'a, R: Fn(ReplicaKey) -> Option<&'a Replica>> Chooser<'a, R> {
@@ -90,19 +98,20 @@
 
     fn cost(&self, replica: &Replica) -> f32 {
         let now = self.now;
-        let latency_us = replica.latency_us(now, self.service.usual_us(replica.is_near));
+        let latency_us = replica.latency_us(now, self.usual.median_us(replica.distance));
         let slots = replica.info.slots.max(1) as f32;
         let beyond = (replica.in_flight.len() as f32 + 1.0 - slots).max(0.0);
         let mut cost = latency_us * (1.0 + beyond / slots);
         if now < replica.cold_until {
             cost *= COLD_FACTOR;
         }
-        if !replica.is_near {
-            cost += CROSSING_US;
+        cost += CROSSING_US[replica.distance as usize];
+        if !replica.is_warm(now) {
+            cost += CONNECT_US[replica.distance as usize];
         }
         cost += replica.failing(now) * FAILURE_US;
         let age = replica.oldest_age(now);
-        let late = self.late_after[usize::from(!replica.is_near)];
+        let late = self.usual.late_after(replica.distance, self.late_cap);
         if age > late {
             cost += (STALL_US - micros(age)).max(STALL_US / 2.0);
         }
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use compact_str::CompactString;
 use fastrand::Rng;
 use rosemarybank_protocol::prelude::*;
 use slotmap::SlotMap;
@@ -22,7 +23,7 @@
         replicas::Replica,
         request::{Attempt, Part, Request, Times},
         routes::{ReplicaInfo, Route, RouteTable, Target},
-        services::Service,
+        services::{Distance, Service, Usual},
         splits::Split,
     },
     latency::micros,
@@ -78,6 +79,8 @@
 pub struct Settings {
     /// Data centre of the instance.
     pub data_centre: DataCentre,
+    /// Data centres of its region.
+    pub region: Vec<DataCentre>,
     /// Budget of extra sends.
     pub budget: Budget,
     /// Seed of random choices.
@@ -92,7 +95,9 @@
     instances: u32,
     table: Option<Arc<RouteTable>>,
     services: HashMap<ServiceId, Service>,
-    splits: HashMap<compact_str::CompactString, Split>,
+    splits: HashMap<CompactString, Split>,
+    /// Usual latency by route.
+    usual: HashMap<CompactString, Usual>,
     replicas: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<ReplicaId, ReplicaKey>,
     requests: SlotMap<RequestKey, Request>,
@@ -111,6 +116,7 @@
             table: None,
             services: HashMap::new(),
             splits: HashMap::new(),
+            usual: HashMap::new(),
             replicas: SlotMap::with_key(),
             by_id: HashMap::new(),
             requests: SlotMap::with_key(),
@@ -180,6 +186,9 @@
             deadline,
         };
         let request = Request::new(route.clone(), services.into_iter(), times);
+        if !self.usual.contains_key(&route.name) {
+            self.usual.insert(route.name.clone(), Usual::new());
+        }
         let key = self.requests.insert(request);
         self.begin(now, key, out);
         Ok(key)
@@ -266,13 +275,14 @@
         let Some(request) = self.requests.get(key) else { return Choice::Nobody };
         let (objective, part) = (request.route.objective, &request.parts[part]);
         let Some(service) = self.services.get(&part.service) else { return Choice::Nobody };
-        let cap = objective.mul_f32(LATE_SHARE);
+        let Some(usual) = self.usual.get(&request.route.name) else { return Choice::Nobody };
         let mut chooser = Chooser {
             now,
             rng: &mut self.rng,
             connections: connections(service.max_connections, self.instances),
-            late_after: [service.late_after(true, cap), service.late_after(false, cap)],
+            late_cap: objective.mul_f32(LATE_SHARE),
             service,
+            usual,
             replica: |it| self.replicas.get(it),
         };
         match kind {
@@ -293,6 +303,7 @@
         let request = &mut self.requests[key];
         let attempt = self.attempts.insert(Attempt {
             request: key,
+            route: request.route.name.clone(),
             part: index,
             replica: replica_key,
             sent: now,
@@ -307,11 +318,11 @@
         let replica = &mut self.replicas[replica_key];
         replica.begin(now, attempt);
         let cap = request.route.objective.mul_f32(LATE_SHARE);
-        let service = &self.services[&part.service];
+        let usual = &self.usual[&request.route.name];
         part.look_at = match kind {
             SendKind::Hedge => Time::MAX,
             _ if !request.route.is_idempotent => Time::MAX,
-            _ => now + service.late_after(replica.is_near, cap),
+            _ => now + usual.late_after(replica.distance, cap),
         };
         out.push(Action::Send {
             attempt,
@@ -365,8 +376,8 @@
                 (_, true) => replica.note_full(now),
                 _ => replica.note_failure(now),
             }
-            if is_good && let Some(service) = self.services.get_mut(&replica.info.service) {
-                service.record(micros(took), replica.is_near);
+            if is_good && let Some(usual) = self.usual.get_mut(&attempt.route) {
+                usual.record(micros(took), replica.distance);
             }
         }
         if !is_wanted {
@@ -659,6 +670,7 @@
         for name in names {
             self.service(&name);
         }
+        self.usual.retain(|name, _| table.routes().any(|it| it.name == *name));
         for (name, info) in &table.services {
             self.service(name).max_connections = info.max_connections;
         }
@@ -705,8 +717,14 @@
             }
             self.unlist(key, out);
         }
-        let is_near = info.data_centre == self.settings.data_centre;
-        self.replicas.insert(Replica::new(now, info, is_near))
+        let distance = if info.data_centre == self.settings.data_centre {
+            Distance::Local
+        } else if self.settings.region.contains(&info.data_centre) {
+            Distance::Near
+        } else {
+            Distance::Far
+        };
+        self.replicas.insert(Replica::new(now, info, distance))
     }
 
     fn unlist(&mut self, key: ReplicaKey, out: &mut Vec<Action>) {
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -5,7 +5,11 @@
 use rosemarybank_protocol::prelude::*;
 
 use crate::{
-    forward::{interface::AttemptKey, routes::ReplicaInfo, routes::ReplicaState},
+    forward::{
+        interface::AttemptKey,
+        routes::{ReplicaInfo, ReplicaState},
+        services::Distance,
+    },
     latency::micros,
 };
 
@@ -29,14 +33,17 @@
 /// Time without use after the replica refused a request because its queue was full.
 const FULL_REST: Duration = Duration::from_millis(25);
 
+/// Time after a reply for which its connection is likely to be open; replicas close idle ones after
+/// some seconds.
+const WARM: Duration = Duration::from_secs(4);
+
 /// A lifetime of a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
     pub(crate) info: ReplicaInfo,
     /// Whether the list still has this lifetime.
     pub(crate) is_listed: bool,
-    /// Whether it is in the data centre of this instance.
-    pub(crate) is_near: bool,
+    pub(crate) distance: Distance,
     pub(crate) cold_until: Time,
     /// Attempts in flight with their start, the oldest first.
     pub(crate) in_flight: Vec<(AttemptKey, Time)>,
@@ -47,15 +54,17 @@
     latency_us: f32,
     failing: f32,
     sampled: Time,
+    /// Time until which a connection is likely to be open.
+    warm_until: Time,
 }
 
 impl Replica {
-    pub(crate) fn new(now: Time, info: ReplicaInfo, is_near: bool) -> Replica {
+    pub(crate) fn new(now: Time, info: ReplicaInfo, distance: Distance) -> Replica {
         Replica {
             cold_until: now + info.cold,
             info,
             is_listed: true,
-            is_near,
+            distance,
             in_flight: Vec::new(),
             full_until: Time::ZERO,
             down_until: Time::ZERO,
@@ -63,6 +72,7 @@
             latency_us: 0.0,
             failing: 0.0,
             sampled: Time::ZERO,
+            warm_until: Time::ZERO,
         }
     }
 
@@ -89,6 +99,11 @@
         }
     }
 
+    /// Whether a connection is likely to be open.
+    pub(crate) fn is_warm(&self, now: Time) -> bool {
+        now < self.warm_until
+    }
+
     /// Age of the oldest attempt.
     pub(crate) fn oldest_age(&self, now: Time) -> Duration {
         self.in_flight.first().map_or(Duration::ZERO, |it| now.saturating_sub(it.1))
@@ -107,6 +122,7 @@
 
     pub(crate) fn note_success(&mut self, now: Time, took: Duration) {
         self.note_latency(now, took);
+        self.warm_until = now + WARM;
         self.failing *= 1.0 - FAILURE_WEIGHT / 2.0;
         self.rest = FIRST_REST;
         self.down_until = Time::ZERO;
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) request: RequestKey,
+    /// Name of its route.
+    pub(crate) route: CompactString,
     pub(crate) part: usize,
     pub(crate) replica: ReplicaKey,
     pub(crate) sent: Time,
--- a/crates/query/src/forward/services.rs
+++ b/crates/query/src/forward/services.rs
@@ -1,4 +1,4 @@
-//! A service: its replicas, its usual latency and its budget of extra sends.
+//! A service with its budget of extra sends, and the usual latency of a route.
 
 use std::time::Duration;
 
@@ -13,9 +13,9 @@
 /// Usual latency before the first sample in microseconds.
 const FIRST_USUAL_US: f32 = 10_000.0;
 
-/// What crossing to another data centre adds before it is measured, in microseconds: two ways
-/// between regions.
-const FIRST_CROSSING_US: f32 = 20_000.0;
+/// What each distance adds before it is measured, in microseconds: two ways between data centres
+/// and between regions.
+const FIRST_CROSSING_US: [f32; 3] = [0.0, 9_000.0, 20_000.0];
 
 /// Least age of a late attempt. Below it, queueing at the instance itself looks like a late reply.
 const LEAST_LATE: Duration = Duration::from_millis(15);
@@ -29,40 +29,52 @@
     pub(crate) replicas: Vec<ReplicaKey>,
     pub(crate) account: Account,
     pub(crate) max_connections: u32,
-    near: Latency,
-    far: Latency,
+}
+
+/// How far a replica is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Distance {
+    /// In the data centre of the instance.
+    Local,
+    /// In another data centre of the region.
+    Near,
+    /// In another region.
+    Far,
+}
+
+/// Usual latency of the requests of a route. All shards of a route do the same work, so they share
+/// the samples; an instance of a large fleet sends too little to each shard to learn from it alone.
+#[derive(Clone, Debug)]
+pub(crate) struct Usual {
+    by_distance: [Latency; 3],
 }
 
 impl Service {
     pub(crate) fn new() -> Service {
-        Service {
-            replicas: Vec::new(),
-            account: Account::default(),
-            max_connections: 1,
-            near: Latency::new(),
-            far: Latency::new(),
-        }
+        Service { replicas: Vec::new(), account: Account::default(), max_connections: 1 }
+    }
+}
+
+impl Usual {
+    pub(crate) fn new() -> Usual {
+        Usual { by_distance: [const { Latency::new() }; 3] }
     }
 
-    pub(crate) fn record(&mut self, took_us: f32, is_near: bool) {
-        let latency = if is_near { &mut self.near } else { &mut self.far };
-        latency.record(took_us, LATE_QUANTILE);
+    pub(crate) fn record(&mut self, took_us: f32, distance: Distance) {
+        self.by_distance[distance as usize].record(took_us, LATE_QUANTILE);
     }
 
     /// Median latency in microseconds.
-    pub(crate) fn usual_us(&self, is_near: bool) -> f32 {
-        let near = self.near.median_us();
-        match (is_near, self.far.median_us()) {
-            (true, _) => near.unwrap_or(FIRST_USUAL_US),
-            (false, Some(far)) => far,
-            (false, None) => near.unwrap_or(FIRST_USUAL_US) + FIRST_CROSSING_US,
-        }
+    pub(crate) fn median_us(&self, distance: Distance) -> f32 {
+        let local = self.by_distance[Distance::Local as usize].median_us();
+        let guess = local.unwrap_or(FIRST_USUAL_US) + FIRST_CROSSING_US[distance as usize];
+        self.by_distance[distance as usize].median_us().unwrap_or(guess)
     }
 
     /// Age from which an attempt is late, at most `cap`.
-    pub(crate) fn late_after(&self, is_near: bool, cap: Duration) -> Duration {
-        let latency = if is_near { &self.near } else { &self.far };
-        let quantile = latency.high_us().map(|it| from_micros(it * LATE_FACTOR));
+    pub(crate) fn late_after(&self, distance: Distance, cap: Duration) -> Duration {
+        let quantile = self.by_distance[distance as usize].high_us();
+        let quantile = quantile.map(|it| from_micros(it * LATE_FACTOR));
         quantile.unwrap_or(cap).max(LEAST_LATE).min(cap.max(LEAST_LATE))
     }
 }
--- a/crates/query/src/latency.rs
+++ b/crates/query/src/latency.rs
@@ -28,7 +28,7 @@
 }
 
 impl Latency {
-    pub(crate) fn new() -> Latency {
+    pub(crate) const fn new() -> Latency {
         Latency { counts: [0.0; BUCKETS], total: 0.0, stale: 0, median_us: 0.0, high_us: 0.0 }
     }
 
