Keep the grace after an outage when old news of another instance arrive

While the store was down, instances went on following one that could not reach it either; each message ended the grace in which entries that expired are kept, so the first list after the outage took away 27 of 35 replicas. Change: news that are too old are not used, fresh ones go through the same grace as a read. Test: forward_directory, old_news_of_another_instance_do_not_end_the_grace.

--- a/crates/daemon/src/tier/feed.rs
+++ b/crates/daemon/src/tier/feed.rs
@@ -9,7 +9,7 @@
 use rosemarybank_coordination::source::{Member, Source};
 use rosemarybank_http1::RequestHead;
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{Event, ReplicaInfo, directory::Change};
+use rosemarybank_query::forward::{Event, directory::ListNews};
 use serde::{Deserialize, Serialize};
 
 use crate::tier::{
@@ -49,16 +49,10 @@
     seq: u64,
     /// Time since the read of the store on which all of it rests; `None` if there was none.
     age: Option<Duration>,
-    replicas: ReplicaNews,
+    replicas: ListNews,
     config: Option<Vec<u8>>,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
-enum ReplicaNews {
-    Changes(Vec<Change>),
-    All(Vec<ReplicaInfo>),
-}
-
 /// What an instance follows.
 #[derive(Debug, Default)]
 pub(super) struct Following {
@@ -99,13 +93,13 @@
         let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
         match decoded {
             Ok((feed, _)) if status == 200 => {
-                self.take_feed(&member, feed);
-                if closes {
+                let is_used = self.take_feed(&member, feed);
+                if !is_used {
+                    self.feed_refused(index, &member, "its news are too old");
+                } else if closes || self.chooser.source(self.now) != Source::Peer(member.clone()) {
                     self.drop_conn(index);
-                } else if self.chooser.source(self.now) == Source::Peer(member.clone()) {
-                    self.ask(index, member);
                 } else {
-                    self.drop_conn(index);
+                    self.ask(index, member);
                 }
             }
             Ok(_) => self.feed_refused(index, &member, &format!("status {status}")),
@@ -155,8 +149,8 @@
     fn feed_for(&self, pull: Pull) -> Feed {
         let known = (pull.epoch == self.epoch).then(|| self.directory.changes_since(pull.seq));
         let replicas = match known.flatten() {
-            Some(changes) => ReplicaNews::Changes(changes),
-            None => ReplicaNews::All(self.directory.list()),
+            Some(changes) => ListNews::Changes(changes),
+            None => ListNews::All(self.directory.list()),
         };
         let version = self.forwarder.table().map_or(0, |it| it.version);
         let is_newer = pull.config_version < version;
@@ -198,27 +192,30 @@
         self.begin_call(index, &message, PULL_WAIT + PULL_TIMEOUT);
     }
 
-    fn take_feed(&mut self, member: &Member, feed: Feed) {
+    /// Takes news of another instance. Returns whether they were fresh.
+    fn take_feed(&mut self, member: &Member, feed: Feed) -> bool {
         let now = self.now;
-        let is_same = self.following.has.1.epoch == feed.epoch;
-        match feed.replicas {
-            ReplicaNews::Changes(changes) if is_same => self.directory.mirror(now, changes),
-            // Changes of another lifetime do not fit to what is here.
-            ReplicaNews::Changes(_) => return,
-            ReplicaNews::All(_) if feed.age.is_none() => return,
-            ReplicaNews::All(list) => self.directory.mirror_all(now, list),
+        if let Some(text) = feed.config {
+            self.take_config_text(text, &member.id);
+        }
+        let has = self.following.has.1;
+        let fits = matches!(feed.replicas, ListNews::All(_)) || has.epoch == feed.epoch;
+        if !fits || !self.directory.mirror(now, feed.age, feed.replicas) {
+            return false;
         }
-        self.following.has.1.epoch = feed.epoch;
-        self.following.has.1.seq = feed.seq;
+        self.following.has.1 = Pull { epoch: feed.epoch, seq: feed.seq, ..has };
+        self.has_list = true;
         if let Some(age) = feed.age {
-            self.has_list = true;
             self.chooser.learnt(now.saturating_sub(age));
         }
         self.publish_replicas();
-        let Some(text) = feed.config else { return };
+        true
+    }
+
+    fn take_config_text(&mut self, text: Vec<u8>, from: &str) {
         let decoded = serde_json::from_slice(&text).map_err(|it| it.to_string());
         match decoded.and_then(|it| config::decode(&it).map_err(|it| it.to_string())) {
-            Ok(table) => self.take_config(Box::new(table), text, &member.id.clone()),
+            Ok(table) => self.take_config(Box::new(table), text, from),
             Err(err) => self.log_feed("unusable_config", &err),
         }
     }
--- a/crates/daemon/src/tier/lanes.rs
+++ b/crates/daemon/src/tier/lanes.rs
@@ -24,6 +24,12 @@
 /// seconds after it said so.
 const REPLICAS_EVERY: Duration = Duration::from_millis(700);
 
+/// Time between two looks after the store has returned, while replicas register again.
+const RETURN_EVERY: Duration = Duration::from_millis(250);
+
+/// Time after the return of the store in which replicas register again, with some reserve.
+const RETURN: Duration = Duration::from_secs(3);
+
 /// Time between the first looks at the other instances, which start at the same time; it doubles
 /// with each look.
 const FIRST_INSTANCES_EVERY: Duration = Duration::from_secs(1);
@@ -86,6 +92,8 @@
     next_at: Time,
     backoff: Duration,
     instances_every: Duration,
+    /// Time until which looks follow one another faster.
+    eager_until: Time,
     is_reachable: bool,
     is_suspended: bool,
 }
@@ -116,6 +124,7 @@
             next_at: Time::ZERO,
             backoff: FIRST_BACKOFF,
             instances_every: FIRST_INSTANCES_EVERY,
+            eager_until: Time::ZERO,
             is_reachable: false,
             is_suspended: false,
         }
@@ -207,11 +216,20 @@
                 return news;
             }
         }
+        if self.has_failed() {
+            self.eager_until = now + RETURN;
+        }
         self.is_reachable = true;
         self.backoff = FIRST_BACKOFF;
         news
     }
 
+    fn replicas_every(&self, now: Time) -> Duration {
+        // The first reply after failures is taken before the end of the failures is noted.
+        let is_eager = self.has_failed() || now < self.eager_until;
+        if is_eager { RETURN_EVERY } else { REPLICAS_EVERY }
+    }
+
     fn kind(&self) -> &'static str {
         match self.subject {
             Subject::Config => calls::CONFIG,
@@ -272,7 +290,7 @@
                 });
                 let list = list.collect();
                 news.push(News::ReplicaList(list));
-                self.next_at = now + REPLICAS_EVERY;
+                self.next_at = now + self.replicas_every(now);
             }
             Subject::Instances => {
                 let members = items.iter().filter_map(|it| member(it, news)).collect();
@@ -302,7 +320,7 @@
                     });
                 }
                 news.push(News::ReplicaChanges(changes));
-                self.next_at = now + REPLICAS_EVERY;
+                self.next_at = now + self.replicas_every(now);
             }
         }
     }
--- a/crates/query/src/forward/directory.rs
+++ b/crates/query/src/forward/directory.rs
@@ -19,6 +19,10 @@
 /// two seconds, the rest is the age of the look itself.
 const RETURN_GRACE: Duration = Duration::from_millis(2_600);
 
+/// Longest age of news that another instance passes on. Instances read the store themselves at
+/// this age.
+const LONGEST_AGE: Duration = Duration::from_millis(1_500);
+
 /// Changes that are kept for instances that follow this one. One that is further behind gets the
 /// whole list.
 const MAX_LOG: usize = 512;
@@ -32,6 +36,15 @@
     Absent(ReplicaId),
 }
 
+/// What an instance passes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListNews {
+    /// Changes since what the other has.
+    Changes(Vec<Change>),
+    /// The whole list.
+    All(Vec<ReplicaInfo>),
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     info: ReplicaInfo,
@@ -115,18 +128,19 @@
         }
     }
 
-    /// Takes what another instance made of its list: its graces are over.
-    pub fn mirror(&mut self, now: Time, changes: impl IntoIterator<Item = Change>) {
-        self.grace_until = now;
-        for change in changes {
-            self.apply(now, change);
+    /// Takes what another instance passes on, read from the store at most `age` ago. Returns
+    /// whether it was used: news that are too old say nothing of the store, and would end the
+    /// grace of an outage that is not over.
+    pub fn mirror(&mut self, now: Time, age: Option<Duration>, news: ListNews) -> bool {
+        if age.is_none_or(|it| it > LONGEST_AGE) {
+            return false;
         }
-    }
-
-    /// Takes the whole list of another instance.
-    pub fn mirror_all(&mut self, now: Time, list: Vec<ReplicaInfo>) {
-        self.grace_until = now;
-        self.replace(now, list);
+        self.store_reached(now);
+        match news {
+            ListNews::Changes(changes) => changes.into_iter().for_each(|it| self.apply(now, it)),
+            ListNews::All(list) => self.replace(now, list),
+        }
+        true
     }
 
     /// Number of changes so far.
--- /dev/null
+++ b/crates/query/tests/forward_directory.rs
@@ -0,0 +1,102 @@
+//! The list of replicas while the store fails and returns.
+
+use std::time::Duration;
+
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_query::forward::{
+    Directory, ReplicaInfo, ReplicaState,
+    directory::{Change, ListNews},
+};
+
+fn ms(ms: u64) -> Time {
+    Duration::from_millis(ms)
+}
+
+fn replica(id: &str) -> ReplicaInfo {
+    ReplicaInfo {
+        id: id.into(),
+        service: "orders".into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "a".into(),
+        slots: 2,
+        state: ReplicaState::Ready,
+        cold: Duration::ZERO,
+        born_ms: 1,
+    }
+}
+
+fn ids(directory: &Directory) -> Vec<ReplicaId> {
+    directory.list().into_iter().map(|it| it.id).collect()
+}
+
+fn three() -> Directory {
+    let mut directory = Directory::default();
+    directory.store_reached(ms(0));
+    directory.replace(ms(0), ["r1", "r2", "r3"].map(replica));
+    directory
+}
+
+/// Entries of live replicas expire while the store is away; removing them at its return would leave
+/// services without replicas.
+#[test]
+fn entries_that_expired_during_an_outage_are_kept_until_replicas_can_be_back() {
+    let mut directory = three();
+    directory.store_lost();
+    directory.store_reached(ms(5_000));
+    directory.replace(ms(5_000), [replica("r1")]);
+    directory.tick(ms(7_000));
+    assert_eq!(ids(&directory), ["r1", "r2", "r3"]);
+    directory.apply(ms(7_200), Change::Present(replica("r2")));
+    directory.tick(ms(7_700));
+    assert_eq!(ids(&directory), ["r1", "r2"], "r3 is gone: it did not come back in time");
+}
+
+#[test]
+fn an_entry_that_is_removed_while_the_store_is_stable_goes_at_once() {
+    let mut directory = three();
+    directory.apply(ms(100), Change::Absent("r2".into()));
+    assert_eq!(ids(&directory), ["r1", "r3"]);
+}
+
+/// Guards against a fault of ratro-links trouble-3: an instance that could not reach the store
+/// either kept sending its old list, and each of its messages ended the grace of the outage.
+#[test]
+fn old_news_of_another_instance_do_not_end_the_grace() {
+    for age in [None, Some(ms(4_000))] {
+        let mut directory = three();
+        directory.store_lost();
+        assert!(!directory.mirror(ms(4_900), age, ListNews::Changes(Vec::new())));
+        directory.store_reached(ms(5_000));
+        directory.replace(ms(5_000), [replica("r1")]);
+        assert_eq!(ids(&directory), ["r1", "r2", "r3"]);
+    }
+}
+
+/// An instance that started during the outage has an incomplete list, though it is fresh.
+#[test]
+fn a_fresh_list_of_another_instance_begins_the_grace() {
+    let mut directory = three();
+    directory.store_lost();
+    let news = ListNews::All(vec![replica("r3")]);
+    assert!(directory.mirror(ms(5_000), Some(ms(10)), news));
+    assert_eq!(ids(&directory), ["r1", "r2", "r3"]);
+    directory.tick(ms(7_700));
+    assert_eq!(ids(&directory), ["r3"]);
+}
+
+/// A follower that applies the changes since what it has ends with the same list.
+#[test]
+fn changes_bring_a_follower_to_the_same_list() {
+    let mut source = three();
+    let mut follower = three();
+    let seq = source.seq();
+    source.apply(ms(10), Change::Absent("r1".into()));
+    source.apply(ms(20), Change::Present(replica("r4")));
+    // A heartbeat that only shortens the cold time is no change.
+    source.apply(ms(30), Change::Present(replica("r4")));
+    let changes = source.changes_since(seq).unwrap();
+    assert_eq!(changes.len(), 2);
+    assert!(follower.mirror(ms(40), Some(ms(10)), ListNews::Changes(changes)));
+    assert_eq!(ids(&follower), ids(&source));
+    assert_eq!(source.changes_since(source.seq() + 1), None, "a number of another lifetime");
+}
