--- /dev/null
+++ b/crates/query/tests/forward_account.rs
@@ -0,0 +1,88 @@
+//! The budget of extra sends, shared without messages.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_query::forward::{Account, Budget};
+
+const BUDGET: Budget = Budget { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) };
+
+/// Greatest excess of extra sends over the budget in any window that ends at an extra send.
+fn excess(requests: &[Time], extras: &[Time]) -> f32 {
+    let in_window = |times: &[Time], end: Time| {
+        let start = end.saturating_sub(BUDGET.window);
+        times.iter().filter(|it| start <= **it && **it <= end).count() as f32
+    };
+    let budget = |end| in_window(requests, end) * BUDGET.ratio + BUDGET.allowance;
+    extras.iter().map(|end| in_window(extras, *end) - budget(*end)).fold(f32::MIN, f32::max)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// However the load moves between instances, and although each wants an extra send for every
+    /// request, the sum stays within the budget in every window.
+    #[test]
+    fn instances_together_keep_the_budget(
+        count in 1_usize..12,
+        phases in prop::collection::vec((0_usize..12, 1_u64..40, 1_u64..3_000), 1..25),
+    ) {
+        let mut accounts = vec![Account::default(); count];
+        let (mut now, mut requests, mut extras) = (0_u64, Vec::new(), Vec::new());
+        for (favoured, per_s, length) in phases {
+            let end = now + length;
+            while now < end {
+                now += 1_000 / per_s;
+                let at = Duration::from_millis(now);
+                let account = &mut accounts[favoured % count];
+                account.add_request(at, &BUDGET);
+                requests.push(at);
+                if account.allows_retry(at, &BUDGET, count as u32) {
+                    account.add_extra(at, &BUDGET);
+                    extras.push(at);
+                }
+            }
+        }
+        prop_assert!(excess(&requests, &extras) <= 0.0);
+    }
+}
+
+/// A retry follows a failure and a hedge only a suspicion, so hedges leave a part to retries.
+#[test]
+fn hedges_leave_a_part_of_the_budget_to_retries() {
+    let mut account = Account::default();
+    let now = Duration::from_secs(1);
+    while account.allows_hedge(now, &BUDGET, 1) {
+        account.add_extra(now, &BUDGET);
+    }
+    assert!(account.allows_retry(now, &BUDGET, 1));
+}
+
+#[test]
+fn the_budget_returns_when_the_window_has_passed() {
+    let mut account = Account::default();
+    let start = Duration::from_secs(1);
+    while account.allows_retry(start, &BUDGET, 1) {
+        account.add_extra(start, &BUDGET);
+    }
+    assert!(!account.allows_retry(start + BUDGET.window, &BUDGET, 1));
+    let later = start + BUDGET.window + Duration::from_secs(1);
+    assert!(account.allows_retry(later, &BUDGET, 1));
+}
+
+/// The number of instances may be unknown or too high; too few would break the budget.
+#[test]
+fn the_allowance_is_divided_by_the_instances() {
+    let allowed = |instances| {
+        let (mut account, now) = (Account::default(), Duration::from_secs(1));
+        let mut count = 0;
+        while account.allows_retry(now, &BUDGET, instances) {
+            account.add_extra(now, &BUDGET);
+            count += 1;
+        }
+        count
+    };
+    assert!(allowed(10) * 10 <= 50);
+    assert!(allowed(1) <= 50);
+}
--- /dev/null
+++ b/crates/query/tests/forward_world/mod.rs
@@ -0,0 +1,195 @@
+//! A forwarder with replicas of a few services, driven by hand.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{collections::HashMap, time::Duration};
+
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_query::forward::{
+    Action, Answer, AttemptKey, Budget, ClientLimits, Event, Failure, Forwarder, ReplicaInfo,
+    ReplicaState, Reply, RequestKey, Route, RouteTable, SendKind, ServiceInfo, Settings,
+    Submission, Target,
+};
+
+/// Milliseconds.
+pub fn ms(ms: u64) -> Time {
+    Duration::from_millis(ms)
+}
+
+/// A send that was asked for.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub attempt: AttemptKey,
+    pub request: RequestKey,
+    pub replica: ReplicaId,
+    pub service: ServiceId,
+    pub kind: SendKind,
+    pub deadline: Time,
+}
+
+/// A forwarder and what it asked for.
+pub struct World {
+    pub forwarder: Forwarder,
+    pub now: Time,
+    pub sent: Vec<Sent>,
+    pub abandoned: Vec<AttemptKey>,
+    pub answers: Vec<(RequestKey, Answer)>,
+}
+
+/// A replica in data centre `a`, which is that of the forwarder, or another.
+pub fn replica(id: &str, service: &str, data_centre: &str) -> ReplicaInfo {
+    ReplicaInfo {
+        id: id.into(),
+        service: service.into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        data_centre: data_centre.into(),
+        slots: 2,
+        state: ReplicaState::Ready,
+        cold: Duration::ZERO,
+        born_ms: 1,
+    }
+}
+
+/// A route to one service.
+pub fn plain(name: &str, service: &str) -> Route {
+    route(name, Target::Split(vec![(service.into(), 1.0)]))
+}
+
+/// A route over shards.
+pub fn gather(name: &str, shards: &[&str], min_share: f32) -> Route {
+    let shards = shards.iter().map(|it| (*it).into()).collect();
+    route(name, Target::Gather { shards, top: 3, min_share })
+}
+
+fn route(name: &str, target: Target) -> Route {
+    Route {
+        name: name.into(),
+        host: "h.example".into(),
+        prefix: format!("/{name}/").into(),
+        is_idempotent: true,
+        timeout: ms(1_000),
+        objective: ms(100),
+        attempts: 2,
+        rank: 1,
+        target,
+    }
+}
+
+/// A configuration.
+pub fn table(version: u64, routes: Vec<Route>) -> RouteTable {
+    let names: Vec<ServiceId> = routes.iter().flat_map(|it| it.services().cloned()).collect();
+    let services: HashMap<_, _> =
+        names.into_iter().map(|it| (it, ServiceInfo { max_connections: 40 })).collect();
+    RouteTable::new(version, routes, services, ClientLimits::default())
+}
+
+/// A whole reply.
+pub fn reply(status: u16, stamp: &str, body: &[u8]) -> Reply {
+    Reply {
+        status,
+        stamp: (!stamp.is_empty()).then(|| stamp.into()),
+        is_not_run: false,
+        fields: Vec::new(),
+        body: body.to_vec(),
+    }
+}
+
+/// A replica's statement that it did not run the request.
+pub fn not_run() -> Reply {
+    Reply { is_not_run: true, ..reply(503, "", b"") }
+}
+
+impl World {
+    pub fn new(routes: Vec<Route>, replicas: Vec<ReplicaInfo>) -> World {
+        let budget = Budget { ratio: 0.2, allowance: 100.0, window: Duration::from_secs(10) };
+        let settings =
+            Settings { data_centre: "a".into(), region: vec!["a".into()], budget, seed: 7 };
+        let mut world = World {
+            forwarder: Forwarder::new(settings),
+            now: ms(1_000),
+            sent: Vec::new(),
+            abandoned: Vec::new(),
+            answers: Vec::new(),
+        };
+        world.event(Event::Instances(1));
+        world.event(Event::Configure(Box::new(table(1, routes))));
+        world.event(Event::Replicas(replicas));
+        world
+    }
+
+    /// Hands over an event.
+    pub fn event(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.forwarder.handle(self.now, event, &mut out);
+        self.take(out);
+    }
+
+    /// Submits a request to a route.
+    pub fn submit(&mut self, route: &str) -> RequestKey {
+        let submission = Submission {
+            host: "h.example".into(),
+            path: format!("/{route}/x").into(),
+            wait: Some(ms(1_000)),
+        };
+        let mut out = Vec::new();
+        let key = self.forwarder.submit(self.now, &submission, &mut out).expect("a known route");
+        self.take(out);
+        key
+    }
+
+    /// Lets time pass, with all timers on the way.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(at) = self.forwarder.next_wakeup()
+            && at <= end
+        {
+            self.now = self.now.max(at);
+            self.event(Event::Tick);
+        }
+        self.now = end;
+    }
+
+    /// The bytes of an attempt were sent.
+    pub fn confirm(&mut self, index: usize) {
+        self.event(Event::Sent(self.sent[index].attempt));
+    }
+
+    /// An attempt is sent and answered.
+    pub fn replies(&mut self, index: usize, reply: Reply) {
+        self.confirm(index);
+        self.event(Event::Replied(self.sent[index].attempt, reply));
+    }
+
+    /// An attempt fails.
+    pub fn fails(&mut self, index: usize, failure: Failure) {
+        self.event(Event::Failed(self.sent[index].attempt, failure));
+    }
+
+    /// The only answer so far.
+    pub fn answer(&self) -> &Answer {
+        assert_eq!(self.answers.len(), 1, "{:?}", self.answers);
+        &self.answers[0].1
+    }
+
+    /// Kind of the only answer so far, which is a refusal.
+    pub fn refusal(&self) -> ErrorKind {
+        match self.answer() {
+            Answer::Refused { kind, .. } => *kind,
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { attempt, request, id, service, kind, deadline, .. } => {
+                    let replica = id;
+                    self.sent.push(Sent { attempt, request, replica, service, kind, deadline });
+                }
+                Action::Abandon { attempt, .. } => self.abandoned.push(attempt),
+                Action::Answer { request, answer } => self.answers.push((request, answer)),
+                Action::Forget(_) => {}
+            }
+        }
+    }
+}
