--- /dev/null
+++ b/crates/standins/src/company/caller.rs
@@ -0,0 +1,74 @@
+//! A client of the tier.
+
+use std::{
+    io::{self, Write as _},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use crate::company::message::{Message, Reader};
+
+/// An answer.
+pub type Answer = Message;
+
+/// A connection of a client.
+#[derive(Debug)]
+pub struct Caller {
+    stream: TcpStream,
+    reader: Reader,
+}
+
+impl Caller {
+    /// Connects to an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance takes no connection within a second.
+    pub fn connect(addr: SocketAddr) -> io::Result<Caller> {
+        let stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        Ok(Caller { reader: Reader::new(stream.try_clone()?), stream })
+    }
+
+    /// Sends a request without waiting for the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is broken.
+    pub fn send(&mut self, method: &str, path: &str, id: &str, wait_ms: u64) -> io::Result<()> {
+        let body = if method == "POST" { "order" } else { "" };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: h.example\r\nx-rosemarybank-request-id: {id}\r\n\
+             x-rosemarybank-deadline-ms: {wait_ms}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.stream.write_all(head.as_bytes())
+    }
+
+    /// Reads the next answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends before the answer is complete.
+    pub fn receive(&mut self) -> io::Result<Answer> {
+        let ended = || io::Error::new(io::ErrorKind::UnexpectedEof, "no answer");
+        self.reader.read()?.ok_or_else(ended)
+    }
+
+    /// Sends a request and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends before the answer is complete.
+    pub fn call(&mut self, method: &str, path: &str, id: &str, ms: u64) -> io::Result<Answer> {
+        self.send(method, path, id, ms)?;
+        self.receive()
+    }
+
+    /// Bytes that came beyond the last answer.
+    #[must_use]
+    pub fn rest(&self) -> &[u8] {
+        self.reader.rest()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/company/message.rs
@@ -0,0 +1,152 @@
+//! Reads and writes HTTP/1.1 messages over blocking sockets.
+
+use std::{
+    collections::HashMap,
+    io::{self, ErrorKind, Read, Write},
+    net::TcpStream,
+};
+
+/// A message as it was read: first line, fields with names in lower case, and body.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Message {
+    /// Request or status line.
+    pub first_line: String,
+    /// Fields; of a repeated field the last.
+    pub fields: HashMap<String, String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// A field.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).map(String::as_str)
+    }
+
+    /// Status of a reply; 0 for a request.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        let mut words = self.first_line.split(' ');
+        let is_reply = words.next().is_some_and(|it| it.starts_with("HTTP/"));
+        words.next().filter(|_| is_reply).and_then(|it| it.parse().ok()).unwrap_or(0)
+    }
+
+    /// Method and target of a request.
+    #[must_use]
+    pub fn request(&self) -> (&str, &str) {
+        let mut words = self.first_line.split(' ');
+        (words.next().unwrap_or_default(), words.next().unwrap_or_default())
+    }
+}
+
+/// Reads messages of a connection.
+#[derive(Debug)]
+pub struct Reader {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Reader {
+    /// Reads from a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream) -> Reader {
+        Reader { stream, buf: Vec::new() }
+    }
+
+    /// Reads the next message; `None` at an end between two messages.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or ends within a message.
+    pub fn read(&mut self) -> io::Result<Option<Message>> {
+        let head_len = loop {
+            if let Some(at) = self.buf.windows(4).position(|it| it == b"\r\n\r\n") {
+                break at + 4;
+            }
+            if self.fill()? == 0 {
+                return if self.buf.is_empty() { Ok(None) } else { Err(cut()) };
+            }
+        };
+        let head = String::from_utf8_lossy(&self.buf[..head_len]).into_owned();
+        self.buf.drain(..head_len);
+        let mut lines = head.split("\r\n").filter(|it| !it.is_empty());
+        let first_line = lines.next().unwrap_or_default().to_owned();
+        let field = |line: &str| {
+            let (name, value) = line.split_once(':')?;
+            Some((name.to_ascii_lowercase(), value.trim().to_owned()))
+        };
+        let fields: HashMap<String, String> = lines.filter_map(field).collect();
+        let body = self.body(&first_line, &fields)?;
+        Ok(Some(Message { first_line, fields, body }))
+    }
+
+    /// Bytes that were read beyond the last message.
+    #[must_use]
+    pub fn rest(&self) -> &[u8] {
+        &self.buf
+    }
+
+    /// Connection that is read.
+    #[must_use]
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    fn body(&mut self, first: &str, fields: &HashMap<String, String>) -> io::Result<Vec<u8>> {
+        let is_reply = first.starts_with("HTTP/");
+        if let Some(len) = fields.get("content-length") {
+            let len: usize = len.parse().map_err(|_| cut())?;
+            while self.buf.len() < len {
+                if self.fill()? == 0 {
+                    return Err(cut());
+                }
+            }
+            return Ok(self.buf.drain(..len).collect());
+        }
+        if is_reply && !first.contains(" 204 ") && !first.contains(" 100 ") {
+            while self.fill()? > 0 {}
+            return Ok(std::mem::take(&mut self.buf));
+        }
+        Ok(Vec::new())
+    }
+
+    fn fill(&mut self) -> io::Result<usize> {
+        let mut chunk = [0; 16 << 10];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(len) => {
+                    self.buf.extend_from_slice(&chunk[..len]);
+                    return Ok(len);
+                }
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(err) => return Err(err),
+            }
+        }
+    }
+}
+
+/// Writes a reply with a length.
+///
+/// # Errors
+///
+/// Fails when the connection is broken.
+pub fn write_reply(
+    stream: &mut TcpStream,
+    status: u16,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut out = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in fields {
+        out.push_str(&format!("{name}: {value}\r\n"));
+    }
+    out.push_str("\r\n");
+    let mut bytes = out.into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes)
+}
+
+fn cut() -> io::Error {
+    io::Error::new(ErrorKind::UnexpectedEof, "the connection ended within a message")
+}
--- /dev/null
+++ b/crates/standins/src/company/mod.rs
@@ -0,0 +1,14 @@
+//! Stand-ins of the company platform, of its store and of replicas behind it, as threads.
+//!
+//! They speak HTTP/1.1 as the platform's pages state it. Faults are switched on while they run.
+
+pub mod caller;
+pub mod machine;
+pub mod message;
+pub mod replica;
+pub mod store;
+
+pub use caller::{Answer, Caller};
+pub use machine::{Machine, Ports};
+pub use replica::{Behaviour, Replica, Run};
+pub use store::{Store, StoreFault};
