Pass on only what the store has; take no success that names no request

Ruled out: age of the news (0.1 s), order of changes within a message. Change: entries that are only kept for a possible return are not passed on. Replicas name the request in every reply, so a success without a name is skipped like one of another request. Tests: entries_that_are_only_kept_are_not_passed_on, spoiled_answers_are_never_mixed (ExtraUnnamed).

--- a/crates/daemon/src/tier/feed.rs
+++ b/crates/daemon/src/tier/feed.rs
@@ -150,7 +150,7 @@
         let known = (pull.epoch == self.epoch).then(|| self.directory.changes_since(pull.seq));
         let replicas = match known.flatten() {
             Some(changes) => ListNews::Changes(changes),
-            None => ListNews::All(self.directory.list()),
+            None => ListNews::All(self.directory.listed()),
         };
         let version = self.forwarder.table().map_or(0, |it| it.version);
         let is_newer = pull.config_version < version;
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -363,8 +363,7 @@
                     if head.status < 200 {
                         return Step::Again;
                     }
-                    exchange.skips =
-                        head.request_id.as_ref().is_some_and(|it| *it != exchange.request_id);
+                    exchange.skips = is_foreign(&head, &exchange.request_id);
                     conn.is_doubtful |= exchange.skips;
                     let framing = head.framing.filter(|_| !exchange.has_no_body);
                     exchange.body = framing.map(|it| BodyReader::new(it, MAX_BODY_LEN));
@@ -469,3 +468,13 @@
     Wait,
     Broken,
 }
+
+/// Whether a reply belongs to another request. A replica names the request in each reply to it, so
+/// a success without a name is no reply to this one either; a refusal may come before the replica
+/// has read the request.
+fn is_foreign(head: &ResponseHead, request_id: &str) -> bool {
+    match &head.request_id {
+        Some(id) => id != request_id,
+        None => head.is_success() && !request_id.is_empty(),
+    }
+}
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -148,7 +148,13 @@
 fn spoiled_answers_are_never_mixed() {
     let site = Site::new();
     let machine = site.ready_machine();
-    let spoils = [Behaviour::Extra, Behaviour::Trail, Behaviour::Unframed, Behaviour::Truncate];
+    let spoils = [
+        Behaviour::Extra,
+        Behaviour::ExtraUnnamed,
+        Behaviour::Trail,
+        Behaviour::Unframed,
+        Behaviour::Truncate,
+    ];
     for spoil in spoils {
         let replica = site.replica("orders-1");
         for number in 0..12 {
--- a/crates/query/src/forward/directory.rs
+++ b/crates/query/src/forward/directory.rs
@@ -58,7 +58,7 @@
     /// Missing entries are kept until this time; `Time::MAX` while the store is unreachable.
     grace_until: Time,
     has_changed: bool,
-    /// Number of changes so far.
+    /// Number of changes of what the store has.
     seq: u64,
     /// The last changes.
     log: VecDeque<Change>,
@@ -105,13 +105,19 @@
                 self.entries.insert(info.id.clone(), Entry { info, is_missing: false });
             }
             Change::Absent(id) if now < self.grace_until => {
-                if let Some(entry) = self.entries.get_mut(&id) {
+                if let Some(entry) = self.entries.get_mut(&id)
+                    && !entry.is_missing
+                {
                     entry.is_missing = true;
+                    self.note(Change::Absent(id));
                 }
             }
             Change::Absent(id) => {
-                if self.entries.remove(&id).is_some() {
-                    self.note(Change::Absent(id));
+                if let Some(entry) = self.entries.remove(&id) {
+                    self.has_changed = true;
+                    if !entry.is_missing {
+                        self.note(Change::Absent(id));
+                    }
                 }
             }
         }
@@ -157,7 +163,15 @@
         Some(self.log.iter().skip(start).cloned().collect())
     }
 
-    /// All replicas.
+    /// All replicas that the store has, for instances that follow this one. Those that are only
+    /// kept for their possible return are left out: the outage may be this instance's alone.
+    #[must_use]
+    pub fn listed(&self) -> Vec<ReplicaInfo> {
+        let listed = self.entries.values().filter(|it| !it.is_missing);
+        listed.map(|it| it.info.clone()).collect()
+    }
+
+    /// All replicas that may be used.
     #[must_use]
     pub fn list(&self) -> Vec<ReplicaInfo> {
         self.entries.values().map(|it| it.info.clone()).collect()
--- a/crates/query/tests/forward_directory.rs
+++ b/crates/query/tests/forward_directory.rs
@@ -100,3 +100,23 @@
     assert_eq!(ids(&follower), ids(&source));
     assert_eq!(source.changes_since(source.seq() + 1), None, "a number of another lifetime");
 }
+
+/// Guards against a fault of ratro-links trouble-1, seed 376830931286: an instance that alone was
+/// turned away by the store kept replicas that had drained and left meanwhile, and its followers,
+/// which knew better, took them up again.
+#[test]
+fn entries_that_are_only_kept_are_not_passed_on() {
+    let mut source = three();
+    let mut follower = three();
+    let seq = source.seq();
+    source.store_lost();
+    follower.apply(ms(3_000), Change::Absent("r2".into()));
+    source.store_reached(ms(5_000));
+    source.apply(ms(5_000), Change::Absent("r2".into()));
+    assert_eq!(ids(&source), ["r1", "r2", "r3"], "r2 may have expired and be back soon");
+    let changes = source.changes_since(seq).unwrap();
+    for news in [ListNews::Changes(changes), ListNews::All(source.listed())] {
+        assert!(follower.mirror(ms(5_010), Some(ms(10)), news));
+        assert_eq!(ids(&follower), ["r1", "r3"]);
+    }
+}
--- a/crates/standins/src/company/replica.rs
+++ b/crates/standins/src/company/replica.rs
@@ -42,6 +42,8 @@
     Truncate,
     /// It sends the answer to another request first.
     Extra,
+    /// It sends an answer that names no request first.
+    ExtraUnnamed,
     /// It sends bytes that are no answer after the answer.
     Trail,
     /// It answers without a length.
@@ -336,6 +338,11 @@
                 write_reply(stream, 200, &others, &records(id, "another"))?;
                 write_reply(stream, 200, &fields, &body)?;
             }
+            Behaviour::ExtraUnnamed => {
+                let others = [("x-rosemarybank-server-stamp", "another")];
+                write_reply(stream, 200, &others, &records(id, "another"))?;
+                write_reply(stream, 200, &fields, &body)?;
+            }
             Behaviour::Trail => {
                 write_reply(stream, 200, &fields, &body)?;
                 stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc")?;
