Refuse requests that crash the replicas that run them, at all instances

Instances pass condemned requests up and down the tree of followers. A connection that had been closed while idle no longer counts as an unreachable replica.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod claim;
 pub mod collect;
 pub mod config;
-mod hash;
+pub mod hash;
 pub mod key;
 pub mod membership;
 pub mod quarantine;
--- a/crates/daemon/src/tier/answers.rs
+++ b/crates/daemon/src/tier/answers.rs
@@ -45,7 +45,7 @@
                     fields.push_str(&format!("retry-after: {:.3}\r\n", wait.as_secs_f32()));
                 }
                 let body = error_body(kind, &error_text(kind));
-                self.write_answer(index, kind.answer().status, fields.as_bytes(), &body);
+                self.write_answer(index, status_of(kind), fields.as_bytes(), &body);
             }
         }
     }
@@ -75,7 +75,7 @@
             Answer::Refused { kind, retry_after } => {
                 let wait = retry_after.map_or(0, |it| it.as_millis());
                 let text = error_text(*kind);
-                let status = kind.answer().status;
+                let status = status_of(*kind);
                 let detail =
                     format!(r#""status":{status},"reason":"{text}","retry_after_ms":{wait}"#);
                 (Kind::Failure, "refused", detail)
@@ -86,6 +86,15 @@
     }
 }
 
+/// Status of a refusal. A request in quarantine is well-formed and did not run, which the tier's own
+/// interface states by 422; here 503 is the status that promises it.
+fn status_of(kind: ErrorKind) -> u16 {
+    match kind {
+        ErrorKind::Quarantined => ErrorKind::Overloaded.answer().status,
+        _ => kind.answer().status,
+    }
+}
+
 /// JSON body of an answer that reports an error.
 pub(super) fn error_body(kind: ErrorKind, message: &str) -> Vec<u8> {
     let body = ErrorBody::new(kind, message);
--- a/crates/daemon/src/tier/client.rs
+++ b/crates/daemon/src/tier/client.rs
@@ -4,6 +4,7 @@
 
 use mio::{Registry, net::TcpStream};
 use rosemarybank_adapter::{HEADERS, headers::READY_PATH};
+use rosemarybank_coordination::hash;
 use rosemarybank_http1::{BodyReader, Framing, MessageError, Progress, RequestHead, response};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{ClientLimits, Event, RequestKey, Submission};
@@ -282,6 +283,7 @@
             host: pending.head.host.clone(),
             path: pending.head.path.clone(),
             wait: pending.head.deadline,
+            fingerprint: hash::bytes(pending.head.content_hash(hash::bytes), &pending.body),
         };
         match self.forwarder.submit(now, &submission, &mut self.actions) {
             Ok(key) => {
--- a/crates/daemon/src/tier/feed.rs
+++ b/crates/daemon/src/tier/feed.rs
@@ -32,7 +32,7 @@
 const PATH: &str = "/feed";
 
 /// What a follower has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Pull {
     /// Lifetime of the instance whose changes are counted.
     epoch: u64,
@@ -40,8 +40,15 @@
     seq: u64,
     /// Version of its configuration.
     config_version: u64,
+    /// Changes of the other's quarantine that it has.
+    quarantine_seq: u64,
+    /// Requests that it has in quarantine.
+    quarantined: Vec<Quarantined>,
 }
 
+/// A request in quarantine and the time that is left.
+type Quarantined = (Fingerprint, Duration);
+
 /// What the other has beyond that.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Feed {
@@ -51,6 +58,8 @@
     age: Option<Duration>,
     replicas: ListNews,
     config: Option<Vec<u8>>,
+    quarantine_seq: u64,
+    quarantined: Vec<Quarantined>,
 }
 
 /// What an instance follows.
@@ -113,6 +122,8 @@
         let Ok((pull, _)) = decoded else {
             return self.write_answer(index, 400, b"", b"");
         };
+        let pull: Pull = pull;
+        self.take_quarantine(&pull.quarantined);
         if head.path != PATH {
             return self.write_answer(index, 404, b"", b"");
         }
@@ -129,13 +140,16 @@
         let version = self.forwarder.table().map_or(0, |it| it.version);
         for index in std::mem::take(&mut self.pulls) {
             let Some(Conn::Client(client)) = self.conns.get(index) else { continue };
-            let State::Pulling(pull) = client.state else { continue };
-            let has_all = pull.epoch == epoch && pull.seq == seq && pull.config_version >= version;
+            let State::Pulling(pull) = &client.state else { continue };
+            let has_all = pull.epoch == epoch
+                && pull.seq == seq
+                && pull.config_version >= version
+                && pull.quarantine_seq == self.forwarder.quarantine_seq();
             if has_all && self.now < client.since + PULL_WAIT {
                 self.pulls.push(index);
                 continue;
             }
-            let feed = self.feed_for(pull);
+            let feed = self.feed_for(&pull.clone());
             match bincode::serde::encode_to_vec(&feed, bincode::config::standard()) {
                 Ok(body) => self.write_answer(index, 200, b"", &body),
                 Err(err) => {
@@ -146,7 +160,7 @@
         }
     }
 
-    fn feed_for(&self, pull: Pull) -> Feed {
+    fn feed_for(&self, pull: &Pull) -> Feed {
         let known = (pull.epoch == self.epoch).then(|| self.directory.changes_since(pull.seq));
         let replicas = match known.flatten() {
             Some(changes) => ListNews::Changes(changes),
@@ -160,6 +174,8 @@
             age: self.chooser.age(self.now).filter(|_| self.has_list),
             replicas,
             config: is_newer.then(|| self.config_text.clone()),
+            quarantine_seq: self.forwarder.quarantine_seq(),
+            quarantined: self.forwarder.quarantined(self.now).collect(),
         }
     }
 
@@ -177,7 +193,8 @@
             self.following.has = (Some(member.id.clone()), Pull::default());
         }
         self.following.has.1.config_version = version;
-        let pull = self.following.has.1;
+        let mut pull = self.following.has.1.clone();
+        pull.quarantined = self.forwarder.quarantined(self.now).collect();
         let body = match bincode::serde::encode_to_vec(pull, bincode::config::standard()) {
             Ok(body) => body,
             Err(err) => return self.feed_refused(index, &member, &err.to_string()),
@@ -198,12 +215,15 @@
         if let Some(text) = feed.config {
             self.take_config_text(text, &member.id);
         }
-        let has = self.following.has.1;
+        self.take_quarantine(&feed.quarantined);
+        let has = &mut self.following.has.1;
+        has.quarantine_seq = feed.quarantine_seq;
         let fits = matches!(feed.replicas, ListNews::All(_)) || has.epoch == feed.epoch;
         if !fits || !self.directory.mirror(now, feed.age, feed.replicas) {
             return false;
         }
-        self.following.has.1 = Pull { epoch: feed.epoch, seq: feed.seq, ..has };
+        has.epoch = feed.epoch;
+        has.seq = feed.seq;
         self.has_list = true;
         if let Some(age) = feed.age {
             self.chooser.learnt(now.saturating_sub(age));
@@ -212,6 +232,13 @@
         true
     }
 
+    fn take_quarantine(&mut self, quarantined: &[Quarantined]) {
+        for (fingerprint, left) in quarantined {
+            let event = Event::Condemned(*fingerprint, *left);
+            self.forwarder.handle(self.now, event, &mut self.actions);
+        }
+    }
+
     fn take_config_text(&mut self, text: Vec<u8>, from: &str) {
         let decoded = serde_json::from_slice(&text).map_err(|it| it.to_string());
         match decoded.and_then(|it| config::decode(&it).map_err(|it| it.to_string())) {
--- a/crates/daemon/src/tier/metrics.rs
+++ b/crates/daemon/src/tier/metrics.rs
@@ -19,8 +19,8 @@
     pub(super) clients_gone: u64,
     /// By kind: first, retry, hedge.
     pub(super) sends: [u64; 3],
-    /// By failure: not sent, other replica, broken, abandoned.
-    pub(super) attempt_failures: [u64; 4],
+    /// By failure: not sent, unreachable, other replica, broken, abandoned.
+    pub(super) attempt_failures: [u64; 5],
     pub(super) failed_replies: u64,
     pub(super) foreign_replies: u64,
     pub(super) connects: u64,
@@ -70,7 +70,7 @@
         for (kind, count) in ["first", "retry", "hedge"].iter().zip(metrics.sends) {
             put(&format!("sends_total{{kind=\"{kind}\"}}"), count);
         }
-        let failures = ["not_sent", "other_replica", "broken", "abandoned"];
+        let failures = ["not_sent", "unreachable", "other_replica", "broken", "abandoned"];
         for (failure, count) in failures.iter().zip(metrics.attempt_failures) {
             put(&format!("attempt_failures_total{{failure=\"{failure}\"}}"), count);
         }
@@ -103,6 +103,7 @@
         put("replicas_usable", usable as u64);
         put("replicas_known", known as u64);
         put("requests_in_flight", self.forwarder.in_flight() as u64);
+        put("requests_quarantined", self.forwarder.quarantined(self.now).count() as u64);
         put("connections_open", self.conns.len() as u64);
         put("instances_registered", u64::from(metrics.instances));
         put("config_version", self.forwarder.table().map_or(0, |it| it.version));
--- a/crates/daemon/src/tier/node.rs
+++ b/crates/daemon/src/tier/node.rs
@@ -18,7 +18,7 @@
 use crate::tier::{
     client::Client,
     feed::Following,
-    journal::Journal,
+    journal::{Journal, Kind},
     lanes::{Lane, Subject},
     metrics::Metrics,
     stop::Stop,
@@ -235,6 +235,12 @@
                     Action::Abandon { attempt, close_at } => self.abandon(attempt, close_at),
                     Action::Answer { request, answer } => self.answer(request, answer),
                     Action::Forget(replica) => self.forget(replica),
+                    Action::Condemn(fingerprint) => self.journal.line(
+                        self.now,
+                        Kind::Belief,
+                        "quarantined",
+                        format_args!(r#""fingerprint":"{fingerprint:016x}""#),
+                    ),
                 }
             }
             for index in std::mem::take(&mut self.resumed) {
@@ -281,7 +287,7 @@
                 Err(err) => {
                     self.journal.line(
                         self.now,
-                        crate::tier::journal::Kind::Life,
+                        Kind::Life,
                         "accept_failed",
                         format_args!(r#""error":"{err}""#),
                     );
@@ -302,7 +308,7 @@
             }
             Err(err) => self.journal.line(
                 self.now,
-                crate::tier::journal::Kind::Life,
+                Kind::Life,
                 "accept_failed",
                 format_args!(r#""error":"{err}""#),
             ),
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -191,7 +191,7 @@
                 let attempt = exchange.attempt;
                 self.metrics.connect_timeouts += 1;
                 self.drop_conn(index);
-                self.attempt_failed(attempt, Failure::NotSent);
+                self.attempt_failed(attempt, Failure::Unreachable);
             }
             State::Busy(exchange) if exchange.close_at.is_some_and(|it| it <= now) => {
                 let (attempt, replica, since) = (exchange.attempt, conn.replica, conn.since);
@@ -281,7 +281,7 @@
                     "connect_failed",
                     format_args!(r#""addr":"{addr}","error":"{err}""#),
                 );
-                self.attempt_failed(attempt, Failure::NotSent);
+                self.attempt_failed(attempt, Failure::Unreachable);
             }
         }
     }
@@ -318,7 +318,7 @@
                     Ok(true) => {}
                     Err(_) => {
                         self.drop_conn(index);
-                        self.attempt_failed(attempt, Failure::NotSent);
+                        self.attempt_failed(attempt, Failure::Unreachable);
                         return false;
                     }
                 }
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -59,6 +59,13 @@
         Ok(Some((head, len)))
     }
 
+    /// Hash of what the request asks for, which is the same when it is sent again: method, target
+    /// and host. `hash` continues from a seed.
+    pub fn content_hash(&self, hash: impl Fn(u64, &[u8]) -> u64) -> u64 {
+        let line = self.forward.split(|it| *it == b'\r').next().unwrap_or_default();
+        hash(hash(0, self.host.as_bytes()), line)
+    }
+
     /// Renders the request for one replica.
     pub fn render(
         &self,
--- a/crates/query/src/crash.rs
+++ b/crates/query/src/crash.rs
@@ -42,21 +42,21 @@
 /// Length of the first quarantine.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 
-/// Counted signs of a fingerprint.
+/// Counted signs of a fingerprint. `R` names a replica.
 #[derive(Clone, Debug)]
-struct Signs {
+struct Signs<R> {
     /// Keys of the first sign.
     range: KeyRange,
     /// Time of the last one.
     last: Time,
-    replicas: SmallVec<[ReplicaKey; 3]>,
+    replicas: SmallVec<[R; 3]>,
 }
 
 /// What is known of a fingerprint that is not proven.
-#[derive(Clone, Debug, Default)]
-struct Record {
+#[derive(Clone, Debug)]
+struct Record<R> {
     /// `None` for a fingerprint that was never run.
-    signs: Option<Signs>,
+    signs: Option<Signs<R>>,
     /// Whether it succeeded before the first sign or, since then, at other keys.
     has_success: bool,
     canary: Option<AttemptId>,
@@ -65,10 +65,22 @@
     seen: Time,
 }
 
+impl<R> Default for Record<R> {
+    fn default() -> Record<R> {
+        Record {
+            signs: None,
+            has_success: false,
+            canary: None,
+            paused_until: Time::ZERO,
+            seen: Time::ZERO,
+        }
+    }
+}
+
 /// Records of all fingerprints.
-#[derive(Debug, Default)]
-pub(crate) struct Crashes {
-    records: HashMap<Suspect, Record>,
+#[derive(Debug)]
+pub(crate) struct Crashes<R = ReplicaKey> {
+    records: HashMap<Suspect, Record<R>>,
     /// Last success of fingerprints that are not under suspicion.
     proven: HashMap<Suspect, Time>,
     quarantine: HashMap<Suspect, Quarantine>,
@@ -99,7 +111,13 @@
     },
 }
 
-impl Crashes {
+impl<R> Default for Crashes<R> {
+    fn default() -> Crashes<R> {
+        Crashes { records: HashMap::new(), proven: HashMap::new(), quarantine: HashMap::new() }
+    }
+}
+
+impl<R: Copy + PartialEq> Crashes<R> {
     /// End of the quarantine of a fingerprint.
     pub(crate) fn quarantined_until(&self, suspect: Suspect, now: Time) -> Option<Time> {
         if self.quarantine.is_empty() {
@@ -184,7 +202,7 @@
     pub(crate) fn sign(
         &mut self,
         suspect: Suspect,
-        (replica, range, sent): (ReplicaKey, KeyRange, Time),
+        (replica, range, sent): (R, KeyRange, Time),
         may_succeed: bool,
         longest: Duration,
         now: Time,
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -25,6 +25,7 @@
         routes::{ReplicaInfo, Route, RouteTable, Target},
         services::{Distance, Service, Usual},
         splits::Split,
+        suspects::Suspects,
     },
     latency::micros,
 };
@@ -102,6 +103,7 @@
     by_id: HashMap<ReplicaId, ReplicaKey>,
     requests: SlotMap<RequestKey, Request>,
     attempts: SlotMap<AttemptKey, Attempt>,
+    suspects: Suspects,
     timers: BinaryHeap<Reverse<(Time, RequestKey)>>,
 }
 
@@ -121,6 +123,7 @@
             by_id: HashMap::new(),
             requests: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
+            suspects: Suspects::default(),
             timers: BinaryHeap::new(),
         }
     }
@@ -149,6 +152,17 @@
         self.requests.len()
     }
 
+    /// Requests in quarantine and the time that is left.
+    pub fn quarantined(&self, now: Time) -> impl Iterator<Item = (Fingerprint, Duration)> + '_ {
+        self.suspects.quarantined(now)
+    }
+
+    /// Number of changes of the quarantine.
+    #[must_use]
+    pub fn quarantine_seq(&self) -> u64 {
+        self.suspects.seq()
+    }
+
     /// Time of the next timer.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Time> {
@@ -173,6 +187,10 @@
         let Some(route) = table.find(&submission.host, &submission.path) else {
             return Err(refused(ErrorKind::NotFound, None));
         };
+        let quarantined = self.suspects.quarantined_until(now, submission.fingerprint);
+        if let Some(until) = quarantined {
+            return Err(refused(ErrorKind::Quarantined, Some(until - now)));
+        }
         let Some(services) = self.services_of(route) else {
             return Err(refused(ErrorKind::NoReplica, Some(RETRY_AFTER)));
         };
@@ -185,7 +203,8 @@
             answer_at,
             deadline,
         };
-        let request = Request::new(route.clone(), services.into_iter(), times);
+        let request =
+            Request::new(route.clone(), services.into_iter(), times, submission.fingerprint);
         if !self.usual.contains_key(&route.name) {
             self.usual.insert(route.name.clone(), Usual::new());
         }
@@ -207,6 +226,7 @@
             Event::Failed(attempt, failure) => self.failed(now, attempt, failure, out),
             Event::Configure(table) => self.configure(*table),
             Event::Replicas(list) => self.set_replicas(now, list, out),
+            Event::Condemned(fingerprint, left) => self.suspects.learn(now, fingerprint, left),
             Event::Instances(count) => self.instances = count.max(1),
             Event::Tick => self.tick(now, out),
         }
@@ -307,6 +327,7 @@
             part: index,
             replica: replica_key,
             sent: now,
+            fingerprint: request.fingerprint,
             kind,
             is_sent: false,
             is_abandoned: false,
@@ -380,6 +401,9 @@
                 usual.record(micros(took), replica.distance);
             }
         }
+        if is_good {
+            self.suspects.note_success(now, attempt.fingerprint);
+        }
         if !is_wanted {
             return;
         }
@@ -400,12 +424,24 @@
         let Some((attempt, is_wanted)) = self.end_attempt(key) else { return };
         if let Some(replica) = self.replicas.get_mut(attempt.replica) {
             match failure {
-                Failure::NotSent | Failure::OtherReplica => replica.note_unreachable(now),
+                Failure::NotSent => {}
+                Failure::Unreachable | Failure::OtherReplica => replica.note_unreachable(now),
                 Failure::Broken => replica.note_failure(now),
                 Failure::Abandoned if attempt.is_late => {}
                 Failure::Abandoned => replica.note_latency(now, now.saturating_sub(attempt.sent)),
             }
         }
+        match failure {
+            Failure::Broken if attempt.is_sent => {
+                let Attempt { replica, fingerprint, sent, .. } = attempt;
+                self.suspects.note_broken(now, replica, fingerprint, sent);
+            }
+            Failure::Unreachable => {
+                let condemned = self.suspects.note_unreachable(now, attempt.replica);
+                out.extend(condemned.into_iter().map(Action::Condemn));
+            }
+            _ => {}
+        }
         if !is_wanted {
             return;
         }
@@ -472,7 +508,12 @@
         let has_room =
             self.may_run(part) < attempts && (part.tried.len() as u32) < attempts + MAX_REFUSED;
         let is_safe = request.route.is_idempotent || part.runs == 0;
-        if !has_room || !is_safe || request.time_left(now) < LEAST_LEFT || !part.running.is_empty()
+        let is_condemned = self.suspects.quarantined_until(now, request.fingerprint).is_some();
+        if is_condemned
+            || !has_room
+            || !is_safe
+            || request.time_left(now) < LEAST_LEFT
+            || !part.running.is_empty()
         {
             return false;
         }
@@ -626,7 +667,8 @@
         let attempts = request.route.attempts;
         let runs = self.may_run(&request.parts[index]);
         let is_possible = running.len() < 2 && runs < attempts && tried < attempts + MAX_REFUSED;
-        if !is_possible || request.time_left(now) < LEAST_LEFT {
+        let is_condemned = self.suspects.quarantined_until(now, request.fingerprint).is_some();
+        if is_condemned || !is_possible || request.time_left(now) < LEAST_LEFT {
             self.requests[key].parts[index].look_at = Time::MAX;
             return;
         }
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -32,6 +32,8 @@
     Configure(Box<RouteTable>),
     /// The replicas that may be used now, whole.
     Replicas(Vec<ReplicaInfo>),
+    /// Another instance condemned a request, for this time.
+    Condemned(Fingerprint, Duration),
     /// Number of entry instances that share budgets and connections, this one included.
     Instances(u32),
     /// Time has passed.
@@ -47,6 +49,8 @@
     pub path: CompactString,
     /// Time that the client waits, if it said so.
     pub wait: Option<Duration>,
+    /// Hash of what makes a request the same when it comes again.
+    pub fingerprint: Fingerprint,
 }
 
 /// A complete reply of a replica.
@@ -67,8 +71,10 @@
 /// How an attempt ended without a usable reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// No byte of the request was sent.
+    /// The connection had ended before a byte of the request was sent.
     NotSent,
+    /// No connection could be opened.
+    Unreachable,
     /// Another replica has the address; it did not run the request.
     OtherReplica,
     /// The connection ended, or carried something that is not the reply; the request may have run.
@@ -101,8 +107,9 @@
         /// Why it is sent.
         kind: SendKind,
     },
-    /// The reply of an attempt is no longer wanted. Its connection may be kept if the reply still
-    /// comes by the given time, and is closed then.
+    /// The reply of an attempt is no longer wanted. If nothing of it was sent, nothing may be sent
+    /// any more. Otherwise its connection may be kept if the reply still comes by the given time,
+    /// and is closed then.
     Abandon {
         /// The attempt.
         attempt: AttemptKey,
@@ -116,6 +123,8 @@
         /// The answer.
         answer: Answer,
     },
+    /// A request crashed several replicas and is refused from now on.
+    Condemn(Fingerprint),
     /// The lifetime of a replica is over: its idle connections are of no use.
     Forget(ReplicaKey),
 }
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -17,6 +17,7 @@
 mod request;
 mod services;
 mod splits;
+mod suspects;
 
 pub use account::{Account, Budget};
 pub use directory::Directory;
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -21,6 +21,7 @@
     pub(crate) part: usize,
     pub(crate) replica: ReplicaKey,
     pub(crate) sent: Time,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) kind: SendKind,
     /// Whether its bytes were sent, so that the replica may run it.
     pub(crate) is_sent: bool,
@@ -84,6 +85,7 @@
     pub(crate) answer_at: Time,
     /// Time that replicas are given.
     pub(crate) deadline: Time,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) parts: Vec<Part>,
     pub(crate) stamps: Vec<CompactString>,
     pub(crate) top: TopRecords,
@@ -100,6 +102,7 @@
         route: Arc<Route>,
         services: impl Iterator<Item = ServiceId>,
         times: Times,
+        fingerprint: Fingerprint,
     ) -> Request {
         let top = match route.target {
             Target::Gather { top, .. } => top,
@@ -113,6 +116,7 @@
             cut_at,
             answer_at,
             deadline,
+            fingerprint,
             stamps: Vec::new(),
             top: TopRecords::new(top),
             failure: None,
