--- a/crates/query/src/crash.rs
+++ b/crates/query/src/crash.rs
@@ -256,6 +256,11 @@
         Verdict::Condemned { crashes, quarantine }
     }
 
+    /// Forgets the signs of a fingerprint, so that they can be noted anew in another order.
+    pub(crate) fn forget_signs(&mut self, suspect: Suspect) {
+        self.records.remove(&suspect);
+    }
+
     /// Notes a success over `range`. Returns whether it cleared a suspicion.
     ///
     /// A success elsewhere does not clear a sign: a request can crash the replicas of one shard
--- a/crates/query/src/forward/suspects.rs
+++ b/crates/query/src/forward/suspects.rs
@@ -5,7 +5,7 @@
 //! links break far more often. It becomes one when the replica can't be reached soon afterwards.
 //! What is condemned here is passed on to the other instances, since each sees only its own part.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use rosemarybank_protocol::prelude::*;
 
@@ -42,7 +42,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
     crashes: Crashes<ReplicaKey>,
+    /// Breaks that are not confirmed.
     broken: Vec<Broken>,
+    /// Breaks whose replicas could not be reached afterwards, by request.
+    confirmed: HashMap<Fingerprint, Vec<Broken>>,
     /// Number of changes of the quarantine.
     seq: u64,
 }
@@ -97,23 +100,44 @@
         let is_due = |it: &Broken| it.replica == replica && it.at + CONFIRMED_WITHIN > now;
         let (confirmed, open) = self.broken.drain(..).partition::<Vec<_>, _>(is_due);
         self.broken = open;
-        let mut condemned = Vec::new();
+        let mut fingerprints: Vec<Fingerprint> = Vec::new();
         for it in confirmed {
-            let suspect = (SERVICE, it.fingerprint);
+            if self.confirmed.len() >= MAX_BROKEN {
+                self.confirmed.clear();
+            }
+            self.confirmed.entry(it.fingerprint).or_default().push(it);
+            fingerprints.push(it.fingerprint);
+        }
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        fingerprints.retain(|it| self.is_condemned_now(now, *it));
+        self.seq += fingerprints.len() as u64;
+        fingerprints
+    }
+
+    /// Weighs the confirmed breaks of a request in the order in which they happened; replicas are
+    /// found unreachable in any order.
+    fn is_condemned_now(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        let suspect = (SERVICE, fingerprint);
+        let Some(breaks) = self.confirmed.get_mut(&fingerprint) else { return false };
+        breaks.sort_by_key(|it| it.at);
+        self.crashes.forget_signs(suspect);
+        let mut is_condemned = false;
+        for it in breaks.iter() {
             let sign = (it.replica, ALL_KEYS, it.sent);
-            // The sign is as old as the break; its confirmation only came later.
             let verdict = self.crashes.sign(suspect, sign, false, LONGEST_QUARANTINE, it.at);
-            if let Verdict::Condemned { .. } = verdict {
-                self.seq += 1;
-                condemned.push(it.fingerprint);
-            }
+            is_condemned |= matches!(verdict, Verdict::Condemned { .. });
+        }
+        if is_condemned {
+            self.confirmed.remove(&fingerprint);
         }
-        condemned
+        is_condemned && self.quarantined_until(now, fingerprint).is_some()
     }
 
     /// A replica replied to the request.
     pub(crate) fn note_success(&mut self, now: Time, fingerprint: Fingerprint) {
         if self.crashes.has_records() {
+            self.confirmed.remove(&fingerprint);
             self.crashes.success((SERVICE, fingerprint), ALL_KEYS, now);
         }
     }
