Reopen a connection that broke, which shows whether the replica is still there

Cause: a crash sign was confirmed only if another request happened to go to the crashed replica, which the choice avoids after its failure; forward_suspects failed for that reason.

--- a/crates/daemon/src/tier/node.rs
+++ b/crates/daemon/src/tier/node.rs
@@ -235,6 +235,7 @@
                     Action::Abandon { attempt, close_at } => self.abandon(attempt, close_at),
                     Action::Answer { request, answer } => self.answer(request, answer),
                     Action::Forget(replica) => self.forget(replica),
+                    Action::Reopen { replica, addr } => self.reopen(replica, addr),
                     Action::Condemn(fingerprint) => self.journal.line(
                         self.now,
                         Kind::Belief,
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -48,6 +48,8 @@
     /// The one used last is at the end.
     idle: Vec<usize>,
     is_forgotten: bool,
+    /// Whether a connection is being opened that no attempt waits for.
+    is_reopening: bool,
 }
 
 /// A connection to a replica.
@@ -81,6 +83,8 @@
 
 #[derive(Debug)]
 pub(super) enum State {
+    /// Without an attempt, to replace a connection that broke.
+    Reopening,
     Connecting(Exchange),
     Busy(Exchange),
     Idle,
@@ -150,7 +154,7 @@
                 self.drop_conn(index);
                 self.attempt_failed(attempt, Failure::Abandoned);
             }
-            State::Idle => {}
+            State::Reopening | State::Idle => {}
         }
     }
 
@@ -169,7 +173,7 @@
             return;
         }
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
-        if matches!(conn.state, State::Connecting(_)) {
+        if matches!(conn.state, State::Connecting(_) | State::Reopening) {
             return;
         }
         let end = conn.socket.read(&mut conn.buf, &mut self.scratch, READ_LEN);
@@ -187,6 +191,10 @@
         let now = self.now;
         let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
         match &conn.state {
+            State::Reopening if now >= conn.since + CONNECT_TIMEOUT => {
+                let replica = conn.replica;
+                self.reopen_failed(index, replica);
+            }
             State::Connecting(exchange) if now >= conn.since + CONNECT_TIMEOUT => {
                 let attempt = exchange.attempt;
                 self.metrics.connect_timeouts += 1;
@@ -206,6 +214,30 @@
         }
     }
 
+    /// Opens a connection in place of one that broke, unless there is another.
+    pub(super) fn reopen(&mut self, replica: ReplicaKey, addr: std::net::SocketAddr) {
+        let Some(pool) = self.pools.get_mut(replica) else { return };
+        if pool.is_forgotten || pool.is_reopening || !pool.idle.is_empty() {
+            return;
+        }
+        pool.is_reopening = true;
+        if self.insert_conn(replica, addr, State::Reopening, &[]).is_err() {
+            self.reopen_done(replica);
+        }
+    }
+
+    fn reopen_failed(&mut self, index: usize, replica: ReplicaKey) {
+        self.drop_conn(index);
+        self.reopen_done(replica);
+    }
+
+    fn reopen_done(&mut self, replica: ReplicaKey) {
+        if let Some(pool) = self.pools.get_mut(replica) {
+            pool.is_reopening = false;
+        }
+        self.forwarder.handle(self.now, Event::Unreachable(replica), &mut self.actions);
+    }
+
     /// Closes connections that were idle before an attempt that got no reply: they may have gone
     /// silent at the same moment.
     fn distrust(&mut self, replica: ReplicaKey, since: Time) {
@@ -256,23 +288,10 @@
         exchange: Exchange,
         message: &[u8],
     ) {
-        self.metrics.connects += 1;
-        let entry = self.conns.vacant_entry();
-        let index = entry.key();
         let attempt = exchange.attempt;
-        match Socket::connect(addr, self.poll.registry(), index) {
-            Ok(mut socket) => {
-                socket.out().extend_from_slice(message);
+        match self.insert_conn(replica, addr, State::Connecting(exchange), message) {
+            Ok(index) => {
                 self.attempts.insert(attempt, index);
-                entry.insert(Conn::Upstream(Upstream {
-                    socket,
-                    replica,
-                    state: State::Connecting(exchange),
-                    since: self.now,
-                    idle_timeout: None,
-                    is_doubtful: false,
-                    buf: Vec::new(),
-                }));
             }
             Err(err) => {
                 self.journal.line(
@@ -286,6 +305,31 @@
         }
     }
 
+    /// Begins a connection whose first bytes are `message`.
+    fn insert_conn(
+        &mut self,
+        replica: ReplicaKey,
+        addr: std::net::SocketAddr,
+        state: State,
+        message: &[u8],
+    ) -> std::io::Result<usize> {
+        self.metrics.connects += 1;
+        let entry = self.conns.vacant_entry();
+        let index = entry.key();
+        let mut socket = Socket::connect(addr, self.poll.registry(), index)?;
+        socket.out().extend_from_slice(message);
+        entry.insert(Conn::Upstream(Upstream {
+            socket,
+            replica,
+            state,
+            since: self.now,
+            idle_timeout: None,
+            is_doubtful: false,
+            buf: Vec::new(),
+        }));
+        Ok(index)
+    }
+
     /// Writes the first bytes of a request.
     fn begin_write(&mut self, index: usize) {
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
@@ -311,6 +355,21 @@
         let now = self.now;
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return false };
         match &conn.state {
+            State::Reopening => {
+                let replica = conn.replica;
+                match conn.socket.is_connected() {
+                    Ok(false) => {}
+                    Ok(true) => {
+                        conn.state = State::Idle;
+                        conn.since = now;
+                        if let Some(pool) = self.pools.get_mut(replica) {
+                            pool.is_reopening = false;
+                            pool.idle.push(index);
+                        }
+                    }
+                    Err(_) => self.reopen_failed(index, replica),
+                }
+            }
             State::Connecting(exchange) => {
                 let attempt = exchange.attempt;
                 match conn.socket.is_connected() {
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -224,6 +224,12 @@
             Event::Sent(attempt) => self.note_sent(attempt),
             Event::Replied(attempt, reply) => self.replied(now, attempt, reply, out),
             Event::Failed(attempt, failure) => self.failed(now, attempt, failure, out),
+            Event::Unreachable(replica) => {
+                if let Some(it) = self.replicas.get_mut(replica) {
+                    it.note_unreachable(now);
+                }
+                self.note_unreachable(now, replica, out);
+            }
             Event::Configure(table) => self.configure(*table),
             Event::Replicas(list) => self.set_replicas(now, list, out),
             Event::Condemned(fingerprint, left) => self.suspects.learn(now, fingerprint, left),
@@ -435,11 +441,11 @@
             Failure::Broken if attempt.is_sent => {
                 let Attempt { replica, fingerprint, sent, .. } = attempt;
                 self.suspects.note_broken(now, replica, fingerprint, sent);
+                if let Some(it) = self.replicas.get(replica).filter(|it| it.is_listed) {
+                    out.push(Action::Reopen { replica, addr: it.info.addr });
+                }
             }
-            Failure::Unreachable => {
-                let condemned = self.suspects.note_unreachable(now, attempt.replica);
-                out.extend(condemned.into_iter().map(Action::Condemn));
-            }
+            Failure::Unreachable => self.note_unreachable(now, attempt.replica, out),
             _ => {}
         }
         if !is_wanted {
@@ -458,6 +464,11 @@
         part.runs + part.running.iter().filter(is_unsent).count() as u32
     }
 
+    fn note_unreachable(&mut self, now: Time, replica: ReplicaKey, out: &mut Vec<Action>) {
+        let condemned = self.suspects.note_unreachable(now, replica);
+        out.extend(condemned.into_iter().map(Action::Condemn));
+    }
+
     fn note_not_run(&mut self, attempt: &Attempt) {
         if let Some(request) = self.requests.get_mut(attempt.request) {
             let part = &mut request.parts[attempt.part];
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -28,6 +28,8 @@
     Replied(AttemptKey, Reply),
     /// An attempt ended without a usable reply.
     Failed(AttemptKey, Failure),
+    /// A connection that was asked for by [`Action::Reopen`] could not be opened.
+    Unreachable(ReplicaKey),
     /// A version of the configuration came; an older one than that in force is ignored.
     Configure(Box<RouteTable>),
     /// The replicas that may be used now, whole.
@@ -123,6 +125,14 @@
         /// The answer.
         answer: Answer,
     },
+    /// Open a connection to a replica whose connection broke: it replaces the old one, and shows
+    /// whether the replica is still there.
+    Reopen {
+        /// The replica.
+        replica: ReplicaKey,
+        /// Its address.
+        addr: SocketAddr,
+    },
     /// A request crashed several replicas and is refused from now on.
     Condemn(Fingerprint),
     /// The lifetime of a replica is over: its idle connections are of no use.
--- a/crates/query/tests/forward_suspects.rs
+++ b/crates/query/tests/forward_suspects.rs
@@ -7,7 +7,6 @@
 use rosemarybank_query::forward::{Answer, Event, Failure};
 
 const POISON: Fingerprint = 7;
-const INNOCENT: Fingerprint = 8;
 
 fn world() -> World {
     let replicas = (0..6).map(|it| replica(&format!("r{it}"), "s", "a")).collect();
@@ -27,24 +26,11 @@
     }
 }
 
-/// Finds the replicas of the last sends unreachable.
-fn find_unreachable(world: &mut World, replicas: &[ReplicaId]) {
-    world.fingerprint = INNOCENT;
-    for _ in 0..40 {
-        let index = world.sent.len();
-        world.submit("p");
-        let mut at = index;
-        while at < world.sent.len() {
-            if replicas.contains(&world.sent[at].replica) {
-                world.fails(at, Failure::Unreachable);
-            } else {
-                world.replies(at, reply(200, "proof", b""));
-            }
-            at += 1;
-        }
-        world.pass(ms(20));
+/// Finds replicas unreachable whose connections broke, the last one first.
+fn find_unreachable(world: &mut World) {
+    for replica in std::mem::take(&mut world.reopened).into_iter().rev() {
+        world.event(Event::Unreachable(replica));
     }
-    world.fingerprint = POISON;
 }
 
 #[test]
@@ -52,9 +38,8 @@
     let mut world = world();
     world.fingerprint = POISON;
     crash(&mut world);
-    let crashed: Vec<ReplicaId> = world.sent.iter().map(|it| it.replica.clone()).collect();
-    assert_eq!(crashed.len(), 2);
-    find_unreachable(&mut world, &crashed);
+    assert_eq!(world.reopened.len(), 2);
+    find_unreachable(&mut world);
     assert_eq!(world.condemned, [POISON]);
     let sends = world.sent.len();
     let submission = world.submission("p");
@@ -70,7 +55,7 @@
     world.fingerprint = POISON;
     for _ in 0..5 {
         crash(&mut world);
-        find_unreachable(&mut world, &[]);
+        world.pass(ms(20));
     }
     assert_eq!(world.condemned, [0; 0]);
 }
@@ -83,13 +68,15 @@
     world.submit("p");
     world.confirm(0);
     world.fails(0, Failure::Broken);
-    let crashed = vec![world.sent[0].replica.clone()];
+    find_unreachable(&mut world);
     world.replies(1, reply(200, "proof", b""));
-    find_unreachable(&mut world, &crashed);
     let next = world.sent.len();
     world.submit("p");
     world.replies(next, reply(200, "proof", b""));
-    crash(&mut world);
+    world.submit("p");
+    world.confirm(next + 1);
+    world.fails(next + 1, Failure::Broken);
+    find_unreachable(&mut world);
     assert_eq!(world.condemned, [0; 0]);
 }
 
--- a/crates/query/tests/forward_world/mod.rs
+++ b/crates/query/tests/forward_world/mod.rs
@@ -7,8 +7,8 @@
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
     Action, Answer, AttemptKey, Budget, ClientLimits, Event, Failure, Forwarder, ReplicaInfo,
-    ReplicaState, Reply, RequestKey, Route, RouteTable, SendKind, ServiceInfo, Settings,
-    Submission, Target,
+    ReplicaKey, ReplicaState, Reply, RequestKey, Route, RouteTable, SendKind, ServiceInfo,
+    Settings, Submission, Target,
 };
 
 /// Milliseconds.
@@ -22,6 +22,7 @@
     pub attempt: AttemptKey,
     pub request: RequestKey,
     pub replica: ReplicaId,
+    pub key: ReplicaKey,
     pub service: ServiceId,
     pub kind: SendKind,
     pub deadline: Time,
@@ -37,6 +38,8 @@
     /// Fingerprint of the next request.
     pub fingerprint: Fingerprint,
     pub condemned: Vec<Fingerprint>,
+    /// Replicas to which a connection was to be opened anew.
+    pub reopened: Vec<ReplicaKey>,
 }
 
 /// A replica in data centre `a`, which is that of the forwarder, or another.
@@ -115,6 +118,7 @@
             answers: Vec::new(),
             fingerprint: 0,
             condemned: Vec::new(),
+            reopened: Vec::new(),
         };
         world.event(Event::Instances(1));
         world.event(Event::Configure(Box::new(table(1, routes))));
@@ -193,13 +197,22 @@
     fn take(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { attempt, request, id, service, kind, deadline, .. } => {
-                    let replica = id;
-                    self.sent.push(Sent { attempt, request, replica, service, kind, deadline });
+                Action::Send { attempt, request, replica, id, service, kind, deadline, .. } => {
+                    let (key, replica) = (replica, id);
+                    self.sent.push(Sent {
+                        attempt,
+                        request,
+                        replica,
+                        key,
+                        service,
+                        kind,
+                        deadline,
+                    });
                 }
                 Action::Abandon { attempt, .. } => self.abandoned.push(attempt),
                 Action::Answer { request, answer } => self.answers.push((request, answer)),
                 Action::Condemn(it) => self.condemned.push(it),
+                Action::Reopen { replica, .. } => self.reopened.push(replica),
                 Action::Forget(_) => {}
             }
         }
