--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,165 @@
+//! The processes and stand-ins of a run.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use rosemarybank_standins::company::{Machine, Replica, Run, Store};
+use serde_json::{Value, json};
+
+use crate::proxy::Proxy;
+
+/// Shards of the search.
+pub const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
+
+/// Service of the plain routes.
+pub const ORDERS: &str = "orders";
+
+/// Replicas of each service.
+const COPIES: usize = 3;
+
+/// Data centres, which share out instances and replicas.
+const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
+
+/// Longest time for the first start of an instance.
+const START: Duration = Duration::from_secs(20);
+
+/// Budget of extra sends that the settings of an instance state: for each request, and beyond.
+pub const BUDGET: (f32, f32) = (0.2, 50.0);
+
+/// A replica behind its proxy.
+#[derive(Debug)]
+pub struct Backend {
+    /// The replica.
+    pub replica: Replica,
+    /// The link to it.
+    pub link: Proxy,
+}
+
+/// All parts of a run.
+#[derive(Debug)]
+pub struct Site {
+    /// Store of the platform.
+    pub store: Store,
+    /// Links from each instance to the store.
+    pub store_links: Vec<Proxy>,
+    /// Instances.
+    pub machines: Vec<Machine>,
+    /// Replicas.
+    pub backends: Vec<Backend>,
+    /// What the replicas ran.
+    pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Versions of the configuration and the times at which the store had them.
+    pub versions: Vec<(u64, Instant)>,
+    replicas_started: usize,
+}
+
+impl Site {
+    /// Starts everything and waits until all instances take clients.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a part does not start.
+    pub fn start(machines: usize, dir: &Path, binary: &Path) -> io::Result<Site> {
+        let store = Store::start()?;
+        let mut site = Site {
+            store,
+            store_links: Vec::new(),
+            machines: Vec::new(),
+            backends: Vec::new(),
+            runs: Arc::default(),
+            versions: Vec::new(),
+            replicas_started: 0,
+        };
+        for service in SHARDS.into_iter().chain([ORDERS]) {
+            for _ in 0..COPIES {
+                let backend = site.new_backend(service)?;
+                site.backends.push(backend);
+            }
+        }
+        site.configure();
+        for number in 0..machines {
+            let link = Proxy::start(site.store.addr())?;
+            let name = format!("m{number}");
+            let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+            let mut machine = Machine::new(&name, data_centre, dir, binary, link.addr())?;
+            machine.start()?;
+            site.store_links.push(link);
+            site.machines.push(machine);
+        }
+        let all_ready = site.machines.iter().all(|it| it.wait_ready(START));
+        if !all_ready {
+            return Err(io::Error::other("an instance did not become ready"));
+        }
+        Ok(site)
+    }
+
+    /// Addresses for clients.
+    #[must_use]
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        self.machines.iter().map(Machine::front).collect()
+    }
+
+    /// Replaces a replica by a new one of its service. The old one drains and leaves later.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the new one does not start.
+    pub fn replace(&mut self, index: usize) -> io::Result<Backend> {
+        let service = self.backends[index].replica.service().to_owned();
+        let new = self.new_backend(&service)?;
+        let old = std::mem::replace(&mut self.backends[index], new);
+        old.replica.drain();
+        Ok(old)
+    }
+
+    /// Writes the next version of the configuration. Version N has the routes `/v1/` to `/vN/`, so
+    /// an instance shows which version it has.
+    pub fn configure(&mut self) {
+        let version = self.versions.last().map_or(1, |it| it.0 + 1);
+        let route = |name: &str, kind: &str| {
+            json!({
+                "name": name, "hostname": "h.example", "path_prefix": format!("/{name}/"),
+                "route_kind": kind, "timeout_ms": 2000, "target_latency_ms": 150, "priority": 1,
+                "service": ORDERS, "attempts": 2,
+            })
+        };
+        let mut search = route("search", "idempotent");
+        search["service"] = Value::Null;
+        search["gather"] = json!(SHARDS);
+        search["top_k"] = json!(3);
+        search["min_shard_fraction"] = json!(0.5);
+        let mut routes =
+            vec![search, route("read", "idempotent"), route("order", "non_idempotent")];
+        routes.extend((1..=version).map(|it| route(&format!("v{it}"), "idempotent")));
+        let services: Vec<Value> = SHARDS
+            .into_iter()
+            .chain([ORDERS])
+            .map(|it| json!({ "name": it, "max_connections": 60, "health_check_path": "/health" }))
+            .collect();
+        let limits = json!({
+            "max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        });
+        let spec = json!({
+            "version": version, "routes": routes, "services": services, "limits": limits,
+        });
+        self.store.put("config", "main", spec);
+        self.versions.push((version, Instant::now()));
+    }
+
+    fn new_backend(&mut self, service: &str) -> io::Result<Backend> {
+        let number = self.replicas_started;
+        self.replicas_started += 1;
+        let id = format!("{service}-{number}");
+        let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+        let replica = Replica::start(&id, service, data_centre, &self.store, &self.runs)?;
+        let link = Proxy::start(replica.addr())?;
+        replica.advertise(link.addr());
+        Ok(Backend { replica, link })
+    }
+}
--- a/crates/standins/src/company/replica.rs
+++ b/crates/standins/src/company/replica.rs
@@ -84,6 +84,8 @@
     closed_early: AtomicU64,
     is_stopped: AtomicBool,
     born: AtomicU64,
+    /// Address that the entry names, when it is not that of the listener.
+    advertised: Mutex<Option<SocketAddr>>,
 }
 
 /// A running replica.
@@ -127,6 +129,7 @@
             closed_early: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
             born: AtomicU64::new(BORN.fetch_add(1, Ordering::Relaxed)),
+            advertised: Mutex::default(),
         });
         let replica = Replica { addr: listener.local_addr()?, shared };
         replica.beat();
@@ -147,6 +150,18 @@
         lock(&self.shared.id).clone()
     }
 
+    /// Address of its listener.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Registers another address, such as that of a proxy.
+    pub fn advertise(&self, addr: SocketAddr) {
+        *lock(&self.shared.advertised) = Some(addr);
+        self.beat();
+    }
+
     /// Its service.
     #[must_use]
     pub fn service(&self) -> &str {
@@ -204,7 +219,7 @@
         let state = if lock(&shared.drained_at).is_some() { "draining" } else { "ready" };
         let entry = json!({
             "service": shared.service,
-            "address": self.addr.to_string(),
+            "address": lock(&shared.advertised).unwrap_or(self.addr).to_string(),
             "zone": shared.data_centre,
             "version": "v1",
             "slots": SLOTS,
