--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod bundle;
+mod explain;
 mod instances;
 mod load;
 mod quarantine;
@@ -32,6 +33,7 @@
     Entry::of::<quarantine::release::QuarantineRelease>(),
     Entry::of::<instances::Instances>(),
     Entry::of::<trace::show::TraceShow>(),
+    Entry::of::<explain::Explain>(),
     Entry::of::<load::LoadRun>(),
 ];
 
--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -49,7 +49,7 @@
 #[test]
 fn the_operators_document_lists_commands_and_exit_codes() {
     let help = Workspace::new().stdout(&["help"]);
-    let document = document("operations.md");
+    let document = document("OPERATIONS.md");
     let (commands, codes) = help.split_once("EXIT CODES:\n").unwrap();
     for line in codes.lines().filter(|line| !line.trim().is_empty()) {
         let (code, meaning) = line.trim().split_once("  ").unwrap();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -25,6 +25,10 @@
         /// Check the settings, report every fault and exit.
         optional --check-settings
     };
+    if flags.platform && flags.check_settings {
+        println!("{}: the settings have no faults", tier::check_settings()?.display());
+        return Ok(ExitCode::SUCCESS);
+    }
     if flags.platform {
         tier::run(flags.metrics_port)?;
         return Ok(ExitCode::SUCCESS);
--- a/crates/daemon/src/telemetry/tests.rs
+++ b/crates/daemon/src/telemetry/tests.rs
@@ -63,7 +63,7 @@
     Counter::ALL.iter().for_each(|it| metrics.count(*it, 1));
     Gauge::ALL.iter().for_each(|it| metrics.gauge(*it, 1));
     let shown = shown(&sink.render());
-    let documented = documented(include_str!("../../../../docs/operations.md"));
+    let documented = documented(include_str!("../../../../docs/OPERATIONS.md"));
 
     assert_eq!(shown.iter().map(|it| it.name.clone()).collect::<BTreeSet<_>>(), named);
     assert_eq!(shown, documented);
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -19,4 +19,4 @@
 mod sweep;
 mod upstream;
 
-pub use run::run;
+pub use run::{check_settings, run};
--- a/crates/daemon/src/tier/run.rs
+++ b/crates/daemon/src/tier/run.rs
@@ -37,9 +37,7 @@
 ///
 /// Fails when the settings can't be used or an address can't be bound.
 pub fn run(metrics_port: Option<u16>) -> Result<()> {
-    let path = std::env::var_os(SETTINGS_VARIABLE)
-        .map(PathBuf::from)
-        .ok_or_else(|| eyre::eyre!("the environment variable {SETTINGS_VARIABLE} is not set"))?;
+    let path = settings_path()?;
     let (settings, text) = load(&path)?;
     let signals = Signals::default();
     signal_hook::flag::register(SIGTERM, signals.stop.clone())?;
@@ -80,6 +78,23 @@
     Ok(())
 }
 
+/// Checks the settings file that the platform names, and returns its path.
+///
+/// # Errors
+///
+/// Fails when there is none, or a field that is needed is missing or has a value that can't be used.
+pub fn check_settings() -> Result<PathBuf> {
+    let path = settings_path()?;
+    load(&path)?;
+    Ok(path)
+}
+
+fn settings_path() -> Result<PathBuf> {
+    std::env::var_os(SETTINGS_VARIABLE)
+        .map(PathBuf::from)
+        .ok_or_else(|| eyre::eyre!("the environment variable {SETTINGS_VARIABLE} is not set"))
+}
+
 fn load(path: &Path) -> Result<(NodeSettings, Vec<u8>)> {
     let text = std::fs::read(path).wrap_err_with(|| format!("reading {}", path.display()))?;
     let settings = NodeSettings::decode(&text).wrap_err_with(|| path.display().to_string())?;
