Send on a new connection only after 2 ms, so that a reset beyond the cap shows first

Ruled out: too few replicas (50 usable), the budget, slow start (list of replicas after 0.1 s). Change: a new connection is used 2 ms after it opened; one that is closed by then sent nothing, so the request waits for room, and orders are no longer lost to it. Surplus idle connections end after 1 s instead of 5, so that fewer are left behind. Tests: an_order_is_not_lost_to_a_replica_that_accepts_no_connection, a_request_waits_for_a_replica_that_accepts_no_connection.

--- a/crates/daemon/src/tier/metrics.rs
+++ b/crates/daemon/src/tier/metrics.rs
@@ -19,12 +19,13 @@
     pub(super) clients_gone: u64,
     /// By kind: first, retry, hedge.
     pub(super) sends: [u64; 3],
-    /// By failure: not sent, unreachable, other replica, broken, abandoned.
-    pub(super) attempt_failures: [u64; 5],
+    /// By failure: not sent, unreachable, not accepted, other replica, broken, abandoned.
+    pub(super) attempt_failures: [u64; 6],
     pub(super) failed_replies: u64,
     pub(super) foreign_replies: u64,
     pub(super) connects: u64,
     pub(super) connect_timeouts: u64,
+    pub(super) connects_refused: u64,
     pub(super) store_calls: u64,
     pub(super) store_failures: u64,
     pub(super) instances: u32,
@@ -70,13 +71,15 @@
         for (kind, count) in ["first", "retry", "hedge"].iter().zip(metrics.sends) {
             put(&format!("sends_total{{kind=\"{kind}\"}}"), count);
         }
-        let failures = ["not_sent", "unreachable", "other_replica", "broken", "abandoned"];
+        let failures =
+            ["not_sent", "unreachable", "not_accepted", "other_replica", "broken", "abandoned"];
         for (failure, count) in failures.iter().zip(metrics.attempt_failures) {
             put(&format!("attempt_failures_total{{failure=\"{failure}\"}}"), count);
         }
         put("failed_replies_total", metrics.failed_replies);
         put("foreign_replies_total", metrics.foreign_replies);
         put("connects_total", metrics.connects);
+        put("connects_refused_total", metrics.connects_refused);
         put("connect_timeouts_total", metrics.connect_timeouts);
         put("store_calls_total", metrics.store_calls);
         put("store_failures_total", metrics.store_failures);
--- a/crates/daemon/src/tier/node.rs
+++ b/crates/daemon/src/tier/node.rs
@@ -1,6 +1,6 @@
 //! State of the event loop and how its events are dispatched.
 
-use std::{io, sync::Arc, time::Instant};
+use std::{collections::VecDeque, io, sync::Arc, time::Instant};
 
 use mio::{
     Events, Interest, Poll, Token,
@@ -97,6 +97,8 @@
     pub(super) resumed: Vec<usize>,
     /// Clients whose requests came before the first configuration.
     pub(super) parked: Vec<usize>,
+    /// Connections that were just opened, with the time of their first request.
+    pub(super) settling: VecDeque<(Time, usize)>,
     pub(super) scratch: Vec<u8>,
     pub(super) journal: Journal,
     pub(super) metrics: Metrics,
@@ -144,6 +146,7 @@
             actions: Vec::new(),
             resumed: Vec::new(),
             parked: Vec::new(),
+            settling: VecDeque::new(),
             scratch: vec![0; SCRATCH_LEN],
             journal,
             metrics: Metrics::default(),
@@ -177,6 +180,8 @@
             self.act();
         }
         self.now = self.clock();
+        self.begin_settled();
+        self.act();
         if self.forwarder.next_wakeup().is_some_and(|it| it <= self.now) {
             self.forwarder.handle(self.now, Event::Tick, &mut self.actions);
             self.act();
@@ -263,7 +268,8 @@
 
     fn next_wakeup(&self) -> Time {
         let timer = self.forwarder.next_wakeup().unwrap_or(Time::MAX);
-        timer.min(self.stop.next_sweep())
+        let settled = self.settling.front().map_or(Time::MAX, |it| it.0);
+        timer.min(settled).min(self.stop.next_sweep())
     }
 
     fn listen(&mut self, token: Token, port: Port, addr: std::net::SocketAddr) -> io::Result<()> {
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -21,6 +21,10 @@
 /// by then another replica has answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time between the opening of a connection and the first request on it. A replica resets what
+/// exceeds its cap as soon as it has accepted it; a request that was sent by then may have run.
+const SETTLE: Duration = Duration::from_millis(2);
+
 /// Longest idle time of a connection that carries a request which must not run twice. A replica
 /// that closes an idle connection at that moment would leave open whether it ran.
 const ONCE_IDLE: Duration = Duration::from_millis(800);
@@ -28,7 +32,7 @@
 /// Longest idle time of a connection beyond [`KEPT`]. A pause of a replica needs further
 /// connections for a moment; kept for long, they use up what the replica accepts from all
 /// instances together.
-const IDLE_KEEP: Duration = Duration::from_secs(5);
+const IDLE_KEEP: Duration = Duration::from_secs(1);
 
 /// Idle connections to a replica that are kept until the replica closes them.
 const KEPT: usize = 1;
@@ -86,6 +90,8 @@
     /// Without an attempt, to replace a connection that broke.
     Reopening,
     Connecting(Exchange),
+    /// Open, and nothing sent yet: a replica that has too many connections closes it at once.
+    Settling(Exchange),
     Busy(Exchange),
     Idle,
 }
@@ -150,7 +156,7 @@
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
         match &mut conn.state {
             State::Busy(exchange) => exchange.close_at = Some(close_at),
-            State::Connecting(_) => {
+            State::Connecting(_) | State::Settling(_) => {
                 self.drop_conn(index);
                 self.attempt_failed(attempt, Failure::Abandoned);
             }
@@ -177,6 +183,15 @@
             return;
         }
         let end = conn.socket.read(&mut conn.buf, &mut self.scratch, READ_LEN);
+        if let State::Settling(exchange) = &conn.state {
+            let attempt = exchange.attempt;
+            if end != ReadEnd::Drained || !conn.buf.is_empty() {
+                self.metrics.connects_refused += 1;
+                self.drop_conn(index);
+                self.attempt_failed(attempt, Failure::NotAccepted);
+            }
+            return;
+        }
         if matches!(conn.state, State::Idle) {
             if end != ReadEnd::Drained || !conn.buf.is_empty() {
                 self.close_idle(index);
@@ -186,6 +201,25 @@
         self.parse_replies(index, end);
     }
 
+    /// Writes the requests of connections that have been open for long enough.
+    pub(super) fn begin_settled(&mut self) {
+        while let Some((due, index)) = self.settling.front().copied()
+            && due <= self.now
+        {
+            self.settling.pop_front();
+            let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { continue };
+            // The place may belong to another connection by now.
+            if !matches!(conn.state, State::Settling(_)) || conn.since + SETTLE > self.now {
+                continue;
+            }
+            if let State::Settling(exchange) = std::mem::replace(&mut conn.state, State::Idle) {
+                conn.state = State::Busy(exchange);
+                conn.since = self.now;
+                self.begin_write(index);
+            }
+        }
+    }
+
     /// Closes connections whose time is over.
     pub(super) fn sweep_upstream(&mut self, index: usize) {
         let now = self.now;
@@ -381,13 +415,11 @@
                         return false;
                     }
                 }
-                let State::Connecting(exchange) = std::mem::replace(&mut conn.state, State::Idle)
-                else {
-                    return false;
-                };
-                conn.state = State::Busy(exchange);
+                let state = std::mem::replace(&mut conn.state, State::Idle);
+                let State::Connecting(exchange) = state else { return false };
+                conn.state = State::Settling(exchange);
                 conn.since = now;
-                self.begin_write(index);
+                self.settling.push_back((now + SETTLE, index));
             }
             State::Busy(_) if !conn.socket.is_flushed() => {
                 if matches!(conn.socket.flush(), WriteEnd::Broken(_)) {
@@ -395,7 +427,7 @@
                     return true;
                 }
             }
-            State::Busy(_) | State::Idle => {}
+            State::Settling(_) | State::Busy(_) | State::Idle => {}
         }
         self.conns.contains(index)
     }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -190,6 +190,24 @@
     assert_own(&call(&machine, "POST", "/order/x", "o4"), "o4");
 }
 
+/// Guards against a fault of ratro-links trouble-2: replicas that had all connections that they
+/// accept closed new ones with the request on them, which nobody could tell from a lost answer.
+#[test]
+fn an_order_is_not_lost_to_a_replica_that_accepts_no_connection() {
+    let site = Site::new();
+    let machine = site.ready_machine();
+    site.replica("orders-1").set_cap(0);
+    for number in 0..10 {
+        let id = format!("f{number}");
+        assert_own(&call(&machine, "POST", "/order/x", &id), &id);
+    }
+    site.replica("orders-2").set_cap(0);
+    std::thread::sleep(Duration::from_millis(1_200));
+    let answer = call(&machine, "POST", "/order/x", "none");
+    assert_eq!(answer.status(), 503, "certainly not run: {answer:?}");
+    assert_eq!(site.runs("none").len(), 0);
+}
+
 #[test]
 fn an_address_that_belongs_to_another_replica_runs_nothing() {
     let site = Site::new();
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -431,6 +431,7 @@
         if let Some(replica) = self.replicas.get_mut(attempt.replica) {
             match failure {
                 Failure::NotSent => {}
+                Failure::NotAccepted => replica.note_not_accepted(now),
                 Failure::Unreachable | Failure::OtherReplica => replica.note_unreachable(now),
                 Failure::Broken => replica.note_failure(now),
                 Failure::Abandoned if attempt.is_late => {}
@@ -451,8 +452,10 @@
         if !is_wanted {
             return;
         }
-        if failure == Failure::OtherReplica {
-            self.note_not_run(&attempt);
+        match failure {
+            Failure::OtherReplica => self.note_not_run(&attempt),
+            Failure::NotAccepted => return self.wait_for_room(now, &attempt, out),
+            _ => {}
         }
         self.part_failed(now, &attempt, out);
     }
@@ -464,6 +467,19 @@
         part.runs + part.running.iter().filter(is_unsent).count() as u32
     }
 
+    /// Tries a part again whose replica accepted no further connection: another replica at once, or
+    /// the same one when it may have room.
+    fn wait_for_room(&mut self, now: Time, attempt: &Attempt, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(attempt.request) else { return };
+        let part = &mut request.parts[attempt.part];
+        part.tried.retain(|it| *it != attempt.replica);
+        // A hedge that found no room leaves the first attempt as it is.
+        if part.running.is_empty() {
+            self.end_wait(now, attempt.request, attempt.part, out);
+            self.arm(now, attempt.request);
+        }
+    }
+
     fn note_unreachable(&mut self, now: Time, replica: ReplicaKey, out: &mut Vec<Action>) {
         let condemned = self.suspects.note_unreachable(now, replica);
         out.extend(condemned.into_iter().map(Action::Condemn));
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -77,6 +77,8 @@
     NotSent,
     /// No connection could be opened.
     Unreachable,
+    /// The replica closed a new connection before anything was sent: it has all that it accepts.
+    NotAccepted,
     /// Another replica has the address; it did not run the request.
     OtherReplica,
     /// The connection ended, or carried something that is not the reply; the request may have run.
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -37,6 +37,10 @@
 /// some seconds.
 const WARM: Duration = Duration::from_secs(4);
 
+/// Time without use after the replica accepted no further connection. Other instances close
+/// connections that they no longer need within a second, some of them at any moment.
+const NO_CONNECTION_REST: Duration = Duration::from_millis(10);
+
 /// A lifetime of a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
@@ -138,6 +142,11 @@
         self.full_until = now + FULL_REST;
     }
 
+    /// The replica accepted no connection, which says nothing of how it treats requests.
+    pub(crate) fn note_not_accepted(&mut self, now: Time) {
+        self.full_until = now + NO_CONNECTION_REST;
+    }
+
     pub(crate) fn note_unreachable(&mut self, now: Time) {
         self.note_failure(now);
         self.down_until = now + self.rest;
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -203,6 +203,20 @@
     assert_eq!(refused.count(), 1);
 }
 
+/// A replica whose connections are all taken gets the request when it has room again; nothing was
+/// sent, so that holds for requests that must run once as well.
+#[test]
+fn a_request_waits_for_a_replica_that_accepts_no_connection() {
+    let mut world = World::new(vec![once("o", "s")], vec![replica("r1", "s", "a")]);
+    world.submit("o");
+    world.fails(0, Failure::NotAccepted);
+    assert_eq!(world.answers.len(), 0);
+    world.pass(ms(24));
+    assert_eq!(world.sent.len(), 2);
+    world.replies(1, reply(200, "proof", b""));
+    assert!(matches!(world.answer(), Answer::Relay(_)));
+}
+
 #[test]
 fn a_replica_that_drains_or_is_gone_gets_nothing_new() {
     let mut world = World::new(vec![plain("p", "s")], two_replicas("s"));
--- a/crates/standins/src/company/replica.rs
+++ b/crates/standins/src/company/replica.rs
@@ -86,6 +86,9 @@
     born: AtomicU64,
     /// Address that the entry names, when it is not that of the listener.
     advertised: Mutex<Option<SocketAddr>>,
+    /// Connections that it accepts; further ones are closed at once.
+    cap: AtomicU64,
+    open: AtomicU64,
 }
 
 /// A running replica.
@@ -130,6 +133,8 @@
             is_stopped: AtomicBool::new(false),
             born: AtomicU64::new(BORN.fetch_add(1, Ordering::Relaxed)),
             advertised: Mutex::default(),
+            cap: AtomicU64::new(u64::MAX),
+            open: AtomicU64::new(0),
         });
         let replica = Replica { addr: listener.local_addr()?, shared };
         replica.beat();
@@ -184,6 +189,11 @@
         self.shared.closed_early.load(Ordering::Relaxed)
     }
 
+    /// Limits the connections that it accepts.
+    pub fn set_cap(&self, cap: u64) {
+        self.shared.cap.store(cap, Ordering::Relaxed);
+    }
+
     /// Says that it drains.
     pub fn drain(&self) {
         *lock(&self.shared.drained_at) = Some(Instant::now());
@@ -235,9 +245,16 @@
             if self.is_stopped() {
                 return;
             }
+            if self.shared.open.load(Ordering::Relaxed) >= self.shared.cap.load(Ordering::Relaxed) {
+                continue;
+            }
+            self.shared.open.fetch_add(1, Ordering::Relaxed);
             let replica = self.clone();
-            // The peer sees the end of the connection, whatever ended it.
-            thread::spawn(move || drop(replica.serve(stream)));
+            thread::spawn(move || {
+                // The peer sees the end of the connection, whatever ended it.
+                drop(replica.serve(stream));
+                replica.shared.open.fetch_sub(1, Ordering::Relaxed);
+            });
         }
     }
 
