--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -30,6 +30,8 @@
     ReplicaLink(usize, LinkFault, Duration),
     /// A replica behaves in this way for the time.
     Replica(usize, Behaviour, Duration),
+    /// All replicas of the service of this replica but itself behave in this way for the time.
+    Service(usize, Behaviour, Duration),
     /// A replica is slow for the time.
     Slow(usize, Duration),
     /// A replica drains, leaves, and another takes its place.
@@ -73,8 +75,8 @@
 #[must_use]
 pub fn draw(seed: u64, sizes: Sizes) -> Vec<Entry> {
     let mut rng = Rng::with_seed(seed);
-    // Two faults in three seconds leave quiet spells as well as overlaps.
-    let count = (sizes.length.as_secs_f32() / 1.5) as usize + 1;
+    // Two faults a second: most of them overlap with others, and quiet spells remain.
+    let count = (sizes.length.as_secs_f32() * 2.0) as usize + 1;
     let last = sizes.length.saturating_sub(Duration::from_secs(2)).as_millis() as u64;
     let mut entries: Vec<Entry> = Vec::new();
     while entries.len() < count {
@@ -93,7 +95,7 @@
     let machine = rng.usize(..sizes.machines);
     let replica = rng.usize(..sizes.replicas);
     let time = Duration::from_millis(rng.u64(300..3_500));
-    match rng.u8(0..18) {
+    match rng.u8(0..22) {
         0 | 1 => Fault::Stop(machine),
         2 => Fault::Kill(machine),
         3 => Fault::KillAll,
@@ -105,6 +107,7 @@
         11 | 12 => Fault::ReplicaLink(replica, link_fault(rng), time),
         13 | 14 => Fault::Replica(replica, behaviour(rng), time),
         15 => Fault::Slow(replica, time),
+        18..=21 => Fault::Service(replica, behaviour(rng), time),
         16 => Fault::Replace(replica),
         _ => Fault::Configure,
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -184,6 +184,11 @@
                 self.evidence.replica_faults.push((now, now + time));
                 self.later(now + time, Later::Replica(it));
             }
+            Fault::Service(it, behaviour, time) => {
+                for other in self.others_of_service(it) {
+                    self.inject(Fault::Replica(other, behaviour, time))?;
+                }
+            }
             Fault::Slow(it, time) => {
                 self.site.backends[it].replica.set_work(Duration::from_millis(250));
                 self.later(now + time, Later::Slow(it));
@@ -235,6 +240,14 @@
         Ok(())
     }
 
+    /// The other replicas of the service of a replica.
+    fn others_of_service(&self, it: usize) -> Vec<usize> {
+        let service = self.site.backends[it].replica.service();
+        let all = self.site.backends.iter().enumerate();
+        let same = all.filter(|other| other.0 != it && other.1.replica.service() == service);
+        same.map(|other| other.0).collect()
+    }
+
     fn kill(&mut self, it: usize, now: Instant) {
         self.is_busy[it] = true;
         self.site.machines[it].kill();
