--- a/crates/query/tests/forward_load.rs
+++ b/crates/query/tests/forward_load.rs
@@ -197,7 +197,7 @@
                     Action::Send { attempt, id, .. } => {
                         sends += 1;
                         let replica: usize = id[1..].parse().unwrap();
-                        far += usize::from(replica % 3 != 0);
+                        far += usize::from(!replica.is_multiple_of(3));
                         forwarder.handle(now, Event::Sent(attempt), &mut out);
                         if let Some(at) = model.reply_at(now, replica) {
                             due.push(Reverse((at, Due::Reply(attempt))));
