--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -6,8 +6,8 @@
 };
 
 use rosemarybank_standins::company::{
-    Answer, Behaviour, Caller, Machine, Replica, Run, Store, StoreFault, machine::wait_until,
-    replica::records,
+    Answer, Behaviour, Caller, Machine, Replica, Run, Store, StoreFault, config,
+    machine::wait_until, replica::records,
 };
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -44,32 +44,8 @@
 
     /// Writes a configuration: a search, reads, orders and further routes.
     fn configure(&self, version: u64, further: Value) {
-        let route = |name: &str, kind: &str| {
-            json!({
-                "name": name, "hostname": "h.example", "path_prefix": format!("/{name}/"),
-                "route_kind": kind, "timeout_ms": 2000, "target_latency_ms": 150, "priority": 1,
-                "service": "orders", "attempts": 2,
-            })
-        };
-        let mut search = route("search", "idempotent");
-        search["service"] = Value::Null;
-        search["gather"] = json!(["s1", "s2", "s3", "s4"]);
-        search["top_k"] = json!(3);
-        search["min_shard_fraction"] = json!(0.5);
-        let mut routes =
-            vec![search, route("read", "idempotent"), route("order", "non_idempotent")];
-        routes.extend(further.as_array().unwrap().clone());
-        let services: Vec<Value> = ["orders", "s1", "s2", "s3", "s4"]
-            .iter()
-            .map(|it| json!({ "name": it, "max_connections": 40, "health_check_path": "/health" }))
-            .collect();
-        let limits = json!({
-            "max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        });
-        let spec = json!({
-            "version": version, "routes": routes, "services": services, "limits": limits,
-        });
+        let further = further.as_array().unwrap().clone();
+        let spec = config::spec(version, &["s1", "s2", "s3", "s4"], "orders", further);
         self.store.put("config", "main", spec);
     }
 
@@ -277,11 +253,7 @@
 fn a_new_configuration_is_in_force_soon_and_never_goes_back() {
     let site = Site::new();
     let machine = site.ready_machine();
-    let added = json!([{
-        "name": "new", "hostname": "h.example", "path_prefix": "/new/",
-        "route_kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 150,
-        "service": "orders", "attempts": 2,
-    }]);
+    let added = json!([config::route("new", "idempotent", "orders")]);
     assert_eq!(call(&machine, "GET", "/new/x", "n0").status(), 404);
     site.configure(7, added);
     let is_new = || call(&machine, "GET", "/new/x", "n1").status() == 200;
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -10,6 +10,8 @@
 pub mod routes;
 
 mod account;
+mod answers;
+mod attempts;
 mod choice;
 mod forwarder;
 mod gather;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use rosemarybank_standins::company::{Run, replica::records};
+use rosemarybank_standins::company::{MISSING_PARTS, PART_STAMPS, Run, STAMP, replica::records};
 
 use crate::{
     clients::{Asked, Record, WAIT_MS},
@@ -29,7 +29,7 @@
 const LATE: Duration = Duration::from_millis(700);
 
 /// What a run recorded.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Evidence {
     /// Requests of clients.
     pub records: Vec<Record>,
@@ -93,7 +93,7 @@
         return;
     }
     if record.asked != Asked::Search {
-        let stamp = answer.field("x-rosemarybank-server-stamp").unwrap_or_default();
+        let stamp = answer.field(STAMP).unwrap_or_default();
         match stamp.split_once('.') {
             Some((replica, request)) if request == record.id => {
                 if answer.body != records(replica, request) {
@@ -104,8 +104,8 @@
         }
         return;
     }
-    let stamps = answer.field("x-rosemarybank-part-stamps").unwrap_or_default();
-    let missing = answer.field("x-rosemarybank-missing-parts").and_then(|it| it.parse().ok());
+    let stamps = answer.field(PART_STAMPS).unwrap_or_default();
+    let missing = answer.field(MISSING_PARTS).and_then(|it| it.parse().ok());
     let (mut services, mut all) = (HashSet::new(), Vec::new());
     for stamp in stamps.split(", ") {
         let Some((replica, request)) = stamp.split_once('.') else {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -78,16 +78,7 @@
     let clients = Clients::start(&site.fronts(), CLIENTS, seed);
     let mut runner = Runner {
         is_busy: vec![false; sizes.machines],
-        evidence: Evidence {
-            records: Vec::new(),
-            runs: Vec::new(),
-            versions: Vec::new(),
-            store_faults: Vec::new(),
-            machine_faults: Vec::new(),
-            starts: Vec::new(),
-            replica_faults: Vec::new(),
-            stops: Vec::new(),
-        },
+        evidence: Evidence::default(),
         site,
         later: VecDeque::new(),
     };
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -8,8 +8,7 @@
     time::{Duration, Instant},
 };
 
-use rosemarybank_standins::company::{Machine, Replica, Run, Store};
-use serde_json::{Value, json};
+use rosemarybank_standins::company::{Machine, Replica, Run, Store, config};
 
 use crate::proxy::Proxy;
 
@@ -121,33 +120,10 @@
     /// an instance shows which version it has.
     pub fn configure(&mut self) {
         let version = self.versions.last().map_or(1, |it| it.0 + 1);
-        let route = |name: &str, kind: &str| {
-            json!({
-                "name": name, "hostname": "h.example", "path_prefix": format!("/{name}/"),
-                "route_kind": kind, "timeout_ms": 2000, "target_latency_ms": 150, "priority": 1,
-                "service": ORDERS, "attempts": 2,
-            })
-        };
-        let mut search = route("search", "idempotent");
-        search["service"] = Value::Null;
-        search["gather"] = json!(SHARDS);
-        search["top_k"] = json!(3);
-        search["min_shard_fraction"] = json!(0.5);
-        let mut routes =
-            vec![search, route("read", "idempotent"), route("order", "non_idempotent")];
-        routes.extend((1..=version).map(|it| route(&format!("v{it}"), "idempotent")));
-        let services: Vec<Value> = SHARDS
-            .into_iter()
-            .chain([ORDERS])
-            .map(|it| json!({ "name": it, "max_connections": 60, "health_check_path": "/health" }))
-            .collect();
-        let limits = json!({
-            "max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        });
-        let spec = json!({
-            "version": version, "routes": routes, "services": services, "limits": limits,
-        });
+        let name = |it: u64| format!("v{it}");
+        let further =
+            (1..=version).map(|it| config::route(&name(it), "idempotent", ORDERS)).collect();
+        let spec = config::spec(version, &SHARDS, ORDERS, further);
         self.store.put("config", "main", spec);
         self.versions.push((version, Instant::now()));
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -49,19 +49,6 @@
     play(6);
 }
 
-fn evidence() -> Evidence {
-    Evidence {
-        records: Vec::new(),
-        runs: Vec::new(),
-        versions: Vec::new(),
-        store_faults: Vec::new(),
-        machine_faults: Vec::new(),
-        starts: Vec::new(),
-        replica_faults: Vec::new(),
-        stops: Vec::new(),
-    }
-}
-
 fn record(id: &str, asked: Asked, status: u16, at: Instant) -> Record {
     let answer = Answer { first_line: format!("HTTP/1.1 {status} S"), ..Answer::default() };
     Record {
@@ -93,7 +80,7 @@
 fn broken_promises_are_found() {
     let start = Instant::now();
     let found = |change: &dyn Fn(&mut Evidence)| {
-        let mut evidence = evidence();
+        let mut evidence = Evidence::default();
         change(&mut evidence);
         check(&evidence).len()
     };
--- a/crates/standins/src/company/mod.rs
+++ b/crates/standins/src/company/mod.rs
@@ -3,6 +3,7 @@
 //! They speak HTTP/1.1 as the platform's pages state it. Faults are switched on while they run.
 
 pub mod caller;
+pub mod config;
 pub mod machine;
 pub mod message;
 pub mod replica;
@@ -12,3 +13,12 @@
 pub use machine::{Machine, Ports};
 pub use replica::{Behaviour, Replica, Run};
 pub use store::{Store, StoreFault};
+
+/// Header field with the proof of a replica.
+pub const STAMP: &str = "x-rosemarybank-server-stamp";
+
+/// Header field with the proofs of the parts of a merged answer.
+pub const PART_STAMPS: &str = "x-rosemarybank-part-stamps";
+
+/// Header field with the number of parts that a merged answer lacks.
+pub const MISSING_PARTS: &str = "x-rosemarybank-missing-parts";
