Move the search of the model checks into a crate of its own

The query crate gets model checks as well, and both should share one copy of the search. No check changed; the three model checks of the coordination pass with the same states.

--- a/crates/coordination/tests/model_claim.rs
+++ b/crates/coordination/tests/model_claim.rs
@@ -4,18 +4,16 @@
 //! A pause needs no step of its own: an event that is delivered after the clock moved past the
 //! deadline is what a paused instance sees.
 
-mod support;
-
 use std::time::Duration;
 
 use rosemarybank_coordination::claim::{
     Action, Answer, Event, Machine, Settings, Spec, StoreReply,
 };
+use rosemarybank_explore::{Model, assert_broken, assert_holds};
 use rosemarybank_protocol::{
     platform::{Claim, ClaimState},
     prelude::*,
 };
-use support::{Model, assert_broken, assert_holds};
 
 const DEADLINE: Time = Time::from_millis(10);
 const LATE: Time = Time::from_millis(100);
--- a/crates/coordination/tests/model_config.rs
+++ b/crates/coordination/tests/model_config.rs
@@ -6,13 +6,11 @@
 //! delivered to it. An instance that activates a version forgets what its peers reported, as if
 //! they had left and come back.
 
-mod support;
-
 use std::time::Duration;
 
 use rosemarybank_coordination::config::{Action, Event, Machine, Role, Settings, StartRule};
+use rosemarybank_explore::{Model, assert_broken, assert_holds};
 use rosemarybank_protocol::{platform::SignedBundle, prelude::*};
-use support::{Model, assert_broken, assert_holds};
 
 const INSTANCES: usize = 3;
 const MAJORITY: usize = INSTANCES / 2 + 1;
--- a/crates/coordination/tests/model_quarantine.rs
+++ b/crates/coordination/tests/model_quarantine.rs
@@ -6,15 +6,13 @@
 //! after a digest that differs. The clock stands still, so entries have equal expiries, which is
 //! the hardest case for the merge.
 
-mod support;
-
 use std::time::Duration;
 
 use rosemarybank_coordination::quarantine::{
     Action, Event, Machine, Set, Settings, WriteResult, key_of,
 };
+use rosemarybank_explore::{Model, assert_broken, assert_holds};
 use rosemarybank_protocol::{platform::QuarantineEntry, prelude::*};
-use support::{Model, assert_broken, assert_holds};
 
 const NOW: Time = Time::ZERO;
 const FINGERPRINT: Fingerprint = 7;
--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/explore/src/lib.rs
@@ -40,11 +40,13 @@
 
 /// The steps of a shortest path to a violation, and what is violated.
 pub struct Counterexample {
+    /// Labels of the steps.
     pub steps: Vec<String>,
+    /// What the last state violates.
     pub violation: String,
 }
 
-/// Visits every reachable state, or stops at the first violation.
+/// Visits every reachable state and returns their number, or stops at the first violation.
 pub fn explore<M: Model>(name: &str, start: M) -> (usize, Option<Counterexample>) {
     let begun = Instant::now();
     let visited = Cell::new(0);
@@ -70,6 +72,10 @@
 }
 
 /// Fails if the protocol can violate a property, or if the search was smaller than stated.
+///
+/// # Panics
+///
+/// Panics to fail the test.
 pub fn assert_holds<M: Model>(name: &str, start: M, floor: usize) {
     let (visited, found) = explore(name, start);
     assert!(found.is_none(), "{name}: violated");
@@ -77,6 +83,10 @@
 }
 
 /// Fails if removing a guard goes unnoticed, which would mean that the check proves nothing.
+///
+/// # Panics
+///
+/// Panics to fail the test.
 pub fn assert_broken<M: Model>(name: &str, start: M, violation: &str) {
     let (_, found) = explore(name, start);
     let found = found.unwrap_or_else(|| panic!("{name}: no counterexample"));
