Hold the part of the shared allowance like a lease

Cause: each instance divided the allowance of extra sends by the number of instances on its last list, whatever the age of the list. An instance that was added, one that others did not know of because they were cut off from the store, and one that went on after it had removed its own entry used parts that nobody had given up. Ruled out as sufficient: the 15% that the account leaves unused, which covers one newcomer among six instances and no more.

Change: a part lapses 25 s after the last list, is used only when every other instance must have counted this one, grows only when the window of an instance that left is over, and ends with the stop of the process.

Tests: model_membership searches starts, crashes, stops, cuts and stale lists of three instances; without the lease, without the lapse and without the end at a stop it finds a counterexample.

--- a/crates/daemon/src/tier/run.rs
+++ b/crates/daemon/src/tier/run.rs
@@ -12,7 +12,7 @@
 use eyre::{Result, WrapErr};
 use rosemarybank_adapter::{NodeSettings, headers::SETTINGS_VARIABLE};
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{Forwarder, Settings};
+use rosemarybank_query::forward::{Event, Forwarder, Settings};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::tier::{
@@ -112,6 +112,7 @@
 
 fn begin_stop(node: &mut Node) {
     node.stop.ask(node.now);
+    node.forwarder.handle(node.now, Event::Stopping, &mut node.actions);
     node.deregister_instance();
     let in_flight = node.forwarder.in_flight();
     node.journal.line(
--- a/crates/daemon/src/tier/store.rs
+++ b/crates/daemon/src/tier/store.rs
@@ -238,11 +238,11 @@
             );
         }
         for it in news {
-            self.take_news(it);
+            self.take_news(it, called_at);
         }
     }
 
-    fn take_news(&mut self, news: News) {
+    fn take_news(&mut self, news: News, asked_at: Time) {
         let now = self.now;
         match news {
             News::Config(table, text) => self.take_config(table, text, "store"),
@@ -258,6 +258,7 @@
                 self.publish_replicas();
             }
             News::Instances(members) => {
+                let is_listed = members.iter().any(|it| it.id == self.settings.instance);
                 self.chooser.set_members(members);
                 let count = u32::try_from(self.chooser.members()).unwrap_or(u32::MAX);
                 self.metrics.instances = count;
@@ -271,7 +272,8 @@
                     "instances",
                     format_args!(r#""count":{count},"source":{:?}"#, source.as_str()),
                 );
-                self.forwarder.handle(now, Event::Instances(count), &mut self.actions);
+                let event = Event::Instances { asked_at, count, is_listed };
+                self.forwarder.handle(now, event, &mut self.actions);
             }
             News::Unusable(what, reason) => self.journal.line(
                 now,
--- a/crates/query/src/forward/account.rs
+++ b/crates/query/src/forward/account.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a service becomes slow or fails, and every request of every instance wants a
 //! second replica at once. The whole system may add only a share of the requests plus a fixed
 //! allowance in any window. An instance earns the share by its own requests, which follow the
-//! load wherever the balancer puts it, and takes an equal part of the allowance.
+//! load wherever the balancer puts it, and takes its part of the allowance
+//! ([`Membership`](crate::forward::Membership)).
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -60,21 +61,22 @@
         self.extras += 1;
     }
 
-    /// Whether a hedge fits into the part of the budget that hedges may use.
-    pub fn allows_hedge(&mut self, now: Time, budget: &Budget, instances: u32) -> bool {
-        self.allows(now, budget, instances, 1.0 - RETRY_RESERVE)
+    /// Whether a hedge fits into the part of the budget that hedges may use, with this share of the
+    /// allowance.
+    pub fn allows_hedge(&mut self, now: Time, budget: &Budget, share: f32) -> bool {
+        self.allows(now, budget, share, 1.0 - RETRY_RESERVE)
     }
 
-    /// Whether a retry fits into the budget.
-    pub fn allows_retry(&mut self, now: Time, budget: &Budget, instances: u32) -> bool {
-        self.allows(now, budget, instances, 1.0)
+    /// Whether a retry fits into the budget with this share of the allowance.
+    pub fn allows_retry(&mut self, now: Time, budget: &Budget, share: f32) -> bool {
+        self.allows(now, budget, share, 1.0)
     }
 
-    fn allows(&mut self, now: Time, budget: &Budget, instances: u32, share: f32) -> bool {
+    fn allows(&mut self, now: Time, budget: &Budget, share: f32, usable: f32) -> bool {
         self.expire(now, budget);
         let earned = self.requests as f32 * budget.ratio;
-        let part = budget.allowance / instances.max(1) as f32;
-        (self.extras + 1) as f32 <= (earned + part) * USED_SHARE * share
+        let part = budget.allowance * share;
+        (self.extras + 1) as f32 <= (earned + part) * USED_SHARE * usable
     }
 
     fn slice(&mut self, now: Time, budget: &Budget) -> &mut Slice {
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -323,8 +323,8 @@
             return false;
         }
         let (arrived, name) = (part.arrivals > 0, part.service.clone());
-        let (budget, instances) = (self.settings.budget, self.instances);
-        !arrived || self.service(&name).account.allows_retry(now, &budget, instances)
+        let (budget, share) = (self.settings.budget, self.membership.share(now));
+        !arrived || self.service(&name).account.allows_retry(now, &budget, share)
     }
 
     pub(super) fn abandon_all(&mut self, now: Time, request: &Request, out: &mut Vec<Action>) {
@@ -366,8 +366,8 @@
             self.requests[key].parts[index].look_at = Time::MAX;
             return;
         }
-        let (budget, instances) = (self.settings.budget, self.instances);
-        if !self.service(&name).account.allows_hedge(now, &budget, instances) {
+        let (budget, share) = (self.settings.budget, self.membership.share(now));
+        if !self.service(&name).account.allows_hedge(now, &budget, share) {
             return;
         }
         let Choice::Use(replica) = self.choose(now, key, index, SendKind::Hedge) else { return };
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -16,6 +16,7 @@
     account::Budget,
     choice::Choice,
     interface::{Action, Answer, AttemptKey, Event, ReplicaKey, RequestKey, SendKind, Submission},
+    membership::Membership,
     replicas::Replica,
     request::{Attempt, Request, Times},
     routes::{ReplicaInfo, Route, RouteTable, Target},
@@ -42,7 +43,7 @@
 /// Retry-After while the instance has no configuration.
 const RETRY_AFTER_START: Duration = Duration::from_millis(500);
 
-/// Instances that are assumed until their number is known.
+/// Instances that are assumed to share the connections until their number is known.
 const FIRST_INSTANCES: u32 = 16;
 
 /// What an instance is told at its start.
@@ -63,7 +64,9 @@
 pub struct Forwarder {
     pub(super) settings: Settings,
     pub(super) rng: Rng,
+    /// Instances that share the connections of replicas.
     pub(super) instances: u32,
+    pub(super) membership: Membership,
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) services: HashMap<ServiceId, Service>,
     pub(super) splits: HashMap<CompactString, Split>,
@@ -83,6 +86,7 @@
     pub fn new(settings: Settings) -> Forwarder {
         Forwarder {
             rng: Rng::with_seed(settings.seed),
+            membership: Membership::new(settings.budget.window),
             settings,
             instances: FIRST_INSTANCES,
             table: None,
@@ -203,7 +207,11 @@
             Event::Configure(table) => self.configure(*table),
             Event::Replicas(list) => self.set_replicas(now, list, out),
             Event::Condemned(fingerprint, left) => self.suspects.learn(now, fingerprint, left),
-            Event::Instances(count) => self.instances = count.max(1),
+            Event::Instances { asked_at, count, is_listed } => {
+                self.instances = count.max(1);
+                self.membership.looked(asked_at, count, is_listed);
+            }
+            Event::Stopping => self.membership.leave(),
             Event::Tick => self.tick(now, out),
         }
     }
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -36,8 +36,17 @@
     Replicas(Vec<ReplicaInfo>),
     /// Another instance condemned a request, for this time.
     Condemned(Fingerprint, Duration),
-    /// Number of entry instances that share budgets and connections, this one included.
-    Instances(u32),
+    /// A list of the entry instances that share budgets and connections.
+    Instances {
+        /// Time at which it was asked for.
+        asked_at: Time,
+        /// Their number, this one included.
+        count: u32,
+        /// Whether this one is on the list.
+        is_listed: bool,
+    },
+    /// The instance stops; its requests in flight are finished.
+    Stopping,
     /// Time has passed.
     Tick,
 }
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod directory;
 pub mod interface;
+pub mod membership;
 pub mod routes;
 
 mod account;
@@ -28,4 +29,5 @@
 pub use interface::{
     Action, Answer, AttemptKey, Event, Failure, ReplicaKey, Reply, RequestKey, SendKind, Submission,
 };
+pub use membership::Membership;
 pub use routes::{ClientLimits, ReplicaInfo, ReplicaState, Route, RouteTable, ServiceInfo, Target};
--- a/crates/query/tests/forward_account.rs
+++ b/crates/query/tests/forward_account.rs
@@ -38,7 +38,7 @@
                 let account = &mut accounts[favoured % count];
                 account.add_request(at, &BUDGET);
                 requests.push(at);
-                if account.allows_retry(at, &BUDGET, count as u32) {
+                if account.allows_retry(at, &BUDGET, 1.0 / count as f32) {
                     account.add_extra(at, &BUDGET);
                     extras.push(at);
                 }
@@ -53,36 +53,37 @@
 fn hedges_leave_a_part_of_the_budget_to_retries() {
     let mut account = Account::default();
     let now = Duration::from_secs(1);
-    while account.allows_hedge(now, &BUDGET, 1) {
+    while account.allows_hedge(now, &BUDGET, 1.0) {
         account.add_extra(now, &BUDGET);
     }
-    assert!(account.allows_retry(now, &BUDGET, 1));
+    assert!(account.allows_retry(now, &BUDGET, 1.0));
 }
 
 #[test]
 fn the_budget_returns_when_the_window_has_passed() {
     let mut account = Account::default();
     let start = Duration::from_secs(1);
-    while account.allows_retry(start, &BUDGET, 1) {
+    while account.allows_retry(start, &BUDGET, 1.0) {
         account.add_extra(start, &BUDGET);
     }
-    assert!(!account.allows_retry(start + BUDGET.window, &BUDGET, 1));
+    assert!(!account.allows_retry(start + BUDGET.window, &BUDGET, 1.0));
     let later = start + BUDGET.window + Duration::from_secs(1);
-    assert!(account.allows_retry(later, &BUDGET, 1));
+    assert!(account.allows_retry(later, &BUDGET, 1.0));
 }
 
-/// The number of instances may be unknown or too high; too few would break the budget.
+/// An instance uses its part of the allowance and no more.
 #[test]
 fn the_allowance_is_divided_by_the_instances() {
-    let allowed = |instances| {
+    let allowed = |share| {
         let (mut account, now) = (Account::default(), Duration::from_secs(1));
         let mut count = 0;
-        while account.allows_retry(now, &BUDGET, instances) {
+        while account.allows_retry(now, &BUDGET, share) {
             account.add_extra(now, &BUDGET);
             count += 1;
         }
         count
     };
-    assert!(allowed(10) * 10 <= 50);
-    assert!(allowed(1) <= 50);
+    assert!(allowed(0.1) * 10 <= 50);
+    assert!(allowed(1.0) <= 50);
+    assert_eq!(allowed(0.0), 0);
 }
--- a/crates/query/tests/forward_load.rs
+++ b/crates/query/tests/forward_load.rs
@@ -140,8 +140,11 @@
     let settings = Settings { data_centre: "a".into(), region: vec!["a".into()], budget, seed: 3 };
     let mut forwarder = Forwarder::new(settings);
     let mut model = Model::new(load);
-    let (mut now, mut out) = (Duration::from_secs(1), Vec::new());
-    forwarder.handle(now, Event::Instances(6), &mut out);
+    let (mut now, mut out) = (Duration::from_secs(60), Vec::new());
+    for asked_at in [Duration::ZERO, now] {
+        let listed = Event::Instances { asked_at, count: 6, is_listed: true };
+        forwarder.handle(now, listed, &mut out);
+    }
     forwarder.handle(now, Event::Configure(Box::new(table())), &mut out);
     forwarder.handle(now, Event::Replicas(replicas()), &mut out);
     let mut due: BinaryHeap<Reverse<(Time, Due)>> = BinaryHeap::new();
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -188,7 +188,7 @@
 #[test]
 fn a_part_waits_for_a_replica_with_room() {
     let mut world = World::new(vec![plain("p", "s")], vec![replica("r1", "s", "a")]);
-    world.event(Event::Instances(20));
+    world.join(20);
     for _ in 0..3 {
         world.submit("p");
     }
--- a/crates/query/tests/forward_world/mod.rs
+++ b/crates/query/tests/forward_world/mod.rs
@@ -112,7 +112,7 @@
             Settings { data_centre: "a".into(), region: vec!["a".into()], budget, seed: 7 };
         let mut world = World {
             forwarder: Forwarder::new(settings),
-            now: ms(1_000),
+            now: ms(60_000),
             sent: Vec::new(),
             abandoned: Vec::new(),
             answers: Vec::new(),
@@ -120,12 +120,19 @@
             condemned: Vec::new(),
             reopened: Vec::new(),
         };
-        world.event(Event::Instances(1));
+        world.join(1);
         world.event(Event::Configure(Box::new(table(1, routes))));
         world.event(Event::Replicas(replicas));
         world
     }
 
+    /// The instance has been one of so many for long enough to use its part of the allowance.
+    pub fn join(&mut self, count: u32) {
+        for asked_at in [Time::ZERO, self.now] {
+            self.event(Event::Instances { asked_at, count, is_listed: true });
+        }
+    }
+
     /// Hands over an event.
     pub fn event(&mut self, event: Event) {
         let mut out = Vec::new();
--- /dev/null
+++ b/crates/query/tests/model_membership.rs
@@ -0,0 +1,243 @@
+//! Model check of the shared allowance: instances start, crash, stop and are cut off from the
+//! store, and their lists of instances may be stale.
+//!
+//! An instance may spend its whole part at any moment, and what it spent stays in the window. So
+//! the greatest parts of all instances within a window, those of ended processes included, must
+//! not exceed the allowance.
+
+use std::time::Duration;
+
+use rosemarybank_explore::{Model, assert_broken, assert_holds};
+use rosemarybank_query::forward::{Membership, membership::LEASE};
+
+/// Time of a step.
+const STEP: Duration = Duration::from_secs(5);
+const WINDOW: Duration = Duration::from_secs(10);
+/// Steps that a window can touch.
+const WINDOW_STEPS: usize = 2;
+const INSTANCES: usize = 3;
+/// Step at which the search starts; the first two instances have used their parts for long.
+const START: u32 = 20;
+/// Step at which it ends. A newcomer may use its part after 8 steps.
+const END: u32 = START + 13;
+/// Steps between two looks of an instance that reaches the store.
+const LOOK_EVERY: u32 = 2;
+const BROKEN: &str = "more than the whole allowance is handed out";
+
+/// The guard that a variant removes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+enum Guard {
+    AllKept,
+    /// Every instance divides by the number on its last list, whatever the age of the list.
+    Lease,
+    /// The part of an instance that can't read the list does not lapse.
+    Lapse,
+    /// A process that stops goes on using its part.
+    Leave,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Instance {
+    membership: Option<Membership>,
+    /// Number on the last list.
+    listed: u32,
+    is_leaving: bool,
+    is_cut_off: bool,
+    since_look: u32,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct World {
+    guard: Guard,
+    step: u32,
+    instances: Vec<Instance>,
+    /// Entries of the store now and a step before.
+    entries: [Vec<bool>; 2],
+    /// Greatest parts handed out in the last steps, per instance, in sixtieths of the allowance.
+    parts: Vec<[u32; WINDOW_STEPS + 1]>,
+    starts: u32,
+    crashes: u32,
+    stops: u32,
+    cuts: u32,
+}
+
+impl World {
+    /// Two instances that have run for long, and one that does not run.
+    fn new(guard: Guard) -> World {
+        let running = |index| {
+            let mut membership = Membership::new(WINDOW);
+            membership.looked(Duration::ZERO, 2, true);
+            membership.looked(STEP * START, 2, true);
+            Instance {
+                membership: Some(membership),
+                listed: 2,
+                is_leaving: false,
+                is_cut_off: false,
+                since_look: index,
+            }
+        };
+        let idle = Instance {
+            membership: None,
+            listed: 0,
+            is_leaving: false,
+            is_cut_off: false,
+            since_look: 0,
+        };
+        let entries = vec![true, true, false];
+        let mut world = World {
+            guard,
+            step: START,
+            instances: vec![running(0), running(1), idle],
+            entries: [entries.clone(), entries],
+            parts: vec![[0; WINDOW_STEPS + 1]; INSTANCES],
+            starts: 1,
+            crashes: 1,
+            stops: 1,
+            cuts: 1,
+        };
+        world.spend();
+        world
+    }
+
+    fn now(&self) -> Duration {
+        STEP * self.step
+    }
+
+    fn spend(&mut self) {
+        let now = self.now();
+        for (it, parts) in self.instances.iter().zip(&mut self.parts) {
+            let part = it.membership.as_ref().map_or(0.0, |membership| match self.guard {
+                Guard::Lease if it.listed > 0 => 1.0 / it.listed as f32,
+                Guard::Lapse if it.is_cut_off => 1.0 / it.listed as f32,
+                Guard::Leave if it.is_leaving => 1.0 / it.listed as f32,
+                _ => membership.share(now),
+            });
+            parts[0] = parts[0].max((part * 60.0).round() as u32);
+        }
+    }
+
+    fn look(&mut self, index: usize, is_stale: bool) {
+        let now = self.now();
+        let entries = &self.entries[usize::from(is_stale)];
+        let it = &mut self.instances[index];
+        let Some(membership) = &mut it.membership else { return };
+        let count = entries.iter().filter(|it| **it).count() as u32;
+        let count = count + u32::from(!entries[index]);
+        membership.looked(now, count, entries[index]);
+        (it.listed, it.since_look) = (count, 0);
+    }
+
+    /// A step of time, in which the instances that are due look at one of two lists.
+    fn pass(&self, is_stale: bool) -> World {
+        let mut next = self.clone();
+        next.step += 1;
+        for parts in &mut next.parts {
+            parts.copy_within(..WINDOW_STEPS, 1);
+            parts[0] = 0;
+        }
+        for index in 0..INSTANCES {
+            let it = &mut next.instances[index];
+            if it.membership.is_none() || it.is_cut_off || it.is_leaving {
+                continue;
+            }
+            it.since_look += 1;
+            if it.since_look >= LOOK_EVERY {
+                next.look(index, is_stale);
+            }
+        }
+        next.entries[1] = next.entries[0].clone();
+        next.spend();
+        next
+    }
+}
+
+impl Model for World {
+    fn steps(&self) -> Vec<(String, World)> {
+        let mut out = Vec::new();
+        if self.step < END {
+            out.push(("time passes".into(), self.pass(false)));
+            out.push(("time passes, lists are stale".into(), self.pass(true)));
+        }
+        for index in 0..INSTANCES {
+            let it = &self.instances[index];
+            let mut add = |label: &str, change: &dyn Fn(&mut World)| {
+                let mut next = self.clone();
+                change(&mut next);
+                next.spend();
+                out.push((format!("instance {index} {label}"), next));
+            };
+            if it.membership.is_none() {
+                if self.starts > 0 {
+                    add("starts", &|it| {
+                        it.starts -= 1;
+                        it.entries[0][index] = true;
+                        let this = &mut it.instances[index];
+                        this.membership = Some(Membership::new(WINDOW));
+                        (this.is_leaving, this.since_look) = (false, LOOK_EVERY);
+                        it.look(index, false);
+                    });
+                }
+                continue;
+            }
+            if self.crashes > 0 {
+                add("crashes", &|it| {
+                    it.crashes -= 1;
+                    it.instances[index].membership = None;
+                });
+            }
+            if self.stops > 0 && !it.is_leaving {
+                add("is asked to stop", &|it| {
+                    it.stops -= 1;
+                    it.entries[0][index] = false;
+                    let this = &mut it.instances[index];
+                    this.is_leaving = true;
+                    this.membership.as_mut().expect("it runs").leave();
+                });
+            }
+            if self.cuts > 0 && !it.is_cut_off {
+                add("is cut off from the store", &|it| {
+                    it.cuts -= 1;
+                    it.instances[index].is_cut_off = true;
+                });
+            }
+        }
+        out
+    }
+
+    fn violation(&self) -> Option<String> {
+        let sum: u32 = self.parts.iter().map(|it| it.iter().max().expect("it has steps")).sum();
+        (sum > 60).then(|| BROKEN.into())
+    }
+}
+
+#[test]
+fn the_parts_never_exceed_the_allowance() {
+    assert_holds("parts of the allowance", World::new(Guard::AllKept), 10_000);
+}
+
+/// Guards against the former rule: an instance that is added, or that another one does not know
+/// of because it is cut off from the store, spends a part that nobody gave up.
+#[test]
+fn without_the_lease_an_added_instance_exceeds_the_allowance() {
+    assert_broken("no lease", World::new(Guard::Lease), BROKEN);
+}
+
+#[test]
+fn without_the_lapse_an_instance_that_is_cut_off_exceeds_the_allowance() {
+    assert_broken("no lapse", World::new(Guard::Lapse), BROKEN);
+}
+
+#[test]
+fn without_the_end_at_a_stop_a_leaving_instance_exceeds_the_allowance() {
+    assert_broken("no end at a stop", World::new(Guard::Leave), BROKEN);
+}
+
+/// A part lapses with the list on which it rests.
+#[test]
+fn an_instance_that_is_cut_off_loses_its_part() {
+    let mut membership = Membership::new(WINDOW);
+    membership.looked(Duration::ZERO, 2, true);
+    membership.looked(Duration::from_secs(60), 2, true);
+    assert!(membership.share(Duration::from_secs(60) + LEASE - Duration::from_millis(1)) > 0.0);
+    assert_eq!(membership.share(Duration::from_secs(60) + LEASE), 0.0);
+}
