--- a/crates/query/tests/forward_account.rs
+++ b/crates/query/tests/forward_account.rs
@@ -18,9 +18,55 @@
     extras.iter().map(|end| in_window(extras, *end) - budget(*end)).fold(f32::MIN, f32::max)
 }
 
+/// Greatest excess in any window at all. The requests that count are those of the window, of the
+/// one before it, or of the one half a window before it, whichever has most.
+fn excess_anywhere(requests: &[Time], extras: &[Time]) -> f32 {
+    let count = |times: &[Time], start: i128, end: i128| {
+        let of = |at: i128| times.partition_point(|it| (it.as_millis() as i128) < at);
+        (of(end) - of(start)) as f32
+    };
+    let window = BUDGET.window.as_millis() as i128;
+    let last = requests.last().map_or(0, |it| it.as_millis() as i128);
+    let starts = (-window..=last).step_by(50);
+    let excess = starts.map(|start| {
+        let earned = [0, window / 2, window]
+            .map(|back| count(requests, start - back, start - back + window))
+            .into_iter()
+            .fold(0.0, f32::max);
+        let budget = earned * BUDGET.ratio + BUDGET.allowance;
+        count(extras, start, start + window) - budget
+    });
+    excess.fold(f32::MIN, f32::max)
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
+    /// A window may begin when a burst has ended, whose requests earned the extra sends in it.
+    #[test]
+    fn windows_around_a_burst_keep_the_budget(
+        count in 1_usize..9,
+        phases in prop::collection::vec((1_u64..400, 500_u64..15_000, any::<bool>()), 1..10),
+    ) {
+        let mut accounts = vec![Account::default(); count];
+        let (mut now, mut requests, mut extras) = (0_u64, Vec::new(), Vec::new());
+        for (per_s, length, is_failing) in phases {
+            let end = now + length;
+            while now < end {
+                now += 1_000 / per_s;
+                let at = Duration::from_millis(now);
+                let account = &mut accounts[requests.len() % count];
+                account.add_request(at, &BUDGET);
+                requests.push(at);
+                if is_failing && account.allows_retry(at, &BUDGET, 1.0 / count as f32) {
+                    account.add_extra(at, &BUDGET);
+                    extras.push(at);
+                }
+            }
+        }
+        prop_assert!(excess_anywhere(&requests, &extras) <= 0.0);
+    }
+
     /// However the load moves between instances, and although each wants an extra send for every
     /// request, the sum stays within the budget in every window.
     #[test]
