Bring back no replica that has left with news of another instance

Cause, two faults that the new model check found: - an instance that had just read the store itself took news of another one that rested on an earlier read, and used a replica that had left meanwhile; - changes were applied one by one, so a replica that came and left among them was kept for the grace that the same news had begun. Ruled out: the age limit of the news, which both cases keep.

Change: news from before the own read are left aside until newer ones come, and only the last change of each entry counts, for changes from the store as well.

--- a/crates/daemon/src/tier/feed.rs
+++ b/crates/daemon/src/tier/feed.rs
@@ -9,7 +9,10 @@
 use rosemarybank_coordination::source::{Member, Source};
 use rosemarybank_http1::RequestHead;
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{Event, directory::ListNews};
+use rosemarybank_query::forward::{
+    Event,
+    directory::{ListNews, Mirrored},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::tier::{
@@ -28,6 +31,10 @@
 /// Pause after a member did not answer.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause after news that are older than what this instance has read itself. The other one reads the
+/// store again within 700 ms.
+const NEWER_AFTER: Duration = Duration::from_millis(300);
+
 /// Path of the question.
 const PATH: &str = "/feed";
 
@@ -102,13 +109,18 @@
         let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
         match decoded {
             Ok((feed, _)) if status == 200 => {
-                let is_used = self.take_feed(&member, feed);
-                if !is_used {
-                    self.feed_refused(index, &member, "its news are too old");
-                } else if closes || self.chooser.source(self.now) != Source::Peer(member.clone()) {
-                    self.drop_conn(index);
-                } else {
-                    self.ask(index, member);
+                let stays =
+                    !closes && self.chooser.source(self.now) == Source::Peer(member.clone());
+                match self.take_feed(&member, feed) {
+                    Mirrored::TooOld => {
+                        self.feed_refused(index, &member, "its news are too old");
+                    }
+                    Mirrored::Older => {
+                        self.drop_conn(index);
+                        self.following.next_at = self.now + NEWER_AFTER;
+                    }
+                    Mirrored::Used if stays => self.ask(index, member),
+                    Mirrored::Used => self.drop_conn(index),
                 }
             }
             Ok(_) => self.feed_refused(index, &member, &format!("status {status}")),
@@ -209,8 +221,8 @@
         self.begin_call(index, &message, PULL_WAIT + PULL_TIMEOUT);
     }
 
-    /// Takes news of another instance. Returns whether they were fresh.
-    fn take_feed(&mut self, member: &Member, feed: Feed) -> bool {
+    /// Takes news of another instance.
+    fn take_feed(&mut self, member: &Member, feed: Feed) -> Mirrored {
         let now = self.now;
         if let Some(text) = feed.config {
             self.take_config_text(text, &member.id);
@@ -219,8 +231,12 @@
         let has = &mut self.following.has.1;
         has.quarantine_seq = feed.quarantine_seq;
         let fits = matches!(feed.replicas, ListNews::All(_)) || has.epoch == feed.epoch;
-        if !fits || !self.directory.mirror(now, feed.age, feed.replicas) {
-            return false;
+        if !fits {
+            return Mirrored::TooOld;
+        }
+        let mirrored = self.directory.mirror(now, feed.age, feed.replicas);
+        if mirrored != Mirrored::Used {
+            return mirrored;
         }
         has.epoch = feed.epoch;
         has.seq = feed.seq;
@@ -229,7 +245,7 @@
             self.chooser.learnt(now.saturating_sub(age));
         }
         self.publish_replicas();
-        true
+        Mirrored::Used
     }
 
     fn take_quarantine(&mut self, quarantined: &[Quarantined]) {
--- a/crates/daemon/src/tier/store.rs
+++ b/crates/daemon/src/tier/store.rs
@@ -222,7 +222,7 @@
         if subject == Subject::Replicas {
             match is_reachable {
                 true => {
-                    self.directory.store_reached(now);
+                    self.directory.store_reached(now, called_at);
                     self.chooser.learnt(called_at);
                 }
                 false => self.directory.store_lost(),
@@ -252,9 +252,7 @@
                 self.publish_replicas();
             }
             News::ReplicaChanges(changes) => {
-                for change in changes {
-                    self.directory.apply(now, change);
-                }
+                self.directory.apply_all(now, changes);
                 self.publish_replicas();
             }
             News::Instances(members) => {
--- a/crates/query/src/forward/directory.rs
+++ b/crates/query/src/forward/directory.rs
@@ -28,7 +28,7 @@
 const MAX_LOG: usize = 512;
 
 /// A change of one entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Change {
     /// The entry is there.
     Present(ReplicaInfo),
@@ -36,6 +36,15 @@
     Absent(ReplicaId),
 }
 
+impl Change {
+    fn id(&self) -> &ReplicaId {
+        match self {
+            Change::Present(info) => &info.id,
+            Change::Absent(id) => id,
+        }
+    }
+}
+
 /// What an instance passes on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListNews {
@@ -45,18 +54,31 @@
     All(Vec<ReplicaInfo>),
 }
 
-#[derive(Clone, Debug)]
+/// What became of news of another instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mirrored {
+    /// They were used.
+    Used,
+    /// This instance has read the store later than the news say; newer ones will follow.
+    Older,
+    /// They are too old to say anything of the store.
+    TooOld,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Entry {
     info: ReplicaInfo,
     is_missing: bool,
 }
 
 /// Entries of all replicas.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Directory {
     entries: BTreeMap<ReplicaId, Entry>,
     /// Missing entries are kept until this time; `Time::MAX` while the store is unreachable.
     grace_until: Time,
+    /// Time at which this instance itself last asked the store.
+    read_at: Time,
     has_changed: bool,
     /// Number of changes of what the store has.
     seq: u64,
@@ -70,8 +92,13 @@
         self.grace_until = Time::MAX;
     }
 
-    /// A call succeeded.
-    pub fn store_reached(&mut self, now: Time) {
+    /// A call that was made at a time succeeded.
+    pub fn store_reached(&mut self, now: Time, asked_at: Time) {
+        self.read_at = self.read_at.max(asked_at);
+        self.begin_grace(now);
+    }
+
+    fn begin_grace(&mut self, now: Time) {
         if self.grace_until == Time::MAX && !self.entries.is_empty() {
             self.grace_until = now + RETURN_GRACE;
         } else if self.grace_until == Time::MAX {
@@ -123,6 +150,18 @@
         }
     }
 
+    /// Takes changes in their order. Only the last one of each entry counts: a replica that came and
+    /// left among them must not be kept like one that was known.
+    pub fn apply_all(&mut self, now: Time, changes: Vec<Change>) {
+        let mut last: BTreeMap<ReplicaId, Change> = BTreeMap::new();
+        for change in changes {
+            last.insert(change.id().clone(), change);
+        }
+        for change in last.into_values() {
+            self.apply(now, change);
+        }
+    }
+
     /// Removes what is still missing after the grace.
     pub fn tick(&mut self, now: Time) {
         if now >= self.grace_until {
@@ -134,19 +173,20 @@
         }
     }
 
-    /// Takes what another instance passes on, read from the store at most `age` ago. Returns
-    /// whether it was used: news that are too old say nothing of the store, and would end the
-    /// grace of an outage that is not over.
-    pub fn mirror(&mut self, now: Time, age: Option<Duration>, news: ListNews) -> bool {
-        if age.is_none_or(|it| it > LONGEST_AGE) {
-            return false;
+    /// Takes what another instance passes on, read from the store `age` ago. News that are too old
+    /// say nothing of the store, and would end the grace of an outage that is not over. News from
+    /// before this instance's own read would bring back replicas that have left meanwhile.
+    pub fn mirror(&mut self, now: Time, age: Option<Duration>, news: ListNews) -> Mirrored {
+        let Some(age) = age.filter(|it| *it <= LONGEST_AGE) else { return Mirrored::TooOld };
+        if now.saturating_sub(age) < self.read_at {
+            return Mirrored::Older;
         }
-        self.store_reached(now);
+        self.begin_grace(now);
         match news {
-            ListNews::Changes(changes) => changes.into_iter().for_each(|it| self.apply(now, it)),
+            ListNews::Changes(changes) => self.apply_all(now, changes),
             ListNews::All(list) => self.replace(now, list),
         }
-        true
+        Mirrored::Used
     }
 
     /// Number of changes so far.
--- a/crates/query/src/forward/routes.rs
+++ b/crates/query/src/forward/routes.rs
@@ -94,7 +94,7 @@
 }
 
 /// Whether a replica takes new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ReplicaState {
     /// It does.
     Ready,
@@ -103,7 +103,7 @@
 }
 
 /// A replica as the list describes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReplicaInfo {
     /// Id.
     pub id: ReplicaId,
--- a/crates/query/tests/forward_directory.rs
+++ b/crates/query/tests/forward_directory.rs
@@ -5,7 +5,7 @@
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
     Directory, ReplicaInfo, ReplicaState,
-    directory::{Change, ListNews},
+    directory::{Change, ListNews, Mirrored},
 };
 
 fn ms(ms: u64) -> Time {
@@ -31,7 +31,7 @@
 
 fn three() -> Directory {
     let mut directory = Directory::default();
-    directory.store_reached(ms(0));
+    directory.store_reached(ms(0), ms(0));
     directory.replace(ms(0), ["r1", "r2", "r3"].map(replica));
     directory
 }
@@ -42,7 +42,7 @@
 fn entries_that_expired_during_an_outage_are_kept_until_replicas_can_be_back() {
     let mut directory = three();
     directory.store_lost();
-    directory.store_reached(ms(5_000));
+    directory.store_reached(ms(5_000), ms(5_000));
     directory.replace(ms(5_000), [replica("r1")]);
     directory.tick(ms(7_000));
     assert_eq!(ids(&directory), ["r1", "r2", "r3"]);
@@ -65,8 +65,9 @@
     for age in [None, Some(ms(4_000))] {
         let mut directory = three();
         directory.store_lost();
-        assert!(!directory.mirror(ms(4_900), age, ListNews::Changes(Vec::new())));
-        directory.store_reached(ms(5_000));
+        let mirrored = directory.mirror(ms(4_900), age, ListNews::Changes(Vec::new()));
+        assert_eq!(mirrored, Mirrored::TooOld);
+        directory.store_reached(ms(5_000), ms(5_000));
         directory.replace(ms(5_000), [replica("r1")]);
         assert_eq!(ids(&directory), ["r1", "r2", "r3"]);
     }
@@ -78,7 +79,7 @@
     let mut directory = three();
     directory.store_lost();
     let news = ListNews::All(vec![replica("r3")]);
-    assert!(directory.mirror(ms(5_000), Some(ms(10)), news));
+    assert_eq!(directory.mirror(ms(5_000), Some(ms(10)), news), Mirrored::Used);
     assert_eq!(ids(&directory), ["r1", "r2", "r3"]);
     directory.tick(ms(7_700));
     assert_eq!(ids(&directory), ["r3"]);
@@ -96,7 +97,8 @@
     source.apply(ms(30), Change::Present(replica("r4")));
     let changes = source.changes_since(seq).unwrap();
     assert_eq!(changes.len(), 2);
-    assert!(follower.mirror(ms(40), Some(ms(10)), ListNews::Changes(changes)));
+    let mirrored = follower.mirror(ms(40), Some(ms(10)), ListNews::Changes(changes));
+    assert_eq!(mirrored, Mirrored::Used);
     assert_eq!(ids(&follower), ids(&source));
     assert_eq!(source.changes_since(source.seq() + 1), None, "a number of another lifetime");
 }
@@ -111,12 +113,36 @@
     let seq = source.seq();
     source.store_lost();
     follower.apply(ms(3_000), Change::Absent("r2".into()));
-    source.store_reached(ms(5_000));
+    source.store_reached(ms(5_000), ms(5_000));
     source.apply(ms(5_000), Change::Absent("r2".into()));
     assert_eq!(ids(&source), ["r1", "r2", "r3"], "r2 may have expired and be back soon");
     let changes = source.changes_since(seq).unwrap();
     for news in [ListNews::Changes(changes), ListNews::All(source.listed())] {
-        assert!(follower.mirror(ms(5_010), Some(ms(10)), news));
+        assert_eq!(follower.mirror(ms(5_010), Some(ms(10)), news), Mirrored::Used);
         assert_eq!(ids(&follower), ["r1", "r3"]);
     }
 }
+
+/// Guards against a fault that the model check of the list found: an instance that had just read
+/// the store itself took older news of another one, and used a replica that had left.
+#[test]
+fn news_from_before_the_own_read_bring_nothing_back() {
+    let mut directory = three();
+    directory.store_reached(ms(2_000), ms(2_000));
+    directory.replace(ms(2_000), [replica("r1"), replica("r2")]);
+    let old = ListNews::All(["r1", "r2", "r3"].map(replica).to_vec());
+    assert_eq!(directory.mirror(ms(2_100), Some(ms(600)), old), Mirrored::Older);
+    assert_eq!(ids(&directory), ["r1", "r2"]);
+}
+
+/// Guards against a fault that the model check of the list found: a replica that came and left
+/// while this instance had no news was kept through the grace that the news began.
+#[test]
+fn a_replica_that_came_and_left_among_the_changes_is_not_kept() {
+    let mut directory = three();
+    directory.store_lost();
+    let changes = vec![Change::Present(replica("r4")), Change::Absent("r4".into())];
+    let mirrored = directory.mirror(ms(5_000), Some(ms(10)), ListNews::Changes(changes));
+    assert_eq!(mirrored, Mirrored::Used);
+    assert_eq!(ids(&directory), ["r1", "r2", "r3"]);
+}
