Check by search that a request that must run once never runs twice

A repeatable route, a driver that sends abandoned attempts and one that takes a break for a rejection each give a counterexample.

--- a/crates/query/src/crash.rs
+++ b/crates/query/src/crash.rs
@@ -78,7 +78,7 @@
 }
 
 /// Records of all fingerprints.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Crashes<R = ReplicaKey> {
     records: HashMap<Suspect, Record<R>>,
     /// Last success of fingerprints that are not under suspicion.
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -60,7 +60,7 @@
 }
 
 /// Forwards requests.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Forwarder {
     pub(super) settings: Settings,
     pub(super) rng: Rng,
--- a/crates/query/src/forward/services.rs
+++ b/crates/query/src/forward/services.rs
@@ -24,7 +24,7 @@
 const LATE_FACTOR: f32 = 1.2;
 
 /// A service.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Service {
     pub(crate) replicas: Vec<ReplicaKey>,
     pub(crate) account: Account,
--- a/crates/query/src/forward/suspects.rs
+++ b/crates/query/src/forward/suspects.rs
@@ -39,7 +39,7 @@
 }
 
 /// Suspects and condemned requests.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Suspects {
     crashes: Crashes<ReplicaKey>,
     /// Breaks that are not confirmed.
--- a/crates/query/tests/forward_world/mod.rs
+++ b/crates/query/tests/forward_world/mod.rs
@@ -29,6 +29,7 @@
 }
 
 /// A forwarder and what it asked for.
+#[derive(Clone)]
 pub struct World {
     pub forwarder: Forwarder,
     pub now: Time,
--- /dev/null
+++ b/crates/query/tests/model_once.rs
@@ -0,0 +1,242 @@
+//! Model check of a request that must not run twice: connections that fail, break or carry a
+//! refusal, replies that are lost, requests that replicas read late, timeouts, a client that
+//! leaves, and changes of the configuration and of the replicas at every step.
+
+mod forward_world;
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use forward_world::{World, not_run, plain, replica, reply, table};
+use rosemarybank_explore::{Model, assert_broken, assert_holds};
+use rosemarybank_protocol::error::Execution;
+use rosemarybank_query::forward::{Answer, Event, Failure, RequestKey, Route};
+
+const TWICE: &str = "the request ran twice";
+const FALSE_REFUSAL: &str = "the client was told that nothing ran, and it ran";
+
+/// The guard that a variant removes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+enum Guard {
+    AllKept,
+    /// The route says that the request may run again.
+    Once,
+    /// The driver sends an attempt that was abandoned while it connected.
+    Abandon,
+    /// The driver takes a break for the statement of a replica that nothing ran.
+    Break,
+}
+
+/// Where an attempt is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Place {
+    /// Its connection is being opened.
+    Opening,
+    /// Its bytes were sent and the replica has not decided.
+    Sent,
+    /// The replica ran it, and the reply is on its way.
+    Ran,
+    /// The replica refused to run it, and the reply is on its way.
+    Rejected,
+    /// Its end was reported, but the replica may still read its bytes.
+    Loose,
+    /// Nothing more can come of it.
+    Ended,
+}
+
+#[derive(Clone)]
+struct State {
+    guard: Guard,
+    world: World,
+    request: RequestKey,
+    places: Vec<Place>,
+    runs: u8,
+    breaks: u8,
+    changes: u8,
+    leaves: u8,
+}
+
+impl State {
+    fn new(guard: Guard) -> State {
+        let route = Route { is_idempotent: guard == Guard::Once, ..plain("pay", "s") };
+        let replicas = vec![replica("r1", "s", "a"), replica("r2", "s", "a")];
+        let mut world = World::new(vec![route], replicas);
+        let request = world.submit("pay");
+        let places = vec![Place::Opening; world.sent.len()];
+        State { guard, world, request, places, runs: 0, breaks: 2, changes: 1, leaves: 1 }
+    }
+
+    /// The state after an event of an attempt.
+    fn with(&self, index: usize, place: Place, event: impl FnOnce(&mut World)) -> State {
+        let mut next = self.clone();
+        next.places[index] = place;
+        event(&mut next.world);
+        next.places.resize(next.world.sent.len(), Place::Opening);
+        next
+    }
+
+    fn attempt_steps(&self, index: usize, out: &mut Vec<(String, State)>) {
+        let mut add = |label: &str, next: State| out.push((format!("{index}: {label}"), next));
+        let key = self.world.sent[index].attempt;
+        let fails = |place, failure| self.with(index, place, |it| it.fails(index, failure));
+        match self.places[index] {
+            Place::Opening => {
+                let is_abandoned = self.world.abandoned.contains(&key);
+                if is_abandoned && self.guard != Guard::Abandon {
+                    add("is dropped", fails(Place::Ended, Failure::Abandoned));
+                } else {
+                    add("is sent", self.with(index, Place::Sent, |it| it.confirm(index)));
+                }
+                for failure in [Failure::NotSent, Failure::Unreachable, Failure::NotAccepted] {
+                    if self.breaks > 0 {
+                        let mut next = fails(Place::Ended, failure);
+                        next.breaks -= 1;
+                        add(&format!("fails: {failure:?}"), next);
+                    }
+                }
+            }
+            Place::Sent => {
+                let mut next = self.with(index, Place::Ran, |_| {});
+                next.runs += 1;
+                add("runs", next);
+                add("is rejected", self.with(index, Place::Rejected, |_| {}));
+                if self.breaks > 0 {
+                    let failure = match self.guard {
+                        Guard::Break => Failure::OtherReplica,
+                        _ => Failure::Broken,
+                    };
+                    let mut next = fails(Place::Loose, failure);
+                    next.breaks -= 1;
+                    add("breaks before the replica has read it", next);
+                }
+            }
+            Place::Ran => {
+                for (label, it) in [
+                    ("replies", reply(200, "proof", b"")),
+                    ("replies with a failure", reply(500, "proof", b"")),
+                    ("replies with a bare 503", reply(503, "", b"")),
+                ] {
+                    let event = |world: &mut World| world.event(Event::Replied(key, it));
+                    add(label, self.with(index, Place::Ended, event));
+                }
+                if self.breaks > 0 {
+                    let mut next = fails(Place::Ended, Failure::Broken);
+                    next.breaks -= 1;
+                    add("breaks before the reply", next);
+                }
+            }
+            Place::Rejected => {
+                let event = |world: &mut World| world.event(Event::Replied(key, not_run()));
+                add("reply of the rejection", self.with(index, Place::Ended, event));
+                add("is another replica", fails(Place::Ended, Failure::OtherReplica));
+            }
+            Place::Loose => {
+                let mut next = self.with(index, Place::Ended, |_| {});
+                next.runs += 1;
+                add("is read late and runs", next);
+            }
+            Place::Ended => {}
+        }
+    }
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &State) -> bool {
+        let visible = |it: &State| (it.guard, it.runs, it.breaks, it.changes, it.leaves);
+        visible(self) == visible(other)
+            && self.places == other.places
+            && self.world.answers == other.world.answers
+            && format!("{:?}", self.world.forwarder) == format!("{:?}", other.world.forwarder)
+    }
+}
+
+impl Eq for State {}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let mut hasher = DefaultHasher::new();
+        format!("{:?}", self.world.forwarder).hash(&mut hasher);
+        (hasher.finish(), &self.places, self.runs, self.breaks, self.changes, self.leaves)
+            .hash(state);
+    }
+}
+
+impl Model for State {
+    fn steps(&self) -> Vec<(String, State)> {
+        let mut out = Vec::new();
+        for index in 0..self.places.len() {
+            self.attempt_steps(index, &mut out);
+        }
+        let is_open = self.world.answers.is_empty();
+        let mut add = |label: &str, change: &dyn Fn(&mut State)| {
+            let mut next = self.clone();
+            change(&mut next);
+            next.places.resize(next.world.sent.len(), Place::Opening);
+            out.push((label.into(), next));
+        };
+        if is_open && let Some(at) = self.world.forwarder.next_wakeup() {
+            add("a timer fires", &|it| {
+                it.world.now = it.world.now.max(at);
+                it.world.event(Event::Tick);
+            });
+        }
+        if is_open && self.leaves > 0 {
+            add("the client leaves", &|it| {
+                it.leaves -= 1;
+                it.world.event(Event::ClientGone(it.request));
+            });
+        }
+        if self.changes > 0 {
+            add("the configuration moves the route", &|it| {
+                it.changes -= 1;
+                let moved = table(2, vec![plain("pay", "other")]);
+                it.world.event(Event::Configure(Box::new(moved)));
+            });
+            add("a replica is born again", &|it| {
+                it.changes -= 1;
+                let mut reborn = replica("r1", "s", "a");
+                reborn.born_ms += 1;
+                let list = vec![reborn, replica("r2", "s", "a")];
+                it.world.event(Event::Replicas(list));
+            });
+            add("the replicas leave", &|it| {
+                it.changes -= 1;
+                it.world.event(Event::Replicas(Vec::new()));
+            });
+        }
+        out
+    }
+
+    fn violation(&self) -> Option<String> {
+        let tells_not_run = |it: &Answer| match it {
+            Answer::Refused { kind, .. } => kind.answer().execution == Execution::NotRun,
+            Answer::Relay(reply) => matches!(reply.status, 408 | 421 | 429 | 503),
+            Answer::Merged { .. } => false,
+        };
+        if self.runs > 1 {
+            return Some(TWICE.into());
+        }
+        let is_false = self.runs > 0 && self.world.answers.iter().any(|it| tells_not_run(&it.1));
+        is_false.then(|| FALSE_REFUSAL.into())
+    }
+}
+
+#[test]
+fn a_request_that_must_run_once_never_runs_twice() {
+    assert_holds("once", State::new(Guard::AllKept), 1_000);
+}
+
+#[test]
+fn a_request_that_may_be_repeated_runs_twice() {
+    assert_broken("repeatable", State::new(Guard::Once), TWICE);
+}
+
+/// The request was answered with "not run" at its deadline, and its connection opens after that.
+#[test]
+fn sending_an_abandoned_attempt_makes_a_refusal_false() {
+    assert_broken("abandoned", State::new(Guard::Abandon), FALSE_REFUSAL);
+}
+
+#[test]
+fn a_break_that_is_taken_for_a_rejection_makes_a_refusal_false() {
+    assert_broken("break", State::new(Guard::Break), FALSE_REFUSAL);
+}
