Speak the platform's settled protocol for claims and bundles

The tree held two protocols and two sets of types for one store.

Change: the client makes the calls of platform/ over HTTP/1.1, one call a connection at a time, and lists in pages. A path becomes a kind of the tier's own and a name. A watch waits 2.5 s at most in a call, because a silent connection shows by nothing else on HTTP/1.1. The stand-in answers these calls; its raw paths stay for tests that look at what is stored.

--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -1,16 +1,19 @@
-//! The h2 connection that all calls share.
+//! The HTTP/1.1 connections that the calls share.
 
-use std::{error::Error, time::Duration};
+use std::{
+    error::Error,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http2::{self, SendRequest};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpSocket, TcpStream},
-    sync::Mutex,
     time::{Instant, timeout, timeout_at},
 };
 
@@ -19,16 +22,10 @@
 /// Largest reply in bytes; 32 times the largest object, to leave room for lists.
 const MAX_REPLY_LEN: usize = 32 << 20;
 
-pub(crate) struct Connection {
+/// A connection carries one call at a time. Those between calls are kept.
+pub(crate) struct Connections {
     settings: Settings,
-    open: Mutex<Option<Open>>,
-}
-
-/// An open connection; the number tells it from those before and after it.
-#[derive(Clone)]
-struct Open {
-    number: u64,
-    sender: SendRequest<Full<Bytes>>,
+    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
 }
 
 /// A whole reply.
@@ -38,62 +35,72 @@
     pub(crate) body: Bytes,
 }
 
-impl Connection {
-    pub(crate) fn new(settings: Settings) -> Connection {
-        Connection { settings, open: Mutex::new(None) }
+/// Why an exchange on a connection failed.
+enum Failure {
+    /// Nothing was sent, and the request is still there.
+    NotSent(Request<Full<Bytes>>),
+    Other(CallError),
+}
+
+impl Connections {
+    pub(crate) fn new(settings: Settings) -> Connections {
+        Connections { settings, idle: Mutex::default() }
     }
 
     /// Sends a request and reads the reply. The time to connect is bounded by the call timeout;
     /// the reply may take `wait` longer than that.
     pub(crate) async fn call(
         &self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<Reply, CallError> {
-        let connected = timeout(self.settings.call_timeout, self.connected()).await;
-        let Open { number, mut sender } =
-            connected.unwrap_or_else(|_| Err(CallError::Connect("timed out".into())))?;
-        let until = Instant::now() + self.settings.call_timeout + wait;
-        let result = timeout_at(until, exchange(&mut sender, req)).await;
-        let result = result.unwrap_or(Err(CallError::Timeout));
-        if matches!(result, Err(CallError::Timeout | CallError::NotSent)) {
-            self.abandon(number).await;
+        // A kept connection may have been closed meanwhile, and then nothing was sent on it.
+        while let Some(sender) = self.take_idle() {
+            match self.exchange(sender, req, wait).await {
+                Err(Failure::NotSent(it)) => req = it,
+                Err(Failure::Other(err)) => return Err(err),
+                Ok(reply) => return Ok(reply),
+            }
         }
-        result
+        let opened = timeout(self.settings.call_timeout, self.open()).await;
+        let sender = opened.unwrap_or_else(|_| Err(CallError::Connect("timed out".into())))?;
+        self.exchange(sender, req, wait).await.map_err(|err| match err {
+            Failure::NotSent(_) => CallError::NotSent,
+            Failure::Other(err) => err,
+        })
     }
 
-    async fn connected(&self) -> Result<Open, CallError> {
-        let mut open = self.open.lock().await;
-        if let Some(it) = open.as_ref().filter(|it| !it.sender.is_closed()) {
-            return Ok(it.clone());
-        }
-        let number = open.as_ref().map_or(0, |it| it.number + 1);
-        let it = Open { number, sender: self.open().await? };
-        *open = Some(it.clone());
-        Ok(it)
+    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|it| !it.is_closed());
+        idle.pop()
     }
 
-    /// Makes the next call open another connection, because a silent one may be dead.
-    async fn abandon(&self, number: u64) {
-        let mut open = self.open.lock().await;
-        if open.as_ref().is_some_and(|it| it.number == number) {
-            *open = None;
+    /// Makes a call on a connection, and keeps the connection unless the call failed: one that is
+    /// silent may be dead.
+    async fn exchange(
+        &self,
+        mut sender: SendRequest<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Reply, Failure> {
+        let until = Instant::now() + self.settings.call_timeout + wait;
+        let exchange = exchange(&mut sender, req);
+        let reply = timeout_at(until, exchange).await;
+        let reply = reply.unwrap_or(Err(Failure::Other(CallError::Timeout)))?;
+        if !sender.is_closed() {
+            self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
         }
+        Ok(reply)
     }
 
     async fn open(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
         let failed = |err: std::io::Error| CallError::Connect(err.to_string().into());
         let stream = self.connect().await.map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
-        // A watch may wait long on a connection that has died without a trace; pings find out.
-        let handshake = http2::Builder::new(TokioExecutor::new())
-            .timer(TokioTimer::new())
-            .keep_alive_interval(self.settings.call_timeout)
-            .keep_alive_timeout(self.settings.call_timeout)
-            .handshake(TokioIo::new(stream))
-            .await;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, conn) = handshake.map_err(|err| CallError::Connect(describe(&err)))?;
-        // The end of the connection shows in the calls that use it.
+        // The end of the connection shows in the call that uses it.
         tokio::spawn(async move { drop(conn.await) });
         Ok(sender)
     }
@@ -111,19 +118,24 @@
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
     req: Request<Full<Bytes>>,
-) -> Result<Reply, CallError> {
-    sender.ready().await.map_err(|_| CallError::NotSent)?;
-    let reply = sender.try_send_request(req).await.map_err(|err| {
+) -> Result<Reply, Failure> {
+    if sender.ready().await.is_err() {
+        return Err(Failure::NotSent(req));
+    }
+    let reply = sender.try_send_request(req).await.map_err(|mut err| {
         // The request comes back only when no part of it was put on the connection.
-        if err.message().is_some() { CallError::NotSent } else { lost(err.into_error()) }
+        match err.take_message() {
+            Some(req) => Failure::NotSent(req),
+            None => lost(err.into_error()),
+        }
     })?;
     let (head, body) = reply.into_parts();
     let body = Limited::new(body, MAX_REPLY_LEN).collect().await.map_err(lost)?;
     Ok(Reply { status: head.status, headers: head.headers, body: body.to_bytes() })
 }
 
-fn lost(err: impl Into<Box<dyn Error + Send + Sync>>) -> CallError {
-    CallError::Lost(describe(err.into().as_ref()))
+fn lost(err: impl Into<Box<dyn Error + Send + Sync>>) -> Failure {
+    Failure::Other(CallError::Lost(describe(err.into().as_ref())))
 }
 
 /// The error with its causes, because hyper's own text names only the phase of the request.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,5 @@
-//! Client of the platform's object API.
+//! Client of the platform's store for objects of the tier's own. Names and formats of the calls are
+//! those of `rosemarybank-adapter`.
 //!
 //! A change has four outcomes that callers must tell apart: applied, in conflict, not applied,
 //! and unknown because the reply was lost. Single calls are never repeated by the client; a
@@ -12,7 +13,6 @@
 pub mod watch;
 
 mod connection;
-mod wire;
 
 pub use backoff::Backoff;
 pub use client::PlatformClient;
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -6,9 +6,8 @@
 
 use crate::{
     backoff::Backoff,
-    client::PlatformClient,
+    client::{Changes, PlatformClient},
     outcome::{CallError, Listing, ObjectVersion},
-    wire::EntryBody,
 };
 
 /// Follows the objects below a prefix.
@@ -97,15 +96,9 @@
     }
 
     async fn changes(&mut self, after: u64) -> Result<Option<WatchEvent>, CallError> {
-        let body = self.client.changes(&self.prefix, after).await?;
-        self.position = Some(body.revision);
+        let Changes { revision, changes } = self.client.changes(&self.prefix, after).await?;
+        self.position = Some(revision);
         self.backoff.reset();
-        let changes: Vec<_> = body.changes.into_iter().map(object_change).collect();
         Ok((!changes.is_empty()).then_some(WatchEvent::Changed(changes)))
     }
 }
-
-fn object_change(entry: EntryBody) -> ObjectChange {
-    let value = entry.value.map(EntryBody::value);
-    ObjectChange { path: entry.path, version: entry.version, value }
-}
--- a/crates/standins/src/platform/counts.rs
+++ b/crates/standins/src/platform/counts.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use http::Method;
+use http::{Method, Uri};
 use serde::{Deserialize, Serialize};
 
 /// Calls since the start, as `GET /counts` on the control address shows them.
@@ -32,11 +32,15 @@
 
 impl Counters {
     /// Counts a call.
-    pub fn add(&self, method: &Method, path: &str) {
-        let counter = match (method, path) {
+    pub fn add(&self, method: &Method, uri: &Uri) {
+        let kind = uri.path().strip_prefix("/-/objects/").filter(|it| !it.contains('/'));
+        let is_watch = uri.query().is_some_and(|it| it.starts_with("watch="));
+        let counter = match (method, uri.path()) {
             (_, "/list") => &self.list,
             (_, "/watch") => &self.watch,
-            (&Method::PUT, _) => &self.put,
+            (&Method::GET, _) if kind.is_some() && is_watch => &self.watch,
+            (&Method::GET, _) if kind.is_some() => &self.list,
+            (&Method::PUT | &Method::POST, _) => &self.put,
             (&Method::DELETE, _) => &self.delete,
             _ => &self.get,
         };
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -1,4 +1,5 @@
-//! The object API over HTTP.
+//! The platform's store over HTTP: its calls under `/-/objects/`, and raw objects under `/objects/`,
+//! `/list` and `/watch` for tests that look at or change what is stored.
 
 use std::{
     net::SocketAddr,
@@ -8,7 +9,8 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use hyper::body::Incoming;
-use serde::Serialize;
+use rosemarybank_adapter::calls::{own_object, own_path};
+use serde::{Deserialize, Serialize};
 use serde_json::{json, value::RawValue};
 use tokio::{sync::watch, time::Instant};
 
@@ -25,6 +27,12 @@
 /// Largest value of an object in bytes.
 pub const MAX_VALUE_LEN: usize = 1 << 20;
 
+/// Largest body of a write beyond the value.
+const MAX_META_LEN: usize = 4 << 10;
+
+/// Objects of a page.
+const PAGE: usize = 500;
+
 /// Longest wait of a watch.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -51,6 +59,55 @@
     changes: Vec<Entry>,
 }
 
+/// What the store says of an object.
+#[derive(Serialize)]
+struct MetaReply {
+    name: String,
+    revision: u64,
+}
+
+/// An object of the store.
+#[derive(Serialize)]
+struct ObjectReply {
+    meta: MetaReply,
+    spec: Option<Box<RawValue>>,
+}
+
+/// A page of objects of a kind.
+#[derive(Serialize)]
+struct PageReply {
+    items: Vec<ObjectReply>,
+    has_more: bool,
+    at: u64,
+}
+
+/// Changes of a kind.
+#[derive(Serialize)]
+struct EventsReply {
+    events: Vec<EventReply>,
+    at: u64,
+}
+
+/// A change of an object.
+#[derive(Serialize)]
+struct EventReply {
+    object: ObjectReply,
+    deleted: bool,
+}
+
+/// Body of a call that writes an object.
+#[derive(Deserialize)]
+struct Write {
+    meta: WriteMeta,
+    spec: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+struct WriteMeta {
+    name: Option<String>,
+    revision: Option<u64>,
+}
+
 impl PlatformService {
     /// Serves the objects of `store`.
     #[must_use]
@@ -81,6 +138,11 @@
     async fn answer(&self, req: Request<Incoming>) -> Result<Reply, NoReply> {
         let (head, body) = req.into_parts();
         let query = head.uri.query().unwrap_or_default();
+        if let Some(rest) = head.uri.path().strip_prefix("/-/objects/") {
+            let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
+            let (kind, name) = (percent_decode(kind), percent_decode(name));
+            return self.store_call(&head.method, &kind, &name, query, body).await;
+        }
         let path = percent_decode(head.uri.path());
         if let Some(path) = path.strip_prefix("/objects/") {
             let reply = match head.method {
@@ -98,6 +160,108 @@
         }
     }
 
+    async fn store_call(
+        &self,
+        method: &Method,
+        kind: &str,
+        name: &str,
+        query: &str,
+        body: Incoming,
+    ) -> Result<Reply, NoReply> {
+        let number = |name| query_value(query, name).and_then(|it| it.parse::<u64>().ok());
+        let (path, reply) = match (method.as_str(), name) {
+            ("GET", "") => {
+                return Ok(match number("watch") {
+                    Some(since) => {
+                        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+                        self.store_watch(kind, since, wait).await
+                    }
+                    None => self.page(kind, &query_value(query, "after").unwrap_or_default()),
+                });
+            }
+            ("GET", _) => {
+                let path = own_path(kind, name);
+                return Ok(match self.lock().get(&path) {
+                    Some(it) => json(StatusCode::OK, &object(name, it.version, Some(&it.value))),
+                    None => empty(StatusCode::NOT_FOUND),
+                });
+            }
+            ("DELETE", _) => {
+                let path = own_path(kind, name);
+                let condition = number("revision").map_or(Condition::None, Condition::Version);
+                let result = self.lock().delete(&path, condition);
+                (path, self.written(name, result, None))
+            }
+            ("POST", "") | ("PUT", _) => {
+                let body = match read_body(body, MAX_VALUE_LEN + MAX_META_LEN).await {
+                    Ok(it) => it,
+                    Err(ReadError::TooLarge) => return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE)),
+                    Err(ReadError::Broken) => return Err(NoReply),
+                };
+                let Ok(Write { meta, spec }) = serde_json::from_slice(&body) else {
+                    return Ok(bad_request("the body is not an object with meta and spec"));
+                };
+                if spec.get().len() > MAX_VALUE_LEN {
+                    return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE));
+                }
+                let name = meta.name.unwrap_or_else(|| name.to_owned());
+                let path = own_path(kind, &name);
+                let mut store = self.lock();
+                let condition = match (method.as_str(), meta.revision) {
+                    ("POST", _) => Condition::Absent,
+                    (_, Some(revision)) => Condition::Version(revision),
+                    (_, None) if store.get(&path).is_none() => {
+                        return Ok(empty(StatusCode::NOT_FOUND));
+                    }
+                    (_, None) => Condition::None,
+                };
+                let result = store.put(&path, condition, spec.clone());
+                drop(store);
+                (path, self.written(&name, result, Some(&spec)))
+            }
+            _ => return Ok(empty(StatusCode::METHOD_NOT_ALLOWED)),
+        };
+        if self.faults.take_lost_reply(&path) { Err(NoReply) } else { Ok(reply) }
+    }
+
+    /// Answers a write with the object, as it is now if the write was in conflict.
+    fn written(&self, name: &str, result: Result<u64, Conflict>, spec: Option<&RawValue>) -> Reply {
+        match result {
+            Ok(version) => {
+                self.revision.send_replace(version);
+                let spec = spec.map(ToOwned::to_owned);
+                json(StatusCode::OK, &object(name, version, spec.as_ref()))
+            }
+            Err(Conflict { current: Some(current) }) => {
+                json(StatusCode::CONFLICT, &object(name, current, None))
+            }
+            Err(Conflict { current: None }) => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn page(&self, kind: &str, after: &str) -> Reply {
+        let prefix = own_path(kind, "");
+        let store = self.lock();
+        let entries = store.list(&prefix).into_iter();
+        let of_kind = entries.filter(|it| own_object(&it.path).0 == kind);
+        let mut rest = of_kind.filter(|it| own_object(&it.path).1 > after).peekable();
+        let items: Vec<ObjectReply> = rest.by_ref().take(PAGE).map(entry_object).collect();
+        let has_more = rest.peek().is_some();
+        json(StatusCode::OK, &PageReply { items, has_more, at: store.revision() })
+    }
+
+    async fn store_watch(&self, kind: &str, since: u64, wait: Duration) -> Reply {
+        let prefix = own_path(kind, "");
+        let Some(reply) = self.wait_for_changes(&prefix, since, wait).await else {
+            return empty(StatusCode::GONE);
+        };
+        let event =
+            |it: Entry| EventReply { deleted: it.value.is_none(), object: entry_object(it) };
+        let of_kind = reply.changes.into_iter().filter(|it| own_object(&it.path).0 == kind);
+        let events = of_kind.map(event).collect();
+        json(StatusCode::OK, &EventsReply { events, at: reply.revision })
+    }
+
     fn get(&self, path: &str) -> Reply {
         let store = self.lock();
         let Some(object) = store.get(path) else { return empty(StatusCode::NOT_FOUND) };
@@ -161,13 +325,26 @@
             return bad_request("after and wait_ms are numbers");
         };
         let prefix = query_value(query, "prefix").unwrap_or_default();
-        let until = Instant::now() + Duration::from_millis(wait_ms).min(MAX_WAIT);
+        match self.wait_for_changes(&prefix, after, Duration::from_millis(wait_ms)).await {
+            Some(reply) => json(StatusCode::OK, &reply),
+            None => empty(StatusCode::GONE),
+        }
+    }
+
+    /// Waits for changes below a prefix; `None` when they are not kept.
+    async fn wait_for_changes(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Option<WatchReply> {
+        let until = Instant::now() + wait.min(MAX_WAIT);
         let mut revision = self.revision.subscribe();
         loop {
             revision.borrow_and_update();
-            let Some(reply) = self.changes(&prefix, after) else { return empty(StatusCode::GONE) };
+            let reply = self.changes(prefix, after)?;
             if !reply.changes.is_empty() || Instant::now() >= until {
-                return json(StatusCode::OK, &reply);
+                return Some(reply);
             }
             // Whether the wait ends by a change or by its time, the store is read again.
             let _ = tokio::time::timeout_at(until, revision.changed()).await;
@@ -187,7 +364,7 @@
 
 impl Handler for PlatformService {
     async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Result<Reply, NoReply> {
-        self.counters.add(req.method(), req.uri().path());
+        self.counters.add(req.method(), req.uri());
         if self.faults.get().silent {
             return std::future::pending().await;
         }
@@ -204,6 +381,15 @@
     }
 }
 
+fn object(name: &str, revision: u64, spec: Option<&Box<RawValue>>) -> ObjectReply {
+    ObjectReply { meta: MetaReply { name: name.to_owned(), revision }, spec: spec.cloned() }
+}
+
+fn entry_object(entry: Entry) -> ObjectReply {
+    let (_, name) = own_object(&entry.path);
+    object(name, entry.version, entry.value.as_ref())
+}
+
 fn condition(headers: &HeaderMap) -> Option<Condition> {
     if let Some(value) = headers.get(header::IF_NONE_MATCH) {
         return (value == "*").then_some(Condition::Absent);
