Name the client of the tier's own objects after the store

crates/platform stood beside platform/, and a newcomer could not tell which of them spoke to the platform. The crate is crates/store now, its client StoreClient. No behaviour changed.

--- a/crates/cli/src/commands/action/settle.rs
+++ b/crates/cli/src/commands/action/settle.rs
@@ -1,10 +1,10 @@
 use std::{ffi::OsString, net::SocketAddr};
 
-use rosemarybank_platform::Change;
 use rosemarybank_protocol::{
     action::ActionOutcome,
     platform::{CLAIMS_PREFIX, Claim, ClaimState},
 };
+use rosemarybank_store::Change;
 use serde_json::json;
 use uuid::Uuid;
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,11 +1,11 @@
 use std::{io, net::SocketAddr, path::PathBuf};
 
 use rosemarybank_bundle::{Fault, KeyError, SignError};
-use rosemarybank_platform::CallError;
 use rosemarybank_protocol::{
     error::{ErrorBody, ErrorKind, Execution},
     id::Version,
 };
+use rosemarybank_store::CallError;
 use thiserror::Error;
 
 use crate::{commands::search::coverage_text, exit::ExitStatus};
--- a/crates/cli/src/rollout/history.rs
+++ b/crates/cli/src/rollout/history.rs
@@ -1,8 +1,8 @@
-use rosemarybank_platform::Change;
 use rosemarybank_protocol::{
     id::Version,
     platform::{HISTORY_PREFIX, SignedBundle},
 };
+use rosemarybank_store::Change;
 use serde::{Deserialize, Serialize};
 
 use crate::{
--- a/crates/cli/src/rollout/tests.rs
+++ b/crates/cli/src/rollout/tests.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use rosemarybank_bundle::KeyPair;
-use rosemarybank_platform::{CallError, Change, Listing, Object, ObjectVersion};
 use rosemarybank_protocol::{
     id::Version,
     platform::{CONFIG_PATH, InstanceStatus, SignedBundle},
 };
+use rosemarybank_store::{CallError, Change, Listing, Object, ObjectVersion};
 
 use super::{
     accept::judge,
--- a/crates/cli/src/rollout/update.rs
+++ b/crates/cli/src/rollout/update.rs
@@ -2,11 +2,11 @@
 
 use bytes::Bytes;
 use rosemarybank_bundle::{KeyPair, sign};
-use rosemarybank_platform::{Change, ObjectVersion};
 use rosemarybank_protocol::{
     id::Version,
     platform::{CONFIG_PATH, SignedBundle},
 };
+use rosemarybank_store::{Change, ObjectVersion};
 
 use super::history;
 use crate::{
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -1,8 +1,8 @@
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use rosemarybank_platform::{
-    CallError, Change, Listing, Object, ObjectVersion, PlatformClient, Settings,
+use rosemarybank_store::{
+    CallError, Change, Listing, Object, ObjectVersion, Settings, StoreClient,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -21,17 +21,17 @@
     async fn delete(&self, path: &str, version: ObjectVersion) -> Change;
 }
 
-impl ObjectStore for PlatformClient {
+impl ObjectStore for StoreClient {
     async fn get(&self, path: &str) -> Result<Option<Object>, CallError> {
-        PlatformClient::get(self, path).await
+        StoreClient::get(self, path).await
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, CallError> {
-        PlatformClient::list(self, prefix).await
+        StoreClient::list(self, prefix).await
     }
 
     fn create(&self, path: &str, value: Bytes) -> impl Future<Output = Change> {
-        PlatformClient::create(self, path, value)
+        StoreClient::create(self, path, value)
     }
 
     fn update(
@@ -40,20 +40,18 @@
         version: ObjectVersion,
         value: Bytes,
     ) -> impl Future<Output = Change> {
-        PlatformClient::update(self, path, version, value)
+        StoreClient::update(self, path, version, value)
     }
 
     fn delete(&self, path: &str, version: ObjectVersion) -> impl Future<Output = Change> {
-        PlatformClient::delete(self, path, version)
+        StoreClient::delete(self, path, version)
     }
 }
 
 /// A client of the platform at an address.
-pub(crate) fn connect(addr: SocketAddr) -> PlatformClient {
+pub(crate) fn connect(addr: SocketAddr) -> StoreClient {
     let seed = fastrand::u64(..);
-    PlatformClient::new(
-        Settings::builder().addr(addr).seed(seed).call_timeout(CALL_TIMEOUT).build(),
-    )
+    StoreClient::new(Settings::builder().addr(addr).seed(seed).call_timeout(CALL_TIMEOUT).build())
 }
 
 /// Reads an object and its version.
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -1,11 +1,11 @@
 use std::rc::Rc;
 
 use rosemarybank_coordination::claim::{Action, CallId, Etag, StoreReply};
-use rosemarybank_platform::{CallError, Change, Object, WatchEvent};
 use rosemarybank_protocol::{
     id::Time,
     platform::{CLAIMS_PREFIX, Claim},
 };
+use rosemarybank_store::{CallError, Change, Object, WatchEvent};
 use tokio::time::timeout_at;
 
 use super::shared::Shared;
--- a/crates/daemon/src/control/collect.rs
+++ b/crates/daemon/src/control/collect.rs
@@ -4,7 +4,7 @@
 use rosemarybank_coordination::collect::{
     Action, ClaimRef, DeleteResult, Event, Machine, Settings,
 };
-use rosemarybank_platform::{Change, Object};
+use rosemarybank_store::{Change, Object};
 use slog::{debug, warn};
 use tokio::time::{interval, sleep_until};
 
--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -5,13 +5,13 @@
     membership::{self, LocalState, Phase},
     quarantine,
 };
-use rosemarybank_platform::Watch;
 use rosemarybank_protocol::{
     peer::{ConfigUpdate, PeerMessage},
     platform::{CONFIG_PATH, SignedBundle},
     prelude::*,
 };
 use rosemarybank_query::interface::Event as EngineEvent;
+use rosemarybank_store::Watch;
 use slog::{error, info};
 use tokio::task::spawn_local;
 
--- a/crates/daemon/src/control/input.rs
+++ b/crates/daemon/src/control/input.rs
@@ -1,6 +1,6 @@
 use rosemarybank_coordination::{config, quarantine};
-use rosemarybank_platform::Watch;
 use rosemarybank_protocol::{id::InstanceId, peer::PeerMessage};
+use rosemarybank_store::Watch;
 use tokio::sync::{mpsc, oneshot};
 
 /// What the tasks of the control thread and its peer port report to the coordinator.
--- a/crates/daemon/src/control/replicas.rs
+++ b/crates/daemon/src/control/replicas.rs
@@ -2,12 +2,12 @@
 
 use compact_str::{CompactString, format_compact};
 use rosemarybank_coordination::replica_list::{self, Action, Event as SourceEvent};
-use rosemarybank_platform::{ObjectChange, WatchEvent};
 use rosemarybank_protocol::{
     id::Time,
     platform::{INSTANCES_PREFIX, InstanceEntry},
 };
 use rosemarybank_query::interface::Event;
+use rosemarybank_store::{ObjectChange, WatchEvent};
 use rosemarybank_transport::upstream::Target;
 use slog::{info, warn};
 
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -9,8 +9,8 @@
 };
 
 use rosemarybank_coordination::{membership, quarantine};
-use rosemarybank_platform::PlatformClient;
 use rosemarybank_ring::{Receiver, Sender};
+use rosemarybank_store::StoreClient;
 use rosemarybank_transport::traffic::ByteCounter;
 use slog::{Logger, info};
 use tokio::{
@@ -219,14 +219,14 @@
         .build()
 }
 
-fn platform_client(settings: &Settings) -> PlatformClient {
+fn platform_client(settings: &Settings) -> StoreClient {
     let platform = &settings.platform;
-    let settings = rosemarybank_platform::Settings::builder()
+    let settings = rosemarybank_store::Settings::builder()
         .addr(platform.addr)
         .maybe_source(settings.source)
         .seed(fastrand::u64(..))
         .call_timeout(platform.timeout)
         .watch_wait(platform.watch_wait)
         .build();
-    PlatformClient::new(settings)
+    StoreClient::new(settings)
 }
--- a/crates/daemon/src/control/shared.rs
+++ b/crates/daemon/src/control/shared.rs
@@ -4,9 +4,9 @@
     sync::Arc,
 };
 
-use rosemarybank_platform::PlatformClient;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::interface::Event;
+use rosemarybank_store::StoreClient;
 use rosemarybank_transport::traffic::ByteCounter;
 use slog::Logger;
 
@@ -27,7 +27,7 @@
     /// The daemon's time.
     pub(super) clock: Clock,
     /// The platform's object API.
-    pub(super) platform: PlatformClient,
+    pub(super) platform: StoreClient,
     /// Bytes exchanged with peers.
     pub(super) peer_bytes: ByteCounter,
     /// Ring to the engine.
--- a/crates/daemon/src/control/store_calls.rs
+++ b/crates/daemon/src/control/store_calls.rs
@@ -1,10 +1,10 @@
 use std::{rc::Rc, time::Duration};
 
 use rosemarybank_coordination::quarantine::{EntryKey, Event, WriteResult, key_of, merge};
-use rosemarybank_platform::{Change, Object, Watch, WatchEvent};
 use rosemarybank_protocol::platform::{
     CONFIG_PATH, DataCentreStatus, QUARANTINE_PREFIX, QuarantineEntry, STATUS_PREFIX,
 };
+use rosemarybank_store::{Change, Object, Watch, WatchEvent};
 use slog::warn;
 use tokio::time::timeout;
 
--- a/crates/daemon/src/control/upkeep.rs
+++ b/crates/daemon/src/control/upkeep.rs
@@ -1,5 +1,5 @@
 use rosemarybank_coordination::{config::Role, membership::Phase};
-use rosemarybank_platform::CallCounts;
+use rosemarybank_store::CallCounts;
 
 use super::{actions::Actions, coordinator::Coordinator, replicas::Replicas};
 use crate::telemetry::{Counter, Gauge, PeerStatus, Record, StatusDocument};
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -229,8 +229,7 @@
         match result {
             Ok(version) => {
                 self.revision.send_replace(version);
-                let spec = spec.map(ToOwned::to_owned);
-                json(StatusCode::OK, &object(name, version, spec.as_ref()))
+                json(StatusCode::OK, &object(name, version, spec))
             }
             Err(Conflict { current: Some(current) }) => {
                 json(StatusCode::CONFLICT, &object(name, current, None))
@@ -381,13 +380,14 @@
     }
 }
 
-fn object(name: &str, revision: u64, spec: Option<&Box<RawValue>>) -> ObjectReply {
-    ObjectReply { meta: MetaReply { name: name.to_owned(), revision }, spec: spec.cloned() }
+fn object(name: &str, revision: u64, spec: Option<&RawValue>) -> ObjectReply {
+    let meta = MetaReply { name: name.to_owned(), revision };
+    ObjectReply { meta, spec: spec.map(ToOwned::to_owned) }
 }
 
 fn entry_object(entry: Entry) -> ObjectReply {
     let (_, name) = own_object(&entry.path);
-    object(name, entry.version, entry.value.as_ref())
+    object(name, entry.version, entry.value.as_deref())
 }
 
 fn condition(headers: &HeaderMap) -> Option<Condition> {
--- a/crates/platform/src/backoff.rs
+++ b/crates/store/src/backoff.rs
@@ -12,7 +12,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use rosemarybank_platform::Backoff;
+/// use rosemarybank_store::Backoff;
 ///
 /// let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(1), 7);
 /// assert!(backoff.next_delay() <= Duration::from_millis(100));
--- a/crates/platform/src/client.rs
+++ b/crates/store/src/client.rs
@@ -26,7 +26,7 @@
 /// Client of the platform's store for objects of the tier's own. Clones share connections and one
 /// count of calls.
 #[derive(Clone)]
-pub struct PlatformClient(Arc<Inner>);
+pub struct StoreClient(Arc<Inner>);
 
 struct Inner {
     settings: Settings,
@@ -40,12 +40,12 @@
     pub(crate) changes: Vec<ObjectChange>,
 }
 
-impl PlatformClient {
+impl StoreClient {
     /// Builds a client. It connects at the first call.
     #[must_use]
-    pub fn new(settings: Settings) -> PlatformClient {
+    pub fn new(settings: Settings) -> StoreClient {
         let connections = Connections::new(settings.clone());
-        PlatformClient(Arc::new(Inner { settings, connections, counters: Counters::default() }))
+        StoreClient(Arc::new(Inner { settings, connections, counters: Counters::default() }))
     }
 
     /// Reads an object; `None` when there is no such object.
--- a/crates/platform/src/connection.rs
+++ b/crates/store/src/connection.rs
@@ -38,7 +38,7 @@
 /// Why an exchange on a connection failed.
 enum Failure {
     /// Nothing was sent, and the request is still there.
-    NotSent(Request<Full<Bytes>>),
+    NotSent(Box<Request<Full<Bytes>>>),
     Other(CallError),
 }
 
@@ -57,7 +57,7 @@
         // A kept connection may have been closed meanwhile, and then nothing was sent on it.
         while let Some(sender) = self.take_idle() {
             match self.exchange(sender, req, wait).await {
-                Err(Failure::NotSent(it)) => req = it,
+                Err(Failure::NotSent(it)) => req = *it,
                 Err(Failure::Other(err)) => return Err(err),
                 Ok(reply) => return Ok(reply),
             }
@@ -120,12 +120,12 @@
     req: Request<Full<Bytes>>,
 ) -> Result<Reply, Failure> {
     if sender.ready().await.is_err() {
-        return Err(Failure::NotSent(req));
+        return Err(Failure::NotSent(Box::new(req)));
     }
     let reply = sender.try_send_request(req).await.map_err(|mut err| {
         // The request comes back only when no part of it was put on the connection.
         match err.take_message() {
-            Some(req) => Failure::NotSent(req),
+            Some(req) => Failure::NotSent(Box::new(req)),
             None => lost(err.into_error()),
         }
     })?;
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,7 +15,7 @@
 mod connection;
 
 pub use backoff::Backoff;
-pub use client::PlatformClient;
+pub use client::StoreClient;
 pub use counts::CallCounts;
 pub use outcome::{CallError, Change, Listing, Object, ObjectVersion};
 pub use settings::Settings;
--- a/crates/platform/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -5,12 +5,12 @@
     time::Duration,
 };
 
-/// Settings of a [`PlatformClient`](crate::PlatformClient).
+/// Settings of a [`StoreClient`](crate::StoreClient).
 ///
 /// # Examples
 ///
 /// ```
-/// use rosemarybank_platform::Settings;
+/// use rosemarybank_store::Settings;
 ///
 /// let settings = Settings::builder().addr("127.0.0.1:7000".parse().unwrap()).seed(7).build();
 /// assert_eq!(settings.call_timeout.as_millis(), 2_000);
--- a/crates/platform/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -6,13 +6,13 @@
 
 use crate::{
     backoff::Backoff,
-    client::{Changes, PlatformClient},
+    client::{Changes, StoreClient},
     outcome::{CallError, Listing, ObjectVersion},
 };
 
 /// Follows the objects below a prefix.
 pub struct Watch {
-    client: PlatformClient,
+    client: StoreClient,
     prefix: CompactString,
     /// Revision up to which events were returned; `None` when a list must come first.
     position: Option<u64>,
@@ -44,7 +44,7 @@
 }
 
 impl Watch {
-    pub(crate) fn new(client: PlatformClient, prefix: &str) -> Watch {
+    pub(crate) fn new(client: StoreClient, prefix: &str) -> Watch {
         let settings = client.settings();
         let prefix = CompactString::from(prefix);
         // Watches of one client on different prefixes must not share their jitter.
--- a/crates/platform/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -11,14 +11,12 @@
 
 use http::Request;
 use hyper::body::Incoming;
-use rosemarybank_platform::{
-    CallCounts, CallError, Change, PlatformClient, Settings, Watch, WatchEvent,
-};
 use rosemarybank_standins::{
     http::{NoReply, Reply},
     platform::{PlatformService, Store},
     server::{self, ConnOrders, Handler},
 };
+use rosemarybank_store::{CallCounts, CallError, Change, Settings, StoreClient, Watch, WatchEvent};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -72,7 +70,7 @@
         Platform { addr, mode, orders }
     }
 
-    fn client(&self) -> PlatformClient {
+    fn client(&self) -> StoreClient {
         client_of(self.addr)
     }
 
@@ -85,7 +83,7 @@
     }
 }
 
-fn client_of(addr: SocketAddr) -> PlatformClient {
+fn client_of(addr: SocketAddr) -> StoreClient {
     let settings = Settings::builder()
         .addr(addr)
         .seed(1)
@@ -93,7 +91,7 @@
         .watch_wait(Duration::from_secs(20))
         .backoff_base(Duration::from_millis(2))
         .build();
-    PlatformClient::new(settings)
+    StoreClient::new(settings)
 }
 
 fn applied(change: Change) -> u64 {
