Let parts that wait for a replica go by rank, and not be passed by new requests

Cause: a part that found all connections in use looked again each 4 ms on its own. Room went to whichever looked first, or to a new request that came at that moment; the rank of a route was decoded and not used. Ruled out: refusing the less urgent at once, since room often comes within milliseconds.

Change: one queue for each service (forward/waiting.rs). The most urgent goes first, equals in their order, every eighth turn to the longest wait; room is given on the event that frees it.

Tests: forward_waiting replays bursts. With the rank, the fair turn, the check of new requests or the turn at a freed place removed, one to four of its five tests fail.

--- a/crates/query/src/forward/answers.rs
+++ b/crates/query/src/forward/answers.rs
@@ -101,7 +101,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.remove(key) else { return };
-        self.abandon_all(now, &request, out);
+        self.abandon_all(now, key, &request, out);
         out.push(Action::Answer { request: key, answer });
     }
 
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -10,6 +10,7 @@
         forwarder::Forwarder,
         interface::{Action, AttemptKey, Failure, ReplicaKey, Reply, RequestKey, SendKind},
         request::{Attempt, Part, Request},
+        waiting::Waiter,
     },
     latency::micros,
 };
@@ -40,13 +41,19 @@
 
 impl Forwarder {
     /// Makes a part wait for a replica with room.
-    pub(super) fn wait(&mut self, now: Time, key: RequestKey, part: usize) {
-        let part = &mut self.requests[key].parts[part];
+    pub(super) fn wait(&mut self, now: Time, key: RequestKey, index: usize) {
+        let request = &mut self.requests[key];
+        let rank = request.route.rank;
+        let part = &mut request.parts[index];
         part.is_waiting = true;
         part.look_at = now + LOOK_EVERY;
+        let name = part.service.clone();
+        let waiter = Waiter { rank, since: now, request: key, part: index };
+        self.service(&name).waiting.push(waiter);
     }
 
-    /// Sends a part that waits, if a replica has room by now.
+    /// Looks at a part that waits: it is sent if it is its turn and a replica has room, and given up
+    /// after the time for waiting.
     pub(super) fn end_wait(
         &mut self,
         now: Time,
@@ -55,16 +62,42 @@
         out: &mut Vec<Action>,
     ) {
         let is_over = now >= self.requests[key].wait_until;
-        let choice = self.choose(now, key, index, SendKind::First);
+        let name = self.requests[key].parts[index].service.clone();
+        let turn = self.service(&name).waiting.next();
+        let is_ours = turn.is_none_or(|it| (it.request, it.part) == (key, index));
+        let choice = match is_ours || is_over {
+            true => self.choose(now, key, index, SendKind::First),
+            false => Choice::Busy,
+        };
         if choice == Choice::Busy && !is_over {
             return self.wait(now, key, index);
         }
         let part = &mut self.requests[key].parts[index];
         part.is_waiting = false;
         part.look_at = Time::MAX;
+        let waiting = &mut self.service(&name).waiting;
         match choice {
-            Choice::Use(replica) => self.send(now, key, index, replica, SendKind::First, out),
-            Choice::Busy | Choice::Nobody => self.settle(now, key, out),
+            Choice::Use(replica) => {
+                waiting.served(key, index);
+                self.send(now, key, index, replica, SendKind::First, out);
+            }
+            Choice::Busy | Choice::Nobody => {
+                waiting.remove(key, index);
+                self.settle(now, key, out);
+            }
+        }
+    }
+
+    /// Sends parts that wait for a service, in their order, while its replicas have room.
+    pub(super) fn serve_waiting(&mut self, now: Time, name: &ServiceId, out: &mut Vec<Action>) {
+        while let Some(it) = self.services.get(name).and_then(|it| it.waiting.next()) {
+            let choice = self.choose(now, it.request, it.part, SendKind::First);
+            let Choice::Use(replica) = choice else { return };
+            let part = &mut self.requests[it.request].parts[it.part];
+            part.is_waiting = false;
+            self.service(name).waiting.served(it.request, it.part);
+            self.send(now, it.request, it.part, replica, SendKind::First, out);
+            self.arm(now, it.request);
         }
     }
 
@@ -327,8 +360,18 @@
         !arrived || self.service(&name).account.allows_retry(now, &budget, share)
     }
 
-    pub(super) fn abandon_all(&mut self, now: Time, request: &Request, out: &mut Vec<Action>) {
-        for part in &request.parts {
+    /// Ends all that was begun for a request.
+    pub(super) fn abandon_all(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        request: &Request,
+        out: &mut Vec<Action>,
+    ) {
+        for (index, part) in request.parts.iter().enumerate() {
+            if part.is_waiting {
+                self.service(&part.service).waiting.remove(key, index);
+            }
             self.abandon(now, &part.running, out);
         }
     }
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -192,12 +192,20 @@
         match event {
             Event::ClientGone(key) => {
                 if let Some(request) = self.requests.remove(key) {
-                    self.abandon_all(now, &request, out);
+                    self.abandon_all(now, key, &request, out);
                 }
             }
             Event::Sent(attempt) => self.note_sent(attempt),
-            Event::Replied(attempt, reply) => self.replied(now, attempt, reply, out),
-            Event::Failed(attempt, failure) => self.failed(now, attempt, failure, out),
+            Event::Replied(attempt, reply) => {
+                let service = self.service_of(attempt);
+                self.replied(now, attempt, reply, out);
+                self.serve_freed(now, service, out);
+            }
+            Event::Failed(attempt, failure) => {
+                let service = self.service_of(attempt);
+                self.failed(now, attempt, failure, out);
+                self.serve_freed(now, service, out);
+            }
             Event::Unreachable(replica) => {
                 if let Some(it) = self.replicas.get_mut(replica) {
                     it.note_unreachable(now);
@@ -229,14 +237,19 @@
 
     pub(super) fn begin(&mut self, now: Time, key: RequestKey, out: &mut Vec<Action>) {
         let request = &self.requests[key];
-        let min = request.route.min_parts();
+        let (min, rank) = (request.route.min_parts(), request.route.rank);
         let services: Vec<ServiceId> = request.parts.iter().map(|it| it.service.clone()).collect();
         for service in &services {
             let budget = self.settings.budget;
             self.service(service).account.add_request(now, &budget);
         }
-        let chosen: Vec<Choice> =
-            (0..services.len()).map(|part| self.choose(now, key, part, SendKind::First)).collect();
+        let mut chosen = Vec::with_capacity(services.len());
+        for (part, service) in services.iter().enumerate() {
+            chosen.push(match self.services.get(service) {
+                Some(it) if it.waiting.is_ahead_of(rank) => Choice::Busy,
+                _ => self.choose(now, key, part, SendKind::First),
+            });
+        }
         let possible = chosen.iter().filter(|it| **it != Choice::Nobody).count();
         if possible < min {
             self.refuse(now, key, ErrorKind::NoReplica, Some(RETRY_AFTER), out);
@@ -245,13 +258,32 @@
         for (part, choice) in chosen.into_iter().enumerate() {
             match choice {
                 Choice::Use(replica) => self.send(now, key, part, replica, SendKind::First, out),
-                Choice::Busy => self.wait(now, key, part),
+                Choice::Busy => {
+                    self.wait(now, key, part);
+                    // A replica that was full may have room by now, for the first that waits.
+                    self.serve_waiting(now, &services[part], out);
+                }
                 Choice::Nobody => {}
             }
         }
         self.arm(now, key);
     }
 
+    /// Service of an attempt, if parts wait for it.
+    fn service_of(&self, attempt: AttemptKey) -> Option<ServiceId> {
+        let attempt = self.attempts.get(attempt)?;
+        let name = &self.replicas.get(attempt.replica)?.info.service;
+        let service = self.services.get(name)?;
+        service.waiting.next().is_some().then(|| name.clone())
+    }
+
+    /// Gives the room that an attempt has left to the parts that wait.
+    fn serve_freed(&mut self, now: Time, service: Option<ServiceId>, out: &mut Vec<Action>) {
+        if let Some(name) = service {
+            self.serve_waiting(now, &name, out);
+        }
+    }
+
     pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         while let Some(Reverse((at, key))) = self.timers.peek().copied()
             && at <= now
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -21,6 +21,7 @@
 mod services;
 mod splits;
 mod suspects;
+mod waiting;
 
 pub use account::{Account, Budget};
 pub use directory::Directory;
@@ -31,3 +32,4 @@
 };
 pub use membership::Membership;
 pub use routes::{ClientLimits, ReplicaInfo, ReplicaState, Route, RouteTable, ServiceInfo, Target};
+pub use waiting::{Waiter, Waiting};
--- a/crates/query/src/forward/services.rs
+++ b/crates/query/src/forward/services.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    forward::{account::Account, interface::ReplicaKey},
+    forward::{account::Account, interface::ReplicaKey, waiting::Waiting},
     latency::{Latency, from_micros},
 };
 
@@ -28,6 +28,7 @@
 pub(crate) struct Service {
     pub(crate) replicas: Vec<ReplicaKey>,
     pub(crate) account: Account,
+    pub(crate) waiting: Waiting,
     pub(crate) max_connections: u32,
 }
 
@@ -51,7 +52,12 @@
 
 impl Service {
     pub(crate) fn new() -> Service {
-        Service { replicas: Vec::new(), account: Account::default(), max_connections: 1 }
+        Service {
+            replicas: Vec::new(),
+            account: Account::default(),
+            waiting: Waiting::default(),
+            max_connections: 1,
+        }
     }
 }
 
