Spread the return of refused clients by rank and pace

Cause: every client that was refused for want of a replica was told 250 ms, whatever the state of the replicas. Clients that were refused together came back together, the urgent among the others. Ruled out: random spread, which ignores how fast the service can take them and who is urgent.

--- a/crates/query/src/forward/answers.rs
+++ b/crates/query/src/forward/answers.rs
@@ -6,7 +6,7 @@
 
 use crate::forward::{
     TopRecords,
-    forwarder::{Forwarder, RETRY_AFTER},
+    forwarder::Forwarder,
     interface::{Action, Answer, Reply, RequestKey},
     request::Attempt,
 };
@@ -69,7 +69,10 @@
         let request = &mut self.requests[key];
         let is_once = !request.route.is_idempotent;
         if !request.may_have_run {
-            self.refuse(now, key, ErrorKind::Overloaded, Some(RETRY_AFTER), out);
+            let part = request.parts.iter().find(|it| !it.is_done).unwrap_or(&request.parts[0]);
+            let (service, rank) = (part.service.clone(), request.route.rank);
+            let retry_after = self.retry_after(now, &service, rank);
+            self.refuse(now, key, ErrorKind::Overloaded, Some(retry_after), out);
         } else if let Some(reply) = request.failure.take()
             && !request.is_gather()
             && is_relayable(&reply)
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -222,6 +222,9 @@
             if is_good && let Some(usual) = self.usual.get_mut(&attempt.route) {
                 usual.record(micros(took), replica.distance);
             }
+            if is_good && let Some(service) = self.services.get_mut(&replica.info.service) {
+                service.returns.note_answer(now);
+            }
         }
         if is_good {
             self.suspects.note_success(now, attempt.fingerprint);
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -36,9 +36,11 @@
 /// better served by another instance.
 const WAIT_SHARE: f32 = 0.25;
 
-/// Retry-After of a refusal when replicas are missing or busy. Replicas that restart or drain their
-/// queue need some hundred milliseconds.
-pub(super) const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Retry-After when no replica is known. The list is read each 700 ms.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Least Retry-After while replicas are busy: about the time in which a short queue drains.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Retry-After while the instance has no configuration.
 const RETRY_AFTER_START: Duration = Duration::from_millis(500);
@@ -252,7 +254,9 @@
         }
         let possible = chosen.iter().filter(|it| **it != Choice::Nobody).count();
         if possible < min {
-            self.refuse(now, key, ErrorKind::NoReplica, Some(RETRY_AFTER), out);
+            let without = chosen.iter().position(|it| *it == Choice::Nobody).unwrap_or(0);
+            let retry_after = self.retry_after(now, &services[without], rank);
+            self.refuse(now, key, ErrorKind::NoReplica, Some(retry_after), out);
             return;
         }
         for (part, choice) in chosen.into_iter().enumerate() {
@@ -269,6 +273,15 @@
         self.arm(now, key);
     }
 
+    /// When a client that is refused for want of a replica of a service should come back.
+    pub(super) fn retry_after(&mut self, now: Time, name: &ServiceId, rank: u32) -> Duration {
+        let Some(service) = self.services.get_mut(name) else { return RETRY_AFTER };
+        let replicas = service.replicas.iter().filter_map(|it| self.replicas.get(*it));
+        let room_at = replicas.filter(|it| it.takes_work()).map(Replica::room_at).min();
+        let room_at = room_at.map_or(now + RETRY_AFTER, |it| it.max(now + LEAST_RETRY_AFTER));
+        service.returns.next(now, rank, room_at)
+    }
+
     /// Service of an attempt, if parts wait for it.
     fn service_of(&self, attempt: AttemptKey) -> Option<ServiceId> {
         let attempt = self.attempts.get(attempt)?;
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -18,6 +18,7 @@
 mod gather;
 mod replicas;
 mod request;
+mod returns;
 mod services;
 mod splits;
 mod suspects;
@@ -31,5 +32,6 @@
     Action, Answer, AttemptKey, Event, Failure, ReplicaKey, Reply, RequestKey, SendKind, Submission,
 };
 pub use membership::Membership;
+pub use returns::Returns;
 pub use routes::{ClientLimits, ReplicaInfo, ReplicaState, Route, RouteTable, ServiceInfo, Target};
 pub use waiting::{Waiter, Waiting};
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -95,6 +95,11 @@
         now < self.full_until
     }
 
+    /// Time from which it may be used again.
+    pub(crate) fn room_at(&self) -> Time {
+        self.down_until.max(self.full_until)
+    }
+
     /// Notes that a request is sent. A replica that was down gets one at a time until it answers.
     pub(crate) fn begin(&mut self, now: Time, attempt: AttemptKey) {
         self.in_flight.push((attempt, now));
--- a/crates/query/src/forward/services.rs
+++ b/crates/query/src/forward/services.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    forward::{account::Account, interface::ReplicaKey, waiting::Waiting},
+    forward::{account::Account, interface::ReplicaKey, returns::Returns, waiting::Waiting},
     latency::{Latency, from_micros},
 };
 
@@ -29,6 +29,7 @@
     pub(crate) replicas: Vec<ReplicaKey>,
     pub(crate) account: Account,
     pub(crate) waiting: Waiting,
+    pub(crate) returns: Returns,
     pub(crate) max_connections: u32,
 }
 
@@ -56,6 +57,7 @@
             replicas: Vec::new(),
             account: Account::default(),
             waiting: Waiting::default(),
+            returns: Returns::default(),
             max_connections: 1,
         }
     }
