--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod metrics;
 mod node;
+mod replies;
 mod run;
 mod socket;
 mod stop;
