Ask the store often while nothing is known

Ruled out: the start of the process itself (80 ms), the list (known within 0.3 s of the configuration).

Change: until a lane has had its first answer, the pause after an unanswered call is 150 ms at most. A store that answers 429 or 503 is asked as rarely as before, because a fleet that starts at once would go beyond its rates.

--- a/crates/daemon/src/tier/lanes.rs
+++ b/crates/daemon/src/tier/lanes.rs
@@ -46,6 +46,11 @@
 /// Longest pause after failed calls. The store may return at any moment and is asked this often.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Longest pause after a call that was not answered, while nothing was learnt yet: an instance that
+/// knows no configuration and no replicas serves nobody. A store that answers with a refusal is not
+/// asked this often, because a fleet that starts at once would go beyond its rates.
+const LONGEST_START_BACKOFF: Duration = Duration::from_millis(150);
+
 /// What a lane asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Subject {
@@ -95,6 +100,8 @@
     /// Time until which looks follow one another faster.
     eager_until: Time,
     is_reachable: bool,
+    /// Whether a call was ever answered as asked.
+    has_learnt: bool,
     is_suspended: bool,
 }
 
@@ -126,6 +133,7 @@
             instances_every: FIRST_INSTANCES_EVERY,
             eager_until: Time::ZERO,
             is_reachable: false,
+            has_learnt: false,
             is_suspended: false,
         }
     }
@@ -194,8 +202,13 @@
 
     /// The call was not answered.
     pub fn failed(&mut self, now: Time) {
+        let longest = if self.has_learnt { LONGEST_BACKOFF } else { LONGEST_START_BACKOFF };
+        self.back_off(now, longest);
+    }
+
+    fn back_off(&mut self, now: Time, longest: Duration) {
         self.is_reachable = false;
-        self.next_at = now + self.backoff;
+        self.next_at = now + self.backoff.min(longest);
         self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
     }
 
@@ -212,14 +225,14 @@
             200..=299 if self.take(now, body, &mut news) => {}
             _ if is_known => self.step = Step::List { after: None },
             _ => {
-                self.failed(now);
+                self.back_off(now, LONGEST_BACKOFF);
                 return news;
             }
         }
         if self.has_failed() {
             self.eager_until = now + RETURN;
         }
-        self.is_reachable = true;
+        (self.is_reachable, self.has_learnt) = (true, true);
         self.backoff = FIRST_BACKOFF;
         news
     }
