Let the last part of a search wait as long as a late one

A part that found no room was given up after a quarter of the objective, and with it a search whose other parts were in or under way. Ruled out for searches of which nothing was sent: those are refused early as before, since another instance may have room.

Change: once other parts are under way, a part waits until the time at which late parts are cut off.

Tests: a_search_waits_for_its_last_part_as_long_as_for_a_late_one failed before; a_search_of_which_nothing_was_sent_is_refused_early holds the other half.

--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -53,7 +53,7 @@
     }
 
     /// Looks at a part that waits: it is sent if it is its turn and a replica has room, and given up
-    /// after the time for waiting.
+    /// when the time for waiting is over.
     pub(super) fn end_wait(
         &mut self,
         now: Time,
@@ -61,7 +61,7 @@
         index: usize,
         out: &mut Vec<Action>,
     ) {
-        let is_over = now >= self.requests[key].wait_until;
+        let is_over = self.requests[key].is_wait_over(now);
         let name = self.requests[key].parts[index].service.clone();
         let turn = self.service(&name).waiting.next();
         let is_ours = turn.is_none_or(|it| (it.request, it.part) == (key, index));
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -140,6 +140,14 @@
         self.parts.iter().filter(is_open).count()
     }
 
+    /// Whether its parts have waited long enough for a replica. A request of which nothing was sent
+    /// is refused early, so that the client can turn to another instance. Once other parts are under
+    /// way, a part that waits is worth as much as one that is late.
+    pub(crate) fn is_wait_over(&self, now: Time) -> bool {
+        let is_begun = self.parts.iter().any(|it| it.is_done || !it.running.is_empty());
+        now >= if is_begun { self.cut_at.max(self.wait_until) } else { self.wait_until }
+    }
+
     /// Time of the next timer.
     pub(crate) fn next_timer(&self, now: Time) -> Time {
         let look = self.parts.iter().filter(|it| !it.is_done).map(|it| it.look_at).min();
--- a/crates/query/tests/forward_waiting.rs
+++ b/crates/query/tests/forward_waiting.rs
@@ -2,8 +2,9 @@
 
 mod forward_world;
 
-use forward_world::{World, ms, not_run, plain, replica, reply};
-use rosemarybank_query::forward::{Event, RequestKey, Route};
+use forward_world::{World, gather, ms, not_run, plain, replica, reply};
+use rosemarybank_protocol::prelude::*;
+use rosemarybank_query::forward::{Answer, Event, RequestKey, Route};
 
 /// A world in which a replica takes two requests of this instance at once, with an urgent route,
 /// a usual one and one that can wait.
@@ -86,6 +87,43 @@
     assert_eq!(sent, [waiting, new]);
 }
 
+/// Guards against searches that fail although most of their parts are in, as on ratro-links inc-cd0c:
+/// after a power loss replicas still counted the connections of before, and accepted few new ones.
+#[test]
+fn a_search_waits_for_its_last_part_as_long_as_for_a_late_one() {
+    let replicas = vec![replica("r1", "s1", "a"), replica("r2", "s2", "a")];
+    let mut world = World::new(vec![gather("all", &["s1", "s2"], 1.0), plain("p", "s2")], replicas);
+    world.join(20);
+    world.submit("p");
+    world.submit("p");
+    let search = world.submit("all");
+    world.replies(2, reply(200, "p1", b""));
+    world.pass(ms(60));
+    assert!(world.answers.is_empty(), "{:?}", world.answers);
+    world.replies(0, reply(200, "p", b""));
+    assert_eq!(world.sent[3].request, search, "the part gets the room");
+    world.replies(3, reply(200, "p2", b""));
+    let answer = world.answers.iter().find(|it| it.0 == search).map(|it| &it.1);
+    assert!(matches!(answer, Some(Answer::Merged { missing: 0, .. })), "{answer:?}");
+}
+
+/// Guards against clients that are kept waiting although another instance may have room.
+#[test]
+fn a_search_of_which_nothing_was_sent_is_refused_early() {
+    let mut world = World::new(
+        vec![gather("all", &["s1"], 1.0), plain("p", "s1")],
+        vec![replica("r1", "s1", "a")],
+    );
+    world.join(20);
+    world.submit("p");
+    world.submit("p");
+    let search = world.submit("all");
+    world.pass(ms(30));
+    let answer = world.answers.iter().find(|it| it.0 == search).map(|it| &it.1);
+    let is_refused = matches!(answer, Some(Answer::Refused { kind: ErrorKind::Overloaded, .. }));
+    assert!(is_refused, "{answer:?}");
+}
+
 /// Guards against a place in the queue that outlives its request.
 #[test]
 fn a_client_that_leaves_gives_up_its_place() {
