Take a reset connect for a replica without room

Cause: a replica that has all the connections it accepts resets a new one. If the reset came before the event loop had seen the connection open, the attempt counted as unreachable: the replica was left alone for 200 ms and not tried again for this part.

Change: a reset while connecting means that the replica accepted nothing and ran nothing.

--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -4,6 +4,7 @@
 //! instance has a fraction of one core: passing a request between threads costs more wake-ups than
 //! the work itself. The decisions are in [`rosemarybank_query::forward`] and [`lanes`].
 
+pub mod connect;
 pub mod journal;
 pub mod lanes;
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -10,6 +10,7 @@
 
 use crate::tier::{
     client::State as ClientState,
+    connect,
     journal::Kind,
     node::{Conn, Node},
     socket::{ReadEnd, Socket, WriteEnd},
@@ -404,9 +405,11 @@
                 match conn.socket.is_connected() {
                     Ok(false) => return true,
                     Ok(true) => {}
-                    Err(_) => {
+                    Err(err) => {
+                        let failure = connect::failure(&err);
+                        self.metrics.connects_refused += u64::from(failure == Failure::NotAccepted);
                         self.drop_conn(index);
-                        self.attempt_failed(attempt, Failure::Unreachable);
+                        self.attempt_failed(attempt, failure);
                         return false;
                     }
                 }
