Survive damaged frames of other instances

The questions of other instances were also used before their path was looked at. Ruled out: replies of the store, whose numbers are milliseconds and fit.

--- a/crates/daemon/src/tier/client.rs
+++ b/crates/daemon/src/tier/client.rs
@@ -11,7 +11,7 @@
 
 use crate::tier::{
     answers::error_body,
-    feed::Pull,
+    frames::Pull,
     node::{Conn, Node, Port},
     socket::{ReadEnd, Socket, WriteEnd},
 };
--- a/crates/daemon/src/tier/feed.rs
+++ b/crates/daemon/src/tier/feed.rs
@@ -13,10 +13,10 @@
     Event,
     directory::{ListNews, Mirrored},
 };
-use serde::{Deserialize, Serialize};
 
 use crate::tier::{
     client::State,
+    frames::{self, Feed, Pull, Quarantined},
     journal::Kind,
     node::{Conn, Node},
     store::Purpose,
@@ -38,37 +38,6 @@
 /// Path of the question.
 const PATH: &str = "/feed";
 
-/// What a follower has.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Pull {
-    /// Lifetime of the instance whose changes are counted.
-    epoch: u64,
-    /// Changes of the list that the follower has.
-    seq: u64,
-    /// Version of its configuration.
-    config_version: u64,
-    /// Changes of the other's quarantine that it has.
-    quarantine_seq: u64,
-    /// Requests that it has in quarantine.
-    quarantined: Vec<Quarantined>,
-}
-
-/// A request in quarantine and the time that is left.
-type Quarantined = (Fingerprint, Duration);
-
-/// What the other has beyond that.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Feed {
-    epoch: u64,
-    seq: u64,
-    /// Time since the read of the store on which all of it rests; `None` if there was none.
-    age: Option<Duration>,
-    replicas: ListNews,
-    config: Option<Vec<u8>>,
-    quarantine_seq: u64,
-    quarantined: Vec<Quarantined>,
-}
-
 /// What an instance follows.
 #[derive(Debug, Default)]
 pub(super) struct Following {
@@ -106,9 +75,8 @@
     /// Takes the answer to a question.
     pub(super) fn pull_replied(&mut self, index: usize, status: u16, body: &[u8], closes: bool) {
         let Some((_, member)) = self.following.asked.take() else { return };
-        let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
-        match decoded {
-            Ok((feed, _)) if status == 200 => {
+        match frames::decode(body) {
+            Ok(feed) if status == 200 => {
                 let stays =
                     !closes && self.chooser.source(self.now) == Source::Peer(member.clone());
                 match self.take_feed(&member, feed) {
@@ -130,15 +98,17 @@
 
     /// Keeps the question of a follower until there is an answer.
     pub(super) fn park_pull(&mut self, index: usize, head: &RequestHead, body: &[u8]) {
-        let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
-        let Ok((pull, _)) = decoded else {
-            return self.write_answer(index, 400, b"", b"");
-        };
-        let pull: Pull = pull;
-        self.take_quarantine(&pull.quarantined);
         if head.path != PATH {
             return self.write_answer(index, 404, b"", b"");
         }
+        let pull: Pull = match frames::decode(body) {
+            Ok(pull) => pull,
+            Err(err) => {
+                self.log_feed("unusable_question", &err.to_string());
+                return self.write_answer(index, 400, b"", b"");
+            }
+        };
+        self.take_quarantine(&pull.quarantined);
         if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
             client.state = State::Pulling(pull);
             client.since = self.now;
@@ -162,7 +132,7 @@
                 continue;
             }
             let feed = self.feed_for(&pull.clone());
-            match bincode::serde::encode_to_vec(&feed, bincode::config::standard()) {
+            match frames::encode(&feed) {
                 Ok(body) => self.write_answer(index, 200, b"", &body),
                 Err(err) => {
                     self.log_feed("feed_not_encoded", &err.to_string());
@@ -207,7 +177,7 @@
         self.following.has.1.config_version = version;
         let mut pull = self.following.has.1.clone();
         pull.quarantined = self.forwarder.quarantined(self.now).collect();
-        let body = match bincode::serde::encode_to_vec(pull, bincode::config::standard()) {
+        let body = match frames::encode(&pull) {
             Ok(body) => body,
             Err(err) => return self.feed_refused(index, &member, &err.to_string()),
         };
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -5,6 +5,7 @@
 //! the work itself. The decisions are in [`rosemarybank_query::forward`] and [`lanes`].
 
 pub mod connect;
+pub mod frames;
 pub mod journal;
 pub mod lanes;
 
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -65,7 +65,7 @@
 impl Replica {
     pub(crate) fn new(now: Time, info: ReplicaInfo, distance: Distance) -> Replica {
         Replica {
-            cold_until: now + info.cold,
+            cold_until: now.saturating_add(info.cold),
             info,
             is_listed: true,
             distance,
--- a/crates/query/src/forward/suspects.rs
+++ b/crates/query/src/forward/suspects.rs
@@ -30,6 +30,9 @@
 /// All forwarded requests share one service number, since the fingerprint covers the host.
 const SERVICE: u32 = 0;
 
+/// Longest time that another instance can keep a request in quarantine; none sets a longer one.
+const LONGEST_LEFT: Duration = Duration::from_secs(600);
+
 #[derive(Clone, Copy, Debug)]
 struct Broken {
     replica: ReplicaKey,
@@ -72,7 +75,8 @@
     /// Another instance condemned a request.
     pub(crate) fn learn(&mut self, now: Time, fingerprint: Fingerprint, left: Duration) {
         if self.quarantined_until(now, fingerprint).is_none() && !left.is_zero() {
-            self.crashes.set_quarantine((SERVICE, fingerprint), now + left, now);
+            let until = now + left.min(LONGEST_LEFT);
+            self.crashes.set_quarantine((SERVICE, fingerprint), until, now);
             self.seq += 1;
         }
     }
