Test crash-causing requests against whole processes

Two instances and eight replicas of which each ends when it runs a certain request. At most four may crash, other requests are served throughout, and both instances refuse the request in the end.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -7,7 +7,8 @@
 
 use rosemarybank_standins::company::{
     Answer, Behaviour, Caller, Machine, Replica, Run, Store, StoreFault, config,
-    machine::wait_until, replica::records,
+    machine::wait_until,
+    replica::{POISON, records},
 };
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -184,6 +185,36 @@
     assert_eq!(site.runs("none").len(), 0);
 }
 
+/// Guards against a request that takes down one replica after the other, also by way of another
+/// instance, and against the loss of other requests to the same service.
+#[test]
+fn a_request_that_crashes_replicas_is_refused_by_all_instances() {
+    let mut site = Site::new();
+    for number in 3..=8 {
+        site.add_replica(&format!("orders-{number}"), "orders", "a");
+    }
+    site.set_behaviour("orders", Behaviour::CrashOnPoison);
+    let machines = [site.ready_machine(), site.machine("m2", "b")];
+    assert!(machines[1].wait_ready(WAIT));
+    let path = format!("/read/{POISON}");
+    for number in 0..20 {
+        for (index, machine) in machines.iter().enumerate() {
+            let id = format!("p{number}-{index}");
+            assert_ne!(call(machine, "GET", &path, &id).status(), 200);
+            let id = format!("ok{number}-{index}");
+            assert_own(&call(machine, "GET", "/read/x", &id), &id);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let crashes = site.runs.lock().unwrap().iter().filter(|it| it.line.contains(POISON)).count();
+    assert!((2..=4).contains(&crashes), "{crashes} replicas crashed");
+    for machine in &machines {
+        let answer = call(machine, "GET", &path, "last");
+        assert_eq!(answer.status(), 503);
+        assert!(answer.field("retry-after").is_some());
+    }
+}
+
 #[test]
 fn an_address_that_belongs_to_another_replica_runs_nothing() {
     let site = Site::new();
--- a/crates/standins/src/company/replica.rs
+++ b/crates/standins/src/company/replica.rs
@@ -48,8 +48,13 @@
     Trail,
     /// It answers without a length.
     Unframed,
+    /// It crashes when it runs a request whose target names [`POISON`], and runs others.
+    CrashOnPoison,
 }
 
+/// Part of the target of requests that crash replicas.
+pub const POISON: &str = "poison";
+
 /// A request that a replica ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -290,6 +295,10 @@
             self.shared.closed_early.fetch_add(1, Ordering::Relaxed);
             return Ok(false);
         }
+        if behaviour == Behaviour::CrashOnPoison && call.request().1.contains(POISON) {
+            self.crash();
+            return Ok(false);
+        }
         self.reply(behaviour, &request, &id, stream)
     }
 
@@ -338,7 +347,9 @@
             ("x-rosemarybank-server-stamp", stamp.as_str()),
         ];
         match behaviour {
-            Behaviour::Normal | Behaviour::Refuse => write_reply(stream, 200, &fields, &body)?,
+            Behaviour::Normal | Behaviour::Refuse | Behaviour::CrashOnPoison => {
+                write_reply(stream, 200, &fields, &body)?;
+            }
             Behaviour::Fail => write_reply(stream, 500, &fields, b"failed")?,
             Behaviour::Break => return Ok(false),
             Behaviour::Hang => {
