--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -120,6 +120,7 @@
     /// Takes over a budget of extra sends.
     pub fn set_budget(&mut self, budget: Budget) {
         self.settings.budget = budget;
+        self.membership.set_window(budget.window);
     }
 
     /// Requests in flight.
--- a/crates/query/src/forward/membership.rs
+++ b/crates/query/src/forward/membership.rs
@@ -66,6 +66,11 @@
         Membership { window, joined: None, looked: None, count: 0, lower: None, has_left: false }
     }
 
+    /// Takes over another length of the window.
+    pub fn set_window(&mut self, window: Duration) {
+        self.window = window;
+    }
+
     /// Takes a list that was asked for at a time: the number of instances on it, and whether this
     /// one is among them.
     pub fn looked(&mut self, at: Time, count: u32, is_listed: bool) {
