--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -60,7 +60,7 @@
         };
         [
             r#"rosemarybank_requests_total{service="stock",status="200"}"#,
-            "rosemarybank_store_calls_total",
+            "rosemarybank_platform_calls_total",
             "rosemarybank_attempts_total",
             r#"rosemarybank_control_bytes_total{kind="platform"}"#,
             r#"rosemarybank_control_bytes_total{kind="poll"}"#,
--- a/crates/experiments/src/scenarios/control.rs
+++ b/crates/experiments/src/scenarios/control.rs
@@ -65,7 +65,7 @@
         let after = site.scrape(&fleet).await?;
         let seconds = start.elapsed().as_secs_f64() * fleet.instances.len() as f64;
         // A call that is not yet counted is absent.
-        let calls = after.growth(&before, "rosemarybank_store_calls_total").unwrap_or_default();
+        let calls = after.growth(&before, "rosemarybank_platform_calls_total").unwrap_or_default();
         samples.add(&case, "platform calls/s per instance, all rounds", calls / seconds);
         for _ in 0..plan.rounds {
             timeout_ms += 1;
