Report readiness only once the callers' port has the configuration

Cause: control sent the first configuration to the front thread through a ring and set the readiness at once. On a busy machine the front thread had not taken it out of the ring when the first searches arrived, so they were refused with 503 not_ready. Change: the front thread sets the readiness after it has the configuration; control no longer can. Ruled out: coverage (the refusals say not_ready, not incomplete).

--- a/crates/daemon/src/control/coordinator.rs
+++ b/crates/daemon/src/control/coordinator.rs
@@ -435,7 +435,6 @@
         let may_serve = self.startup_check.is_passed(now) && self.quarantine.is_loaded(now);
         if may_serve && let Some(config) = self.pending_front_config.take() {
             self.shared.front.send(ControlToFront::Config(config));
-            self.shared.readiness.set_configured();
         }
         let version = self.shared.active_bundle.borrow().as_ref().map(|(version, _)| *version);
         let local = LocalState {
--- a/crates/daemon/src/control/run.rs
+++ b/crates/daemon/src/control/run.rs
@@ -36,7 +36,7 @@
 use crate::{
     clock::{Clock, unix_ms},
     in_flight::InFlightRequests,
-    lifecycle::{Phase, PhaseWatch, Readiness},
+    lifecycle::{Phase, PhaseWatch},
     message::{ControlToEngine, ControlToFront, EngineToControl, FrontToControl, Targets},
     settings::Settings,
     shared_sender::SharedSender,
@@ -70,8 +70,6 @@
     pub settings: Arc<Settings>,
     /// Listener of the peer port.
     pub listener: std::net::TcpListener,
-    /// Whether the instance is ready to serve requests.
-    pub readiness: Readiness,
     /// Requests in flight.
     pub in_flight: InFlightRequests,
     /// Sends records to telemetry.
@@ -89,8 +87,7 @@
 ///
 /// Fails when the listener can't be used.
 pub async fn run(setup: ControlSetup, rings: ControlRings) -> io::Result<()> {
-    let ControlSetup { clock, settings, listener, readiness, in_flight, recorder, log, mut phase } =
-        setup;
+    let ControlSetup { clock, settings, listener, in_flight, recorder, log, mut phase } = setup;
     let (engine, front) = (SharedSender::new(rings.to_engine), SharedSender::new(rings.to_front));
     let upstreams: Vec<_> = rings.to_upstreams.into_iter().map(SharedSender::new).collect();
     spawn_local(engine.clone().pump());
@@ -109,7 +106,6 @@
         upstreams,
         in_flight,
         recorder,
-        readiness,
         log,
         active_bundle: RefCell::default(),
         is_collector: Cell::new(false),
--- a/crates/daemon/src/control/shared.rs
+++ b/crates/daemon/src/control/shared.rs
@@ -13,7 +13,6 @@
 use crate::{
     clock::Clock,
     in_flight::InFlightRequests,
-    lifecycle::Readiness,
     message::{ControlToEngine, ControlToFront, Targets},
     settings::Settings,
     shared_sender::SharedSender,
@@ -40,8 +39,6 @@
     pub(super) in_flight: InFlightRequests,
     /// Sends records to telemetry.
     pub(super) recorder: Recorder,
-    /// Whether the instance is ready to serve requests.
-    pub(super) readiness: Readiness,
     /// Logger of the instance.
     pub(super) log: Logger,
     /// Active bundle and its version.
--- a/crates/daemon/src/front/run.rs
+++ b/crates/daemon/src/front/run.rs
@@ -7,7 +7,7 @@
     clock::Clock,
     http_server::{self, ConnectionObserver, HttpLimits},
     in_flight::InFlightRequests,
-    lifecycle::{Phase, PhaseWatch},
+    lifecycle::{Phase, PhaseWatch, Readiness},
     message::{ControlToFront, EngineToFront, FrontToControl, FrontToEngine},
     settings::CallersSettings,
     shared_sender::SharedSender,
@@ -34,6 +34,8 @@
     pub settings: CallersSettings,
     /// Listener of the callers' port.
     pub listener: std::net::TcpListener,
+    /// Whether the instance is ready to serve requests; set with the first configuration.
+    pub readiness: Readiness,
     /// Registry of the requests in flight.
     pub in_flight: InFlightRequests,
     /// Sends telemetry records.
@@ -50,7 +52,8 @@
 ///
 /// Fails when the listener can't be used.
 pub async fn run(setup: FrontSetup, rings: FrontRings) -> std::io::Result<()> {
-    let FrontSetup { clock, settings, listener, in_flight, recorder, log, phase } = setup;
+    let FrontSetup { clock, settings, listener, readiness, in_flight, recorder, log, phase } =
+        setup;
     let listener = TcpListener::from_std(listener)?;
     let limits = HttpLimits {
         max_connections: settings.connections,
@@ -65,7 +68,7 @@
     let shared = SharedState::new(clock, settings, engine, control, recorder.clone(), log.clone());
     let receive_tasks = [
         tokio::spawn(receive_search_results(shared.clone(), rings.from_engine)),
-        tokio::spawn(receive_control_messages(shared.clone(), rings.from_control)),
+        tokio::spawn(receive_control_messages(shared.clone(), readiness, rings.from_control)),
     ];
     info!(log, "the callers' port is open"; "addr" => %listener.local_addr()?);
     let service =
@@ -83,10 +86,18 @@
     }
 }
 
-async fn receive_control_messages(shared: SharedState, mut ring: Receiver<ControlToFront>) {
+async fn receive_control_messages(
+    shared: SharedState,
+    readiness: Readiness,
+    mut ring: Receiver<ControlToFront>,
+) {
     while let Some(message) = ring.recv().await {
         match message {
-            ControlToFront::Config(config) => shared.set_config(config),
+            ControlToFront::Config(config) => {
+                shared.set_config(config);
+                // Only now are requests no longer refused for want of a configuration.
+                readiness.set_configured();
+            }
             ControlToFront::ActionFinished { id, answer } => shared.actions.resolve(id, answer),
             ControlToFront::LookupFinished { id, outcome } => shared.lookups.resolve(id, outcome),
         }
