Let a retry wait for a replica that is full for a moment

Cause: a replica that rejects a request counts as full for 25 ms. When a second request was rejected by the first replica that became free, and the other one still counted as full, the request was refused although the other replica would take it within milliseconds. Seen as a status other than 200 in an_order_runs_at_most_once, whose last order follows two rejections: the first order's rejections are some milliseconds apart on a busy machine. Change: a retry that finds all other replicas full is queued for at most 30 ms. It is counted against the budget when it is sent. Ruled out: a lost reply (the order had not run when the refusal was sent). Tests: a_rejected_request_waits_for_another_replica_that_is_full_for_a_moment fails without the change (refused at once); a_rejected_request_is_refused_when_no_replica_has_free_capacity_soon bounds the wait.

--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -30,6 +30,10 @@
 /// before the part fails.
 const MAX_REJECTED_ATTEMPTS: u32 = 2;
 
+/// How long a retry waits for a replica with free capacity: the time for which a replica counts as
+/// full after it rejected work, and a recheck.
+const MAX_RETRY_WAIT: Duration = Duration::from_millis(30);
+
 /// Minimum time until the deadline of a request for another attempt to be made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(8);
 
@@ -57,7 +61,8 @@
 
     /// Sends a part if no other one is ahead of it in the queue and a replica has free capacity.
     /// Otherwise keeps it in the queue, or adds it. Once its time in the queue is over, it is sent
-    /// regardless of its turn or fails. It also fails when no replica is left.
+    /// regardless of its turn or fails. It also fails when no replica is left or it may no longer be
+    /// retried.
     pub(super) fn poll_waiting(
         &mut self,
         now: Time,
@@ -65,43 +70,80 @@
         index: usize,
         out: &mut Vec<Action>,
     ) {
-        let is_over = self.requests[key].is_wait_over(now);
+        let is_over = self.requests[key].is_wait_over(now, index);
         let name = self.requests[key].parts[index].service.clone();
         let turn = self.service_mut(&name).wait_queue.next();
         let is_ours = turn.is_none_or(|it| (it.request, it.part) == (key, index));
         let selection = match is_ours || is_over {
-            true => self.select_replica(now, key, index, AttemptKind::First),
+            true => self.select_for_waiting(now, key, index),
             false => Selection::Busy,
         };
         if selection == Selection::Busy && !is_over {
             return self.enqueue(now, key, index);
         }
+        match selection {
+            Selection::Replica(replica) => self.send_waiting(now, key, index, replica, out),
+            Selection::Busy | Selection::NoCandidate => self.fail_waiting(now, key, index, out),
+        }
+    }
+
+    /// Selects a replica for a queued part. There is none for a part that may not be retried.
+    fn select_for_waiting(&mut self, now: Time, key: RequestKey, index: usize) -> Selection {
+        if self.requests[key].parts[index].retry_until.is_none() {
+            return self.select_replica(now, key, index, AttemptKind::First);
+        }
+        match self.may_retry(now, key, index) {
+            true => self.select_replica(now, key, index, AttemptKind::Retry),
+            false => Selection::NoCandidate,
+        }
+    }
+
+    /// Removes a part from the queue and sends it.
+    fn send_waiting(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        index: usize,
+        replica: ReplicaKey,
+        out: &mut Vec<Action>,
+    ) {
         let part = &mut self.requests[key].parts[index];
         part.is_waiting = false;
-        part.recheck_at = Time::MAX;
-        let queue = &mut self.service_mut(&name).wait_queue;
-        match selection {
-            Selection::Replica(replica) => {
-                queue.remove_served(key, index);
-                self.send(now, key, index, replica, AttemptKind::First, out);
-            }
-            Selection::Busy | Selection::NoCandidate => {
-                queue.remove(key, index);
-                self.try_answer(now, key, out);
-            }
+        let is_retry = part.retry_until.take().is_some();
+        let name = part.service.clone();
+        self.service_mut(&name).wait_queue.remove_served(key, index);
+        match is_retry {
+            true => self.send_retry(now, key, index, replica, out),
+            false => self.send(now, key, index, replica, AttemptKind::First, out),
         }
     }
 
+    /// Removes a part from the queue for which no replica is left.
+    fn fail_waiting(&mut self, now: Time, key: RequestKey, index: usize, out: &mut Vec<Action>) {
+        let part = &mut self.requests[key].parts[index];
+        part.is_waiting = false;
+        part.retry_until = None;
+        part.recheck_at = Time::MAX;
+        let name = part.service.clone();
+        self.service_mut(&name).wait_queue.remove(key, index);
+        self.try_answer(now, key, out);
+    }
+
     /// Sends queued parts of a service in order while its replicas have free capacity.
     pub(super) fn dispatch_waiting(&mut self, now: Time, name: &ServiceId, out: &mut Vec<Action>) {
         while let Some(it) = self.services.get(name).and_then(|it| it.wait_queue.next()) {
-            let selection = self.select_replica(now, it.request, it.part, AttemptKind::First);
-            let Selection::Replica(replica) = selection else { return };
-            let part = &mut self.requests[it.request].parts[it.part];
-            part.is_waiting = false;
-            self.service_mut(name).wait_queue.remove_served(it.request, it.part);
-            self.send(now, it.request, it.part, replica, AttemptKind::First, out);
-            self.schedule_timer(now, it.request);
+            let is_retry = self.requests[it.request].parts[it.part].retry_until.is_some();
+            match self.select_for_waiting(now, it.request, it.part) {
+                Selection::Replica(replica) => {
+                    self.send_waiting(now, it.request, it.part, replica, out);
+                    self.schedule_timer(now, it.request);
+                }
+                // Replicas that this request has tried may have free capacity for the next one.
+                Selection::NoCandidate if is_retry => {
+                    self.fail_waiting(now, it.request, it.part, out);
+                }
+                Selection::Busy | Selection::NoCandidate => return,
+            }
         }
     }
 
@@ -336,24 +378,41 @@
         }
     }
 
-    /// Retries a part on another replica after a failed attempt, or fails the part.
+    /// Retries a part on another replica after a failed attempt, queues it while the others are full
+    /// for a moment, or fails the part.
     pub(super) fn retry_part(&mut self, now: Time, attempt: &Attempt, out: &mut Vec<Action>) {
         let (key, index) = (attempt.request, attempt.part);
-        if self.may_retry(now, key, index)
-            && let Selection::Replica(replica) =
-                self.select_replica(now, key, index, AttemptKind::Retry)
-        {
-            let part = &self.requests[key].parts[index];
-            let (was_sent, name) = (part.arrivals > 0, part.service.clone());
-            if was_sent {
-                let budget = self.settings.budget;
-                self.service_mut(&name).budget_tracker.add_extra_attempt(now, &budget);
+        let selection = match self.may_retry(now, key, index) {
+            true => self.select_replica(now, key, index, AttemptKind::Retry),
+            false => Selection::NoCandidate,
+        };
+        match selection {
+            Selection::Replica(replica) => self.send_retry(now, key, index, replica, out),
+            Selection::Busy => {
+                self.requests[key].parts[index].retry_until = Some(now + MAX_RETRY_WAIT);
+                self.enqueue(now, key, index);
             }
-            self.send(now, key, index, replica, AttemptKind::Retry, out);
-            self.schedule_timer(now, key);
-            return;
+            Selection::NoCandidate => return self.try_answer(now, key, out),
         }
-        self.try_answer(now, key, out);
+        self.schedule_timer(now, key);
+    }
+
+    /// Sends a part again and counts the attempt against the budget.
+    fn send_retry(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        index: usize,
+        replica: ReplicaKey,
+        out: &mut Vec<Action>,
+    ) {
+        let part = &self.requests[key].parts[index];
+        let (was_sent, name) = (part.arrivals > 0, part.service.clone());
+        if was_sent {
+            let budget = self.settings.budget;
+            self.service_mut(&name).budget_tracker.add_extra_attempt(now, &budget);
+        }
+        self.send(now, key, index, replica, AttemptKind::Retry, out);
     }
 
     pub(super) fn may_retry(&mut self, now: Time, key: RequestKey, index: usize) -> bool {
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -46,6 +46,8 @@
     pub(crate) arrivals: u32,
     /// Whether it is queued for a replica with free capacity.
     pub(crate) is_waiting: bool,
+    /// Time until which a retry may be queued; `None` unless it is queued for a retry.
+    pub(crate) retry_until: Option<Time>,
     /// When to check it again, because its attempt becomes late or a replica may have free
     /// capacity.
     pub(crate) recheck_at: Time,
@@ -61,6 +63,7 @@
             runs: 0,
             arrivals: 0,
             is_waiting: false,
+            retry_until: None,
             recheck_at: Time::MAX,
         }
     }
@@ -142,10 +145,13 @@
         self.parts.iter().filter(is_open).count()
     }
 
-    /// Whether its parts have been queued for long enough. A request without any attempt is refused
+    /// Whether a part has been queued for long enough. A request without any attempt is refused
     /// early so that the client can try another instance. Once other parts have been sent, a queued
     /// part is worth as much as one whose reply is late.
-    pub(crate) fn is_wait_over(&self, now: Time) -> bool {
+    pub(crate) fn is_wait_over(&self, now: Time, index: usize) -> bool {
+        if let Some(until) = self.parts[index].retry_until {
+            return now >= until;
+        }
         let is_started = self.parts.iter().any(|it| it.is_done || !it.running.is_empty());
         now >= if is_started {
             self.partial_answer_at.max(self.wait_until)
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -225,6 +225,52 @@
     assert!(matches!(harness.only_answer(), Answer::Relay(_)));
 }
 
+/// Both replicas reject requests, one after the other. A request that the first one rejects again
+/// must not be refused because the second one counts as full for another moment.
+#[test]
+fn a_rejected_request_waits_for_another_replica_that_is_full_for_a_moment() {
+    let mut harness = Harness::new(vec![at_most_once_route("o", "s")], two_replicas("s"));
+    harness.submit("o");
+    harness.reply_to(0, rejected_reply());
+    harness.advance(ms(5));
+    harness.reply_to(1, rejected_reply());
+    assert_eq!(harness.refusal_kind(), ErrorKind::Overloaded);
+    // The replicas count as full for 25 ms after their replies.
+    harness.advance(ms(21));
+    harness.submit("o");
+    let ids: Vec<&str> = harness.sent[2..].iter().map(|it| it.replica_id.as_str()).collect();
+    assert_eq!(ids, ["r1"]);
+    harness.reply_to(2, rejected_reply());
+    assert_eq!(harness.answers.len(), 1, "the second request waits");
+    harness.advance(ms(8));
+    assert_eq!(harness.sent.len(), 4);
+    assert_eq!(harness.sent[3].replica_id, "r2");
+    harness.reply_to(3, reply(200, "stamp", b""));
+    assert!(matches!(harness.answers[1].1, Answer::Relay(_)));
+}
+
+/// The wait for a retry is short: the client can try another instance.
+#[test]
+fn a_rejected_request_is_refused_when_no_replica_has_free_capacity_soon() {
+    let mut harness = Harness::new(vec![at_most_once_route("o", "s")], two_replicas("s"));
+    harness.submit("o");
+    harness.submit("o");
+    harness.reply_to(0, rejected_reply());
+    harness.reply_to(1, rejected_reply());
+    let refused_by = harness.now + ms(40);
+    while harness.now < refused_by {
+        for it in 2..harness.sent.len() {
+            harness.reply_to(it, rejected_reply());
+        }
+        harness.advance(ms(1));
+    }
+    assert_eq!(harness.answers.len(), 2);
+    let is_refusal = |it: &Answer| {
+        matches!(it, Answer::Refused { kind: ErrorKind::Overloaded, retry_after: Some(_) })
+    };
+    assert!(harness.answers.iter().all(|it| is_refusal(&it.1)), "{:?}", harness.answers);
+}
+
 #[test]
 fn a_draining_or_removed_replica_gets_no_new_requests() {
     let mut harness = Harness::new(vec![plain_route("p", "s")], two_replicas("s"));
