Hold back orders longer on new connections, and look for a reset before sending

Cause: a replica at its connection limit accepts a connection and closes it unread. A busy one does so after more than the 2 ms for which the first request on a connection is held back; then the order was on it, and its outcome counted as unknown (502). Change: an order waits 20 ms on a new connection, other requests 2 ms as before. Right before the send the socket is read once more, since the reset may have arrived after the last poll. Limit: a replica that closes later than that still gives 502, which is true: the instance can't know whether the order was read. Test: an_order_is_retried_when_a_busy_replica_closes_its_connection_late (stand-in closes after 8 ms) fails without the change with 502.

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -1,6 +1,6 @@
 //! The event loop: its state, and the dispatch of I/O events and timers.
 
-use std::{collections::VecDeque, io, sync::Arc, time::Instant};
+use std::{cmp::Reverse, collections::BinaryHeap, io, sync::Arc, time::Instant};
 
 use mio::{
     Events, Interest, Poll, Token,
@@ -101,7 +101,7 @@
     /// list.
     pub(super) startup_queue: Vec<usize>,
     /// Upstream connections that have just opened, with the time to send their first request.
-    pub(super) delayed_sends: VecDeque<(Time, usize)>,
+    pub(super) delayed_sends: BinaryHeap<Reverse<(Time, usize)>>,
     pub(super) read_buf: Vec<u8>,
     pub(super) journal: Journal,
     pub(super) metrics: Metrics,
@@ -150,7 +150,7 @@
             actions: Vec::new(),
             unprocessed_clients: Vec::new(),
             startup_queue: Vec::new(),
-            delayed_sends: VecDeque::new(),
+            delayed_sends: BinaryHeap::new(),
             read_buf: vec![0; READ_BUF_LEN],
             journal,
             metrics: Metrics::default(),
@@ -280,7 +280,7 @@
 
     fn next_wakeup(&self) -> Time {
         let timer = self.forwarder.next_wakeup().unwrap_or(Time::MAX);
-        let next_send = self.delayed_sends.front().map_or(Time::MAX, |it| it.0);
+        let next_send = self.delayed_sends.peek().map_or(Time::MAX, |it| it.0.0);
         timer.min(next_send).min(self.shutdown.next_sweep())
     }
 
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to replicas: pooling, connecting and sending requests.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use compact_str::CompactString;
 use rosemarybank_adapter::HEADERS;
@@ -25,6 +25,10 @@
 /// would be unknown whether it ran.
 const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(2);
 
+/// [`FIRST_REQUEST_DELAY`] of a request that must not run twice. A busy replica resets a connection
+/// some milliseconds after accepting it, and such a request could not be retried then.
+const FIRST_NON_IDEMPOTENT_REQUEST_DELAY: Duration = Duration::from_millis(20);
+
 /// Maximum idle time of a connection that is reused for a request which must not run twice. If the
 /// replica closed the idle connection at that moment, it would be unknown whether the request ran.
 const MAX_NON_IDEMPOTENT_IDLE: Duration = Duration::from_millis(800);
@@ -78,6 +82,8 @@
     pub(super) is_head_request: bool,
     pub(super) head: Option<ResponseHead>,
     pub(super) body: Option<BodyReader>,
+    /// Delay of the request if it is the first one on its connection.
+    pub(super) first_request_delay: Duration,
     /// Whether the reply being read belongs to another request and is discarded.
     pub(super) is_foreign_reply: bool,
     /// Time at which an abandoned attempt's connection is closed if the reply has not arrived.
@@ -91,7 +97,7 @@
     Reopening,
     /// Connecting for an attempt.
     Connecting(Exchange),
-    /// Open, with the request held back for [`FIRST_REQUEST_DELAY`].
+    /// Open, with the request held back for its `first_request_delay`.
     Connected(Exchange),
     /// Sending a request or waiting for its reply.
     Busy(Exchange),
@@ -134,6 +140,10 @@
             is_head_request: pending.head.is_head_request,
             head: None,
             body: None,
+            first_request_delay: match is_at_most_once {
+                true => FIRST_NON_IDEMPOTENT_REQUEST_DELAY,
+                false => FIRST_REQUEST_DELAY,
+            },
             is_foreign_reply: false,
             close_at: None,
         };
@@ -196,16 +206,11 @@
         if matches!(conn.state, UpstreamState::Connecting(_) | UpstreamState::Reopening) {
             return;
         }
-        let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, MAX_UNPARSED_LEN);
-        if let UpstreamState::Connected(exchange) = &conn.state {
-            let attempt = exchange.attempt;
-            if end != ReadOutcome::Drained || !conn.buf.is_empty() {
-                self.metrics.connects_refused += 1;
-                self.close_conn(index);
-                self.fail_attempt(attempt, Failure::NotAccepted);
-            }
+        if matches!(conn.state, UpstreamState::Connected(_)) {
+            self.check_is_open(index);
             return;
         }
+        let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, MAX_UNPARSED_LEN);
         if matches!(conn.state, UpstreamState::Idle) {
             if end != ReadOutcome::Drained || !conn.buf.is_empty() {
                 self.close_idle(index);
@@ -215,19 +220,39 @@
         self.parse_replies(index, end);
     }
 
-    /// Sends the requests whose [`FIRST_REQUEST_DELAY`] is over.
+    /// Fails the attempt of a connection without a request if the replica has closed it or has sent
+    /// something. Returns whether the connection is still open.
+    fn check_is_open(&mut self, index: usize) -> bool {
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return false };
+        let UpstreamState::Connected(exchange) = &conn.state else { return false };
+        let attempt = exchange.attempt;
+        let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, MAX_UNPARSED_LEN);
+        let is_open = end == ReadOutcome::Drained && conn.buf.is_empty();
+        if !is_open {
+            self.metrics.connects_refused += 1;
+            self.close_conn(index);
+            self.fail_attempt(attempt, Failure::NotAccepted);
+        }
+        is_open
+    }
+
+    /// Sends the requests whose `first_request_delay` is over.
     pub(super) fn send_delayed_requests(&mut self) {
-        while let Some((due, index)) = self.delayed_sends.front().copied()
+        while let Some(Reverse((due, index))) = self.delayed_sends.peek().copied()
             && due <= self.now
         {
-            self.delayed_sends.pop_front();
-            let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { continue };
+            self.delayed_sends.pop();
+            let Some(Conn::Upstream(conn)) = self.conns.get(index) else { continue };
             // The slab index may have been reused for another connection.
-            if !matches!(conn.state, UpstreamState::Connected(_))
-                || conn.state_since + FIRST_REQUEST_DELAY > self.now
-            {
+            let UpstreamState::Connected(exchange) = &conn.state else { continue };
+            if conn.state_since + exchange.first_request_delay > self.now {
+                continue;
+            }
+            // The reset may have arrived since the last poll.
+            if !self.check_is_open(index) {
                 continue;
             }
+            let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { continue };
             if let UpstreamState::Connected(exchange) =
                 std::mem::replace(&mut conn.state, UpstreamState::Idle)
             {
@@ -444,9 +469,10 @@
                 }
                 let state = std::mem::replace(&mut conn.state, UpstreamState::Idle);
                 let UpstreamState::Connecting(exchange) = state else { return false };
+                let due = now + exchange.first_request_delay;
                 conn.state = UpstreamState::Connected(exchange);
                 conn.state_since = now;
-                self.delayed_sends.push_back((now + FIRST_REQUEST_DELAY, index));
+                self.delayed_sends.push(Reverse((due, index)));
             }
             UpstreamState::Busy(_) if !conn.socket.is_flushed() => {
                 if matches!(conn.socket.flush(), WriteOutcome::Broken(_)) {
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -190,6 +190,21 @@
     assert_eq!(cluster.runs("none").len(), 0);
 }
 
+/// Guards against an order that is sent on a connection which a busy replica is about to close
+/// unread. Its outcome was reported as unknown although no replica had read it.
+#[test]
+fn an_order_is_retried_when_a_busy_replica_closes_its_connection_late() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    let replica = cluster.replica("orders-1");
+    replica.set_close_delay(Duration::from_millis(8));
+    replica.set_max_connections(0);
+    for number in 0..10 {
+        let id = format!("b{number}");
+        assert_relayed(&call(&instance, "POST", "/order/x", &id), &id);
+    }
+}
+
 /// Guards against a request that crashes one replica after the other when it is sent repeatedly to
 /// several instances. Other requests to the same service must still succeed.
 #[test]
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -91,8 +91,9 @@
     incarnation: AtomicU64,
     /// Registered address, when it is not that of the listener.
     advertised: Mutex<Option<SocketAddr>>,
-    /// Maximum of open connections; the replica closes further ones at once.
+    /// Maximum of open connections; the replica closes further ones after `close_delay`.
     max_connections: AtomicU64,
+    close_delay: Mutex<Duration>,
     open_connections: AtomicU64,
 }
 
@@ -140,6 +141,7 @@
             incarnation: AtomicU64::new(NEXT_INCARNATION.fetch_add(1, Ordering::Relaxed)),
             advertised: Mutex::default(),
             max_connections: AtomicU64::new(u64::MAX),
+            close_delay: Mutex::default(),
             open_connections: AtomicU64::new(0),
         });
         let replica = Replica { addr: listener.local_addr()?, shared };
@@ -195,11 +197,16 @@
         self.shared.cancelled_requests.load(Ordering::Relaxed)
     }
 
-    /// Limits the number of open connections; the replica closes further ones at once.
+    /// Limits the number of open connections; the replica closes further ones unread.
     pub fn set_max_connections(&self, max: u64) {
         self.shared.max_connections.store(max, Ordering::Relaxed);
     }
 
+    /// Delays the closing of connections beyond the limit, as on a busy machine.
+    pub fn set_close_delay(&self, delay: Duration) {
+        *lock(&self.shared.close_delay) = delay;
+    }
+
     /// Registers the replica as draining. It still runs requests.
     pub fn drain(&self) {
         *lock(&self.shared.draining_since) = Some(Instant::now());
@@ -255,6 +262,7 @@
             if self.shared.open_connections.load(Ordering::Relaxed)
                 >= self.shared.max_connections.load(Ordering::Relaxed)
             {
+                thread::sleep(*lock(&self.shared.close_delay));
                 continue;
             }
             self.shared.open_connections.fetch_add(1, Ordering::Relaxed);
