Probe a replica whose only samples were slow

Cause: a replica with one slow sample, for example the first one on a busy machine, got no further request as long as the other replica of its shard was idle: its estimate drifts towards the median, but never below the estimate of the other one. One of 499 requests went to it in the new test. That is the set-up of a_lost_replica_is_replaced_and_used_again, which waits until all four replicas have replied. Change: a replica with one or two samples, all slower than four medians, is probed after a second like an ejected one, with an early hedge. A good probe replaces its estimate, a second slow one counts as a sample. Test: a_replica_that_was_slow_once_is_used_again fails without the change.

--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -264,7 +264,8 @@
     pub(crate) fn begin_attempt(&mut self, attempt: Attempt) -> Option<AttemptId> {
         let id = self.attempts.insert(attempt)?;
         if let Some(replica) = self.replicas.get_mut(attempt.replica) {
-            if replica.health.is_probe_due(attempt.sent) {
+            let median = self.upstreams.median_us(replica.upstream);
+            if replica.health.is_probe_due(attempt.sent, median) {
                 replica.health.start_probe(attempt.sent);
             }
             replica.health.in_flight += 1;
--- a/crates/query/src/health.rs
+++ b/crates/query/src/health.rs
@@ -118,9 +118,19 @@
         self.ejection.is_some()
     }
 
-    /// Whether an ejected replica should get a request as a probe.
-    pub(crate) fn is_probe_due(&self, now: Time) -> bool {
-        let is_due = self.ejection.is_some_and(|it| it.probe_at <= now);
+    /// Whether all its samples were slow, but too few to eject it. Its estimate alone would keep all
+    /// requests away from it as long as another replica is idle.
+    pub(crate) fn is_doubtful(&self, median: f32) -> bool {
+        let is_known = (1..MIN_OUTLIER_SAMPLES).contains(&self.samples);
+        is_known && self.ejection.is_none() && self.service_us > OUTLIER_FACTOR * median
+    }
+
+    /// Whether the replica should get a request as a probe, because it is ejected or doubtful.
+    pub(crate) fn is_probe_due(&self, now: Time, median: f32) -> bool {
+        let is_due = match self.ejection {
+            Some(it) => it.probe_at <= now,
+            None => self.is_doubtful(median) && self.sampled_at + EJECTION_PERIOD.0 <= now,
+        };
         is_due && self.in_flight == 0 && now >= self.avoid_until && !self.is_unreachable()
     }
 
@@ -142,8 +152,12 @@
     pub(crate) fn record_reply(&mut self, now: Time, us: f32, median: Option<f32>) -> bool {
         self.consecutive_failures = 0;
         self.avoid_until = Time::ZERO;
+        let was_doubtful = median.is_some_and(|it| self.is_doubtful(it));
         self.add_sample(now, us);
         let Some(median) = median else { return false };
+        if was_doubtful && us <= OUTLIER_FACTOR * median {
+            self.service_us = us;
+        }
         match &mut self.ejection {
             Some(_) if us <= OUTLIER_FACTOR * median => {
                 self.ejection = None;
@@ -169,6 +183,12 @@
             }
             return false;
         }
+        // A slow probe of a doubtful replica counts, although another attempt overtook it early.
+        if median.is_some_and(|it| self.is_doubtful(it) && us > FAILED_PROBE_FACTOR * it) {
+            let service_us = self.service_us.max(CENSORED_FACTOR * us);
+            self.add_sample(now, service_us);
+            return median.is_some_and(|it| self.is_slow(it));
+        }
         if self.samples > 0 && us <= self.service_us {
             return false;
         }
--- a/crates/query/src/replica_choice.rs
+++ b/crates/query/src/replica_choice.rs
@@ -55,7 +55,7 @@
     }
 
     /// Picks the better of two random replicas, preferring the local data centre. A first attempt
-    /// may instead probe an ejected replica.
+    /// may instead probe an ejected or doubtful replica.
     pub(crate) fn pick_balanced(
         &mut self,
         pool: Pool,
@@ -140,11 +140,12 @@
             .find(|it| is_eligible(self, it.0))
     }
 
-    /// Picks a random replica and returns it if it is ejected and its probe is due.
+    /// Picks a random replica and returns it if its probe is due.
     fn due_probe(&mut self, pool: Pool) -> Option<ReplicaKey> {
         let key = *pool.replicas.get(self.rng.usize(..pool.replicas.len().max(1)))?;
         let replica = self.replicas.get(key)?;
-        (replica.takes_work() && replica.health.is_probe_due(self.now)).then_some(key)
+        let median = self.upstreams.median_us(replica.upstream);
+        (replica.takes_work() && replica.health.is_probe_due(self.now, median)).then_some(key)
     }
 
     /// Returns the replica if it meets the conditions.
--- a/crates/query/src/search_attempts.rs
+++ b/crates/query/src/search_attempts.rs
@@ -150,9 +150,12 @@
         }
         let replica = self.replicas.get(key).filter(|_| kind != SendKind::Hedge);
         let delay = replica
-            .and_then(|it| match it.health.is_ejected() {
-                true => Some(self.upstreams.probe_delay_us(it.upstream, it.data_centre)),
-                false => self.upstreams.hedge_delay_us(it.upstream, it.data_centre),
+            .and_then(|it| {
+                let median = self.upstreams.median_us(it.upstream);
+                match it.health.is_ejected() || it.health.is_doubtful(median) {
+                    true => Some(self.upstreams.probe_delay_us(it.upstream, it.data_centre)),
+                    false => self.upstreams.hedge_delay_us(it.upstream, it.data_centre),
+                }
             })
             .map(from_micros);
         delay.map_or(Time::MAX, |delay| {
--- a/crates/query/tests/health.rs
+++ b/crates/query/tests/health.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use std::collections::HashSet;
+use std::{collections::HashSet, time::Duration};
 
 use common::*;
 use rosemarybank_protocol::{
-    platform::InstanceState,
+    platform::{InstanceEntry, InstanceState},
     prelude::*,
     upstream::{ReplicaState, UpstreamErrorKind},
 };
@@ -203,3 +203,28 @@
     feed(&mut engine, ms(1), Event::ReplicaList(Vec::new()));
     assert_eq!(run(&mut engine, ms(2), 1, |_| ms(5)).len(), 1);
 }
+
+/// Guards against a replica that is never used again because its only attempt was slow. Requests that
+/// arrive one at a time always went to the other replica of the shard, whose estimate is lower.
+#[test]
+fn a_replica_that_was_slow_once_is_used_again() {
+    let mut engine = engine(settings(), 1, 2);
+    let entries = (0..2).map(|it| InstanceEntry { data_centre: "dc0".into(), ..entry(0, it) });
+    feed(&mut engine, ms(1), Event::ReplicaList(entries.collect()));
+    let mut slow = None;
+    let mut used_again = Vec::new();
+    for query in 1..500 {
+        let now = ms(20 * query);
+        let out = feed(&mut engine, now, Event::Submit(submission(query, now + ms(900))));
+        for send in sends(&out) {
+            let is_slow = slow.get_or_insert_with(|| send.replica.clone()) == &send.replica;
+            if is_slow && query > 1 {
+                used_again.push(now);
+            }
+            let took_us = if query == 1 { 19_000 } else { 900 + query * 37 % 200 };
+            let end = now + Duration::from_micros(took_us);
+            feed(&mut engine, end, done(send.attempt, reply(&send)));
+        }
+    }
+    assert!(used_again.iter().any(|it| (ms(1_000)..ms(2_000)).contains(it)), "{used_again:?}");
+}
