Compress the configuration in the feed

Cause: after all machines lost power, each follower got 450 KB of configuration and list from the first instance of its data centre, some 50 at a time over one link. Half of them had a configuration only 1.2 s after their start, and 125 of 295 had read the store as well by then. Change: the text is compressed (zlib) by the first instance that passes it on, and passed on as it is by the others. Its expanded length is bounded. Ruled out: the list of instances (0.1 s after the start), the reader (0.24 s).

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -17,6 +17,7 @@
 
 use crate::platform::{
     client::ClientConn,
+    config_text::ConfigText,
     feed::FeedClient,
     journal::{Journal, LineKind},
     metrics::Metrics,
@@ -86,7 +87,7 @@
     /// Start time in Unix milliseconds; distinguishes this process from earlier ones.
     pub(super) epoch: u64,
     /// JSON text of the active configuration, for other instances.
-    pub(super) config_json: Vec<u8>,
+    pub(super) config_text: ConfigText,
     pub(super) source_selector: SourceSelector,
     pub(super) feed_client: FeedClient,
     /// Connections of other instances with a feed request that is held until there are changes.
@@ -147,7 +148,7 @@
             directory: Directory::new(max_age),
             has_replica_list: false,
             epoch: crate::clock::unix_ms(),
-            config_json: Vec::new(),
+            config_text: ConfigText::plain(Vec::new()),
             source_selector,
             feed_client: FeedClient::default(),
             held_feed_requests: Vec::new(),
--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -18,8 +18,9 @@
 
 use crate::platform::{
     client::ClientState,
+    config_text::{self, ConfigText},
     event_loop::{Conn, EventLoop},
-    feed_codec::{self, FeedRequest, FeedResponse, Quarantined},
+    feed_codec::{self, FeedRequest, FeedResponse, MAX_LEN, Quarantined},
     journal::LineKind,
     store::CallPurpose,
 };
@@ -148,7 +149,7 @@
         }
     }
 
-    fn build_feed_response(&self, request: &FeedRequest) -> FeedResponse {
+    fn build_feed_response(&mut self, request: &FeedRequest) -> FeedResponse {
         let changes =
             (request.epoch == self.epoch).then(|| self.directory.changes_since(request.seq));
         let replicas = match changes.flatten() {
@@ -156,19 +157,33 @@
             None => ListUpdate::All(self.directory.stored_replicas()),
         };
         let version = self.forwarder.table().map_or(0, |it| it.version);
-        let is_newer = request.config_version < version;
+        let config = match request.config_version < version {
+            true => self.compressed_config(),
+            false => None,
+        };
         FeedResponse {
             epoch: self.epoch,
             seq: self.directory.seq(),
             age: self.source_selector.age(self.now).filter(|_| self.has_replica_list),
             replicas,
-            config: is_newer.then(|| self.config_json.clone()),
+            config,
             quarantine_seq: self.forwarder.quarantine_seq(),
             quarantined: self.forwarder.quarantined(self.now).collect(),
             read_seq: self.source_selector.read_seq(),
         }
     }
 
+    /// Returns the compressed text of the active configuration.
+    fn compressed_config(&mut self) -> Option<Vec<u8>> {
+        match self.config_text.compressed() {
+            Ok(text) => Some(text.to_vec()),
+            Err(err) => {
+                self.log_feed("config_not_compressed", &err.to_string());
+                None
+            }
+        }
+    }
+
     fn start_feed_request(&mut self) {
         let Source::Peer(member) = self.source_selector.source(self.now) else { return };
         match self.open_call_conn(member.addr, CallPurpose::Feed) {
@@ -202,8 +217,8 @@
     /// Applies a response of another instance.
     fn apply_feed(&mut self, member: &Member, feed: FeedResponse) -> UpdateOutcome {
         let now = self.now;
-        if let Some(json) = feed.config {
-            self.apply_config_json(json, &member.id);
+        if let Some(text) = feed.config {
+            self.apply_compressed_config(text, &member.id);
         }
         self.apply_quarantine(&feed.quarantined);
         let received = &mut self.feed_client.received.1;
@@ -235,10 +250,13 @@
         }
     }
 
-    fn apply_config_json(&mut self, json: Vec<u8>, from: &str) {
-        let decoded = serde_json::from_slice(&json).map_err(|it| it.to_string());
+    fn apply_compressed_config(&mut self, text: Vec<u8>, from: &str) {
+        let json = config_text::decompress(&text, MAX_LEN).map_err(|it| it.to_string());
+        let decoded = json.and_then(|it| serde_json::from_slice(&it).map_err(|it| it.to_string()));
         match decoded.and_then(|it| config::decode(&it).map_err(|it| it.to_string())) {
-            Ok(table) => self.apply_config(Box::new(table), json, from),
+            Ok(table) => {
+                self.apply_config(Box::new(table), ConfigText::from_compressed(text), from)
+            }
             Err(err) => self.log_feed("unusable_config", &err),
         }
     }
@@ -247,7 +265,7 @@
     pub(super) fn apply_config(
         &mut self,
         table: Box<rosemarybank_query::forward::RouteTable>,
-        json: Vec<u8>,
+        text: ConfigText,
         from: &str,
     ) {
         let before = self.forwarder.table().map_or(0, |it| it.version);
@@ -255,7 +273,7 @@
         if version <= before {
             return;
         }
-        self.config_json = json;
+        self.config_text = text;
         self.journal.log(
             self.now,
             LineKind::Discovery,
--- a/crates/daemon/src/platform/feed_codec.rs
+++ b/crates/daemon/src/platform/feed_codec.rs
@@ -48,7 +48,7 @@
     pub age: Option<Duration>,
     /// Replicas, as changes or as a complete list.
     pub replicas: ListUpdate,
-    /// JSON text of the configuration, if it is newer than the follower's.
+    /// Compressed JSON text of the configuration, if it is newer than the follower's.
     pub config: Option<Vec<u8>>,
     /// Sequence number of the last change of the source's quarantine.
     pub quarantine_seq: u64,
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! wake-ups than the work itself. This module does the I/O; the decisions are made by
 //! [`rosemarybank_query::forward`] and [`poller`], which do no I/O.
 
+pub mod config_text;
 pub mod connect;
 pub mod feed_codec;
 pub mod journal;
--- a/crates/daemon/src/platform/store.rs
+++ b/crates/daemon/src/platform/store.rs
@@ -9,6 +9,7 @@
 use rosemarybank_query::forward::Event;
 
 use crate::platform::{
+    config_text::ConfigText,
     event_loop::{Conn, EventLoop},
     journal::LineKind,
     poller::{Poller, Resource, Update},
@@ -252,7 +253,9 @@
     fn apply_update(&mut self, update: Update, asked_at: Time) {
         let now = self.now;
         match update {
-            Update::Config(table, json) => self.apply_config(table, json, "store"),
+            Update::Config(table, json) => {
+                self.apply_config(table, ConfigText::plain(json), "store")
+            }
             Update::ReplicaList(list) => {
                 self.directory.replace(now, list);
                 self.has_replica_list = true;
--- a/crates/daemon/tests/malformed_input.rs
+++ b/crates/daemon/tests/malformed_input.rs
@@ -6,6 +6,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use rosemarybank_coordination::source::{Member, Start};
 use rosemarybank_daemon::platform::{
+    config_text::{ConfigText, decompress},
     feed_codec::{self, FeedRequest, FeedResponse},
     poller::{Poller, Resource},
 };
@@ -100,6 +101,17 @@
     apply(feed_codec::decode(&feed_codec::encode(&feed).unwrap()).unwrap());
 }
 
+/// A short message must not expand to more memory than the limit of a configuration allows.
+#[test]
+fn a_compressed_configuration_is_bounded() {
+    let mut text = ConfigText::plain(vec![b' '; 64 << 20]);
+    let compressed = text.compressed().unwrap();
+    assert!(compressed.len() < 1 << 20);
+    assert!(decompress(compressed, 8 << 20).is_err());
+    assert!(decompress(&compressed[..compressed.len() / 2], 64 << 20).is_err());
+    assert!(decompress(b"no compressed text", 64 << 20).is_err());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
