Let a watch go on after a suspension

Two leading instances are cut from the store, one after the other. An instance whose source has only old data resumes its pollers each 1.5 s; the watch of the configuration that was in flight was replaced by a list, which had to wait for it, and its reply, with the new configuration, was discarded. Change: a watch in flight goes on when the poller is resumed. Ruled out: the age limit (1.5 s on this site, as before).

--- a/crates/daemon/src/platform/poller.rs
+++ b/crates/daemon/src/platform/poller.rs
@@ -178,9 +178,10 @@
         self.is_suspended = true;
     }
 
-    /// Resumes after a suspension, starting with a complete list.
+    /// Resumes after a suspension, starting with a complete list. A watch that is still in flight goes
+    /// on, because its reply contains all changes since the last one.
     pub fn resume(&mut self, now: Time) {
-        if std::mem::take(&mut self.is_suspended) {
+        if std::mem::take(&mut self.is_suspended) && self.in_flight.is_none() {
             self.restart();
             self.next_call_at = now;
         }
@@ -227,6 +228,7 @@
 
     /// Handles a call without a reply.
     pub fn call_failed(&mut self, now: Time) {
+        self.in_flight = None;
         let max_delay = if self.has_succeeded { MAX_BACKOFF } else { MAX_STARTUP_BACKOFF };
         self.back_off(now, max_delay);
     }
