Keep an outage of the store or its reader from spreading to all followers

Change: a source that should read the store and cannot answers its followers at once and has none until it reads again; it follows the next instance meanwhile. A source that looks for another one itself holds the requests. A source is dropped at 0.7 of the age at which the store is read. Eight instances call an unreachable store each 0.8 s, the others back off from 1 to 6 s and get the state from those. Ruled out: cycles (the rank rises along each edge; one that cannot read has no followers).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod hash;
 pub mod key;
+pub mod feed;
 pub mod membership;
 pub mod quarantine;
 pub mod replica_list;
--- a/crates/coordination/src/source.rs
+++ b/crates/coordination/src/source.rs
@@ -15,7 +15,10 @@
 use rosemarybank_protocol::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::hash;
+use crate::{
+    feed::{FeedPosition, SourceState},
+    hash,
+};
 
 /// How long a starting instance waits for state from another instance before it reads the store. The
 /// others have it unless they have just started as well.
@@ -25,9 +28,19 @@
 /// after a while, and no requests have to be served yet.
 const FIRST_START_WAIT: Duration = Duration::from_millis(2_200);
 
+/// Age at which the state of another instance is too old to follow it, as a fraction of the age at
+/// which an instance reads the store itself. In the time between, a follower finds another source.
+const MAX_SOURCE_AGE_FRACTION: f64 = 0.7;
+
 /// How long a member is excluded after it failed to respond. A restart takes a few seconds.
 const FAILURE_EXCLUSION: Duration = Duration::from_secs(4);
 
+/// How long a member is excluded after its state was too old.
+const STALE_EXCLUSION: Duration = Duration::from_secs(1);
+
+/// Number of instances that call an unreachable store often.
+const PROMPT_READERS: usize = 8;
+
 /// An instance from which others can get platform state.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
@@ -82,6 +95,8 @@
     excluded_until: HashMap<InstanceId, Time>,
     /// Time of the latest store read that the current state is based on.
     read_at: Option<Time>,
+    /// Time of the latest store read of this instance.
+    own_read_at: Option<Time>,
     /// Number of store reads so far, each later than the ones before.
     read_seq: u64,
     /// Age of the platform state at which an instance reads the store itself.
@@ -90,6 +105,17 @@
     start_wait: Duration,
 }
 
+/// How soon an instance tries again when the store does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// It has no platform state yet and cannot serve requests.
+    Starting,
+    /// It is among the few that notice the recovery of the store for all.
+    Prompt,
+    /// It can wait for the state of those that notice the recovery.
+    Patient,
+}
+
 /// Occasion of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Start {
@@ -115,6 +141,7 @@
             members: Vec::new(),
             excluded_until: HashMap::new(),
             read_at: None,
+            own_read_at: None,
             read_seq: 0,
             max_age,
             start_wait: match start {
@@ -144,10 +171,8 @@
     /// all. If that is this instance too, or no member is usable, it is the store.
     #[must_use]
     pub fn source(&self, now: Time) -> Source {
-        let usable = |it: &&Member| {
-            it.id == self.own || self.excluded_until.get(&it.id).is_none_or(|until| *until <= now)
-        };
-        let mut usable = self.members.iter().filter(usable);
+        let mut usable =
+            self.members.iter().filter(|it| it.id == self.own || !self.is_excluded(it, now));
         let Some(first) = usable.clone().next() else { return Source::Store };
         let closest = usable.find(|it| it.data_centre == self.data_centre).unwrap_or(first);
         match closest.id == self.own {
@@ -159,8 +184,27 @@
 
     /// Excludes a member temporarily because it failed to respond.
     pub fn record_failure(&mut self, now: Time, member: &InstanceId) {
+        self.exclude(member, now, FAILURE_EXCLUSION);
+    }
+
+    /// Excludes a member temporarily because its state is too old. It can have new state at any time.
+    pub fn record_stale(&mut self, now: Time, member: &InstanceId) {
+        self.exclude(member, now, STALE_EXCLUSION);
+    }
+
+    fn is_excluded(&self, member: &Member, now: Time) -> bool {
+        self.excluded_until.get(&member.id).is_some_and(|until| now < *until)
+    }
+
+    fn exclude(&mut self, member: &InstanceId, now: Time, time: Duration) {
         self.excluded_until.retain(|_, until| *until > now);
-        self.excluded_until.insert(member.clone(), now + FAILURE_EXCLUSION);
+        self.excluded_until.insert(member.clone(), now + time);
+    }
+
+    /// Records a successful store read of this instance.
+    pub fn record_own_read(&mut self, read_at: Time) {
+        self.own_read_at = self.own_read_at.max(Some(read_at));
+        self.record_read(read_at);
     }
 
     /// Records that state arrived that is based on a store read at the given time.
@@ -184,6 +228,50 @@
         self.read_at.map(|it| now.saturating_sub(it))
     }
 
+    /// Returns how soon this instance should try again when the store does not answer.
+    #[must_use]
+    pub fn urgency(&self) -> Urgency {
+        let is_among_first =
+            || self.members.iter().take(PROMPT_READERS).any(|it| it.id == self.own);
+        match self.read_at {
+            None => Urgency::Starting,
+            Some(_) if self.members.is_empty() || is_among_first() => Urgency::Prompt,
+            Some(_) => Urgency::Patient,
+        }
+    }
+
+    /// Returns the instance to follow now. An instance that should read the store but cannot follows
+    /// the one that replaces it.
+    #[must_use]
+    pub fn instance_to_follow(&self, now: Time) -> Option<&Member> {
+        match self.source(now) {
+            Source::Peer(member) => self.members.iter().find(|it| it.id == member.id),
+            Source::Store if self.age(now).is_none_or(|it| it >= self.max_source_age()) => {
+                self.members.iter().find(|it| it.id != self.own && !self.is_excluded(it, now))
+            }
+            Source::Store => None,
+        }
+    }
+
+    /// Returns what this instance is worth as a source with the given position. One that should read
+    /// the store but cannot has no followers, since its state may come from one of them.
+    #[must_use]
+    pub fn source_state(&self, now: Time, position: FeedPosition) -> SourceState {
+        let is_usable =
+            |it: Option<Time>| it.is_some_and(|it| now < it.saturating_add(self.max_source_age()));
+        match (self.source(now) == Source::Store, self.read_at) {
+            (true, Some(_)) if !is_usable(self.own_read_at) => SourceState::Stale,
+            (_, read_at) if is_usable(read_at) => SourceState::Current(position),
+            _ => SourceState::Waiting,
+        }
+    }
+
+    /// Returns the age of the state of another instance at which it is no longer used as a source.
+    #[must_use]
+    pub fn max_source_age(&self) -> Duration {
+        self.max_age.mul_f64(MAX_SOURCE_AGE_FRACTION)
+    }
+
     /// Returns whether to read the store, because it is the selected source or because the state from
     /// other instances is too old. `now` is the time since the start: an instance without any state
     /// waits for a short time for that of another instance.
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -145,7 +145,7 @@
             listeners: Vec::new(),
             conns: Slab::new(),
             forwarder,
-            directory: Directory::new(max_age),
+            directory: Directory::new(source_selector.max_source_age()),
             has_replica_list: false,
             epoch: crate::clock::unix_ms(),
             config_text: ConfigText::plain(Vec::new()),
--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -1,14 +1,16 @@
 //! The feed, by which instances pass the configuration, replicas and quarantine on to one another.
 //!
-//! A follower sends a long poll that states what it has, and gets a response when there are changes,
-//! when the store was read again, or after a timeout. A read without changes is passed on as well: the
-//! age of the data would otherwise grow by the waiting time on each level of the tree. A follower has
-//! one request in flight at a time, so a slow link gets the latest state rather than a backlog.
+//! A follower sends a long poll that states what it has, and [`is_answer_due`] decides when it gets a
+//! response. It has one request in flight at a time, so a slow link gets the latest state rather than
+//! a backlog.
 
 use std::time::Duration;
 
 use rosemarybank_adapter::config;
-use rosemarybank_coordination::source::{Member, Source};
+use rosemarybank_coordination::{
+    feed::{FeedPosition, LONG_POLL_WAIT, SourceState, is_answer_due},
+    source::{Member, Source},
+};
 use rosemarybank_http1::RequestHead;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
@@ -25,9 +27,6 @@
     store::CallPurpose,
 };
 
-/// Maximum time for which a request is held; longer than the interval at which the store is read.
-const LONG_POLL_WAIT: Duration = Duration::from_millis(800);
-
 /// Timeout of a request, in addition to [`LONG_POLL_WAIT`].
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -47,8 +46,8 @@
     /// Connection and source of the request in flight.
     in_flight: Option<(usize, Member)>,
     next_request_at: Time,
-    /// The last source and the state received from it, as the next request states it.
-    received: (Option<InstanceId>, FeedRequest),
+    /// The last source and what was received from it.
+    received: (Option<InstanceId>, FeedPosition),
 }
 
 impl EventLoop {
@@ -85,6 +84,7 @@
                 match self.apply_feed(&member, feed) {
                     UpdateOutcome::TooOld => {
                         self.drop_feed_source(index, &member, "its data is too old");
+                        self.source_selector.record_stale(self.now, &member.id);
                     }
                     UpdateOutcome::Superseded => {
                         self.close_conn(index);
@@ -121,20 +121,11 @@
 
     /// Answers the held requests for which there are changes or whose wait is over.
     pub(super) fn answer_feed_requests(&mut self) {
-        let (seq, epoch) = (self.directory.seq(), self.epoch);
-        let version = self.forwarder.table().map_or(0, |it| it.version);
+        let state = self.feed_state();
         for index in std::mem::take(&mut self.held_feed_requests) {
             let Some(Conn::Client(client)) = self.conns.get(index) else { continue };
             let ClientState::AwaitingFeed(request) = &client.state else { continue };
-            // A follower that starts together with this instance waits for its state.
-            let has_state = self.has_replica_list && self.forwarder.table().is_some();
-            let is_up_to_date = !has_state
-                || request.epoch == epoch
-                    && request.seq == seq
-                    && request.config_version >= version
-                    && request.read_seq == self.source_selector.read_seq()
-                    && request.quarantine_seq == self.forwarder.quarantine_seq();
-            if is_up_to_date && self.now < client.state_since + LONG_POLL_WAIT {
+            if !is_answer_due(self.now, client.state_since, &request.position, state) {
                 self.held_feed_requests.push(index);
                 continue;
             }
@@ -149,27 +140,42 @@
         }
     }
 
+    /// State of this instance as a source.
+    fn feed_state(&self) -> SourceState {
+        match self.has_replica_list && self.forwarder.table().is_some() {
+            true => self.source_selector.source_state(self.now, self.feed_position()),
+            false => SourceState::Waiting,
+        }
+    }
+
+    fn feed_position(&self) -> FeedPosition {
+        FeedPosition {
+            epoch: self.epoch,
+            change_seq: self.directory.seq(),
+            config_version: self.forwarder.table().map_or(0, |it| it.version),
+            quarantine_seq: self.forwarder.quarantine_seq(),
+            read_seq: self.source_selector.read_seq(),
+        }
+    }
+
     fn build_feed_response(&mut self, request: &FeedRequest) -> FeedResponse {
+        let (position, known) = (self.feed_position(), request.position);
         let changes =
-            (request.epoch == self.epoch).then(|| self.directory.changes_since(request.seq));
+            (known.epoch == self.epoch).then(|| self.directory.changes_since(known.change_seq));
         let replicas = match changes.flatten() {
             Some(changes) => ListUpdate::Changes(changes),
             None => ListUpdate::All(self.directory.stored_replicas()),
         };
-        let version = self.forwarder.table().map_or(0, |it| it.version);
-        let config = match request.config_version < version {
+        let config = match known.config_version < position.config_version {
             true => self.compressed_config(),
             false => None,
         };
         FeedResponse {
-            epoch: self.epoch,
-            seq: self.directory.seq(),
+            position,
             age: self.source_selector.age(self.now).filter(|_| self.has_replica_list),
             replicas,
             config,
-            quarantine_seq: self.forwarder.quarantine_seq(),
             quarantined: self.forwarder.quarantined(self.now).collect(),
-            read_seq: self.source_selector.read_seq(),
         }
     }
 
@@ -185,7 +191,9 @@
     }
 
     fn start_feed_request(&mut self) {
-        let Source::Peer(member) = self.source_selector.source(self.now) else { return };
+        let Some(member) = self.source_selector.instance_to_follow(self.now).cloned() else {
+            return;
+        };
         match self.open_call_conn(member.addr, CallPurpose::Feed) {
             Ok(index) => self.send_feed_request(index, member),
             Err(err) => self.feed_failed(&member, &err.to_string()),
@@ -195,11 +203,11 @@
     fn send_feed_request(&mut self, index: usize, member: Member) {
         let version = self.forwarder.table().map_or(0, |it| it.version);
         if self.feed_client.received.0.as_ref() != Some(&member.id) {
-            self.feed_client.received = (Some(member.id.clone()), FeedRequest::default());
+            self.feed_client.received = (Some(member.id.clone()), FeedPosition::default());
         }
-        self.feed_client.received.1.config_version = version;
-        let mut request = self.feed_client.received.1.clone();
-        request.quarantined = self.forwarder.quarantined(self.now).collect();
+        let position = FeedPosition { config_version: version, ..self.feed_client.received.1 };
+        let quarantined = self.forwarder.quarantined(self.now).collect();
+        let request = FeedRequest { position, quarantined };
         let body = match feed_codec::encode(&request) {
             Ok(body) => body,
             Err(err) => return self.drop_feed_source(index, &member, &err.to_string()),
@@ -222,10 +230,10 @@
         }
         self.apply_quarantine(&feed.quarantined);
         let received = &mut self.feed_client.received.1;
-        received.quarantine_seq = feed.quarantine_seq;
-        received.read_seq = feed.read_seq;
+        received.quarantine_seq = feed.position.quarantine_seq;
+        received.read_seq = feed.position.read_seq;
         let is_applicable =
-            matches!(feed.replicas, ListUpdate::All(_)) || received.epoch == feed.epoch;
+            matches!(feed.replicas, ListUpdate::All(_)) || received.epoch == feed.position.epoch;
         if !is_applicable {
             return UpdateOutcome::TooOld;
         }
@@ -233,8 +241,8 @@
         if outcome != UpdateOutcome::Applied {
             return outcome;
         }
-        received.epoch = feed.epoch;
-        received.seq = feed.seq;
+        received.epoch = feed.position.epoch;
+        received.change_seq = feed.position.change_seq;
         self.has_replica_list = true;
         if let Some(age) = feed.age {
             self.source_selector.record_read(now.saturating_sub(age));
--- a/crates/daemon/src/platform/feed_codec.rs
+++ b/crates/daemon/src/platform/feed_codec.rs
@@ -6,6 +6,7 @@
     config::{Configuration, Limit, LittleEndian, Varint},
     error::{DecodeError, EncodeError},
 };
+use rosemarybank_coordination::feed::FeedPosition;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::directory::ListUpdate;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -23,39 +24,25 @@
 /// Request of a follower, which states what it already has.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedRequest {
-    /// Epoch of the source to which `seq` belongs.
-    pub epoch: u64,
-    /// Sequence number up to which the follower has the changes of replicas.
-    pub seq: u64,
-    /// Version of the follower's configuration.
-    pub config_version: u64,
-    /// Sequence number up to which it has the changes of the source's quarantine.
-    pub quarantine_seq: u64,
+    /// What the follower has of the state of its source.
+    pub position: FeedPosition,
     /// Requests in the quarantine of the sender.
     pub quarantined: Vec<Quarantined>,
-    /// Number of the source's last read of the store that the follower knows of.
-    pub read_seq: u64,
 }
 
 /// Response of a source, with what the follower lacks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedResponse {
-    /// Epoch of the source; it changes when the process restarts.
-    pub epoch: u64,
-    /// Sequence number of the source's last change of replicas.
-    pub seq: u64,
+    /// What the source has.
+    pub position: FeedPosition,
     /// Time since the store was read; `None` if it has not been read yet.
     pub age: Option<Duration>,
     /// Replicas, as changes or as a complete list.
     pub replicas: ListUpdate,
     /// Compressed JSON text of the configuration, if it is newer than the follower's.
     pub config: Option<Vec<u8>>,
-    /// Sequence number of the last change of the source's quarantine.
-    pub quarantine_seq: u64,
     /// Requests in the quarantine of the sender.
     pub quarantined: Vec<Quarantined>,
-    /// Number of the source's last read of the store; a newer read may have brought no changes.
-    pub read_seq: u64,
 }
 
 /// Encodes a message.
--- a/crates/daemon/src/platform/poller.rs
+++ b/crates/daemon/src/platform/poller.rs
@@ -14,7 +14,7 @@
     calls::{self, Call, Freshness, Listing, Object, Revision, WatchPage},
     config, instances, registration,
 };
-use rosemarybank_coordination::source::{Member, Start};
+use rosemarybank_coordination::source::{Member, Start, Urgency};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
     ReplicaInfo, RouteTable, directory::Change, membership::MAX_STALENESS,
@@ -54,6 +54,13 @@
 /// Maximum delay after failed calls, and so the time to notice that the store has recovered.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Delay after the first failed call of an instance that can wait until others have noticed that the
+/// store has recovered.
+const MIN_PATIENT_BACKOFF: Duration = Duration::from_secs(1);
+
+/// [`MAX_BACKOFF`] of an instance that can wait until others have noticed that the store has recovered.
+const MAX_PATIENT_BACKOFF: Duration = Duration::from_secs(6);
+
 /// Maximum delay after a call without a reply, until the first call has succeeded: an instance
 /// without a configuration and replicas cannot serve requests. It does not apply to rejected calls,
 /// because a fleet that starts at once would exceed the rate limits of the store.
@@ -112,6 +119,7 @@
     is_reachable: bool,
     /// Whether a call has ever succeeded.
     has_succeeded: bool,
+    urgency: Urgency,
     /// When this instance last wrote its registration.
     registered_at: Option<Time>,
     /// When the list in progress was requested.
@@ -149,6 +157,7 @@
             recovery_until: Time::ZERO,
             is_reachable: false,
             has_succeeded: false,
+            urgency: Urgency::Starting,
             registered_at: None,
             list_requested_at: Time::ZERO,
             is_suspended: false,
@@ -226,17 +235,27 @@
         Some(TimedCall { call, timeout: CALL_TIMEOUT + wait })
     }
 
+    /// Sets how soon to try again after failed calls.
+    pub fn set_urgency(&mut self, urgency: Urgency) {
+        self.urgency = urgency;
+    }
+
     /// Handles a call without a reply.
     pub fn call_failed(&mut self, now: Time) {
         self.in_flight = None;
-        let max_delay = if self.has_succeeded { MAX_BACKOFF } else { MAX_STARTUP_BACKOFF };
-        self.back_off(now, max_delay);
+        let is_starting = !self.has_succeeded && self.urgency == Urgency::Starting;
+        self.back_off(now, if is_starting { MAX_STARTUP_BACKOFF } else { Duration::MAX });
     }
 
     fn back_off(&mut self, now: Time, max_delay: Duration) {
         self.is_reachable = false;
-        self.next_call_at = now + self.backoff.min(max_delay);
-        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        let (min, max) = match self.urgency {
+            Urgency::Starting | Urgency::Prompt => (MIN_BACKOFF, MAX_BACKOFF),
+            Urgency::Patient => (MIN_PATIENT_BACKOFF, MAX_PATIENT_BACKOFF),
+        };
+        let delay = self.backoff.max(min);
+        self.next_call_at = now + delay.min(max_delay);
+        self.backoff = (delay * 2).min(max);
     }
 
     /// Handles a reply and returns what it contains.
@@ -255,7 +274,7 @@
             200..=299 if self.handle_body(now, body, &mut updates) => {}
             _ if is_registered => self.finish_registration(now),
             _ => {
-                self.back_off(now, MAX_BACKOFF);
+                self.back_off(now, Duration::MAX);
                 return updates;
             }
         }
--- a/crates/daemon/src/platform/store.rs
+++ b/crates/daemon/src/platform/store.rs
@@ -59,8 +59,10 @@
     /// Makes the calls that are due and fails those that timed out.
     pub(super) fn poll_store(&mut self) {
         let reads_store = self.source_selector.should_read_store(self.now);
+        let urgency = self.source_selector.urgency();
         for poller_index in 0..self.pollers.len() {
             let poller = &mut self.pollers[poller_index].poller;
+            poller.set_urgency(urgency);
             match (poller.resource(), reads_store) {
                 (Resource::Instances, _) => {}
                 (_, true) => poller.resume(self.now),
@@ -226,7 +228,7 @@
             match is_reachable {
                 true => {
                     self.directory.set_store_reachable(now, called_at);
-                    self.source_selector.record_read(called_at);
+                    self.source_selector.record_own_read(called_at);
                 }
                 false => self.directory.set_store_unreachable(),
             }
--- a/crates/daemon/tests/malformed_input.rs
+++ b/crates/daemon/tests/malformed_input.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use rosemarybank_coordination::source::{Member, Start};
+use rosemarybank_coordination::{
+    feed::FeedPosition,
+    source::{Member, Start},
+};
 use rosemarybank_daemon::platform::{
     config_text::{ConfigText, decompress},
     feed_codec::{self, FeedRequest, FeedResponse},
@@ -31,14 +34,11 @@
 fn feed_response() -> FeedResponse {
     let changes = vec![Change::Present(replica()), Change::Absent("r2".into())];
     FeedResponse {
-        epoch: 1,
-        seq: 2,
+        position: FeedPosition { epoch: 1, change_seq: 2, ..FeedPosition::default() },
         age: Some(Duration::from_millis(3)),
         replicas: ListUpdate::Changes(changes),
         config: Some(b"{}".to_vec()),
-        quarantine_seq: 4,
         quarantined: vec![(5, Duration::from_secs(6))],
-        read_seq: 9,
     }
 }
 
