Keep the estimate of a replica through a single pause

All attempts that a pause makes late were counted, each at its full time. Change: attempts that are late together are one late event. The first event after a reply in time leaves the estimate alone (the age of the oldest attempt keeps requests away while the pause lasts); further events count.

--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -192,6 +192,7 @@
             replica: replica_key,
             sent_at: now,
             fingerprint: request.fingerprint,
+            max_late_threshold: request.route.latency_objective.mul_f32(MAX_LATE_FRACTION),
             kind,
             is_sent: false,
             is_abandoned: false,
@@ -261,8 +262,12 @@
         let took = now.saturating_sub(attempt.sent_at);
         let is_success = (200..300).contains(&reply.status) && reply.stamp.is_some();
         if let Some(replica) = self.replicas.get_mut(attempt.replica) {
+            let late_threshold =
+                self.route_latencies.get(&attempt.route).map_or(attempt.max_late_threshold, |it| {
+                    it.late_threshold(replica.distance, attempt.max_late_threshold)
+                });
             match (is_success, reply.is_not_run) {
-                (true, _) => replica.record_success(now, took),
+                (true, _) => replica.record_success(now, took, late_threshold),
                 (_, true) => replica.record_full(now),
                 _ => replica.record_failure(now),
             }
@@ -513,7 +518,7 @@
         attempt.is_late = true;
         let (replica, age) = (attempt.replica, now.saturating_sub(attempt.sent_at));
         if let Some(replica) = self.replicas.get_mut(replica) {
-            replica.record_latency(now, age);
+            replica.record_late(now, age);
         }
     }
 }
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -58,6 +58,11 @@
     /// Latency estimate as of `sampled_at`; 0 before the first sample.
     latency_us: f32,
     failure_rate: f32,
+    /// Number of late events since the last reply in time. A pause, which makes all attempts in
+    /// flight late, is one event.
+    late_events: u32,
+    /// End of the last late event as far as known: attempts that began before belong to it.
+    late_until: Time,
     /// When the estimates last got a sample.
     sampled_at: Time,
     /// Time until which a connection is likely to be open.
@@ -77,6 +82,8 @@
             backoff: INITIAL_BACKOFF,
             latency_us: 0.0,
             failure_rate: 0.0,
+            late_events: 0,
+            late_until: Time::ZERO,
             sampled_at: Time::ZERO,
             warm_until: Time::ZERO,
         }
@@ -133,8 +140,14 @@
         self.failure_rate * self.estimate_weight(now)
     }
 
-    pub(crate) fn record_success(&mut self, now: Time, took: Duration) {
-        self.record_latency(now, took);
+    /// Records the successful reply to an attempt that took at least `late_threshold` if it was late.
+    pub(crate) fn record_success(&mut self, now: Time, took: Duration, late_threshold: Duration) {
+        if took < late_threshold {
+            self.late_events = 0;
+            self.record_latency(now, took);
+        } else {
+            self.record_late(now, took);
+        }
         self.warm_until = now + WARM_DURATION;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT / 2.0;
         self.backoff = INITIAL_BACKOFF;
@@ -162,6 +175,19 @@
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
+    /// Records the latency of a late reply, or the age of a late attempt without a reply. A replica
+    /// that is late once has often paused and is as fast as before afterwards, so only further late
+    /// events without a reply in time change the estimate.
+    pub(crate) fn record_late(&mut self, now: Time, took: Duration) {
+        if now.saturating_sub(took) >= self.late_until {
+            self.late_events += 1;
+        }
+        self.late_until = now;
+        if self.late_events > 1 {
+            self.record_latency(now, took);
+        }
+    }
+
     /// Records the latency of a reply, or the age of an attempt without a reply.
     pub(crate) fn record_latency(&mut self, now: Time, took: Duration) {
         let sample = micros(took);
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -23,6 +23,8 @@
     /// When the attempt began, which may be before its connection was open.
     pub(crate) sent_at: Time,
     pub(crate) fingerprint: Fingerprint,
+    /// Upper bound of the age from which it is late.
+    pub(crate) max_late_threshold: Duration,
     pub(crate) kind: AttemptKind,
     /// Whether its bytes were sent, in which case the replica may execute the request.
     pub(crate) is_sent: bool,
--- a/crates/query/tests/forward_load.rs
+++ b/crates/query/tests/forward_load.rs
@@ -278,3 +278,15 @@
     let outcome = simulate(Load { silent_shards: 1, has_budget: true, ..Load::default() });
     assert!(outcome.value >= 0.80, "{outcome:?}");
 }
+
+/// Guards against replicas that are avoided for seconds after a pause, although they are as fast as
+/// before. A pause moves the requests to other data centres that would have found the local replica
+/// paused, and at most as many while the instance can't know yet that it has ended.
+#[test]
+fn a_pause_moves_requests_only_while_it_lasts() {
+    let healthy = simulate(Load { has_budget: true, ..Load::default() });
+    let paused = simulate(Load { pauses: true, has_budget: true, ..Load::default() });
+    let paused_share = 150.0 / 3_600.0;
+    println!("{healthy:?} {paused:?}");
+    assert!(paused.remote - healthy.remote <= 2.0 * paused_share, "{healthy:?} {paused:?}");
+}
