Do not believe an error reply without an id on a reused connection

Cause: a replica may send a second copy of a reply late, on a connection that is in use again. A success without the id of the request was refused, but an error reply without an id was taken as the answer to the request in progress. With a late copy of a refusal, an order counted as not run and was sent to another replica, while the first one ran it: it ran twice. Change: on a connection that carried an earlier request, a reply without an id proves nothing; the connection is closed and the attempt has failed with an unknown outcome. The stand-in's refusals echo the id, as the protocol says; its new behaviour LateRefusal sends one without. Replies are read and parsed in pieces of 64 KB (up to 16 MB before), and a body is bounded by 1/256 of the memory (8 MB before). The stand-in sends heads, bodies and interim responses without end.

--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -1,9 +1,10 @@
 //! Reading the replies of replicas.
 //!
 //! A successful reply belongs to the exchange in progress only if it carries the id of its request;
-//! an error reply may lack the id. Replies to other requests are discarded, and an invalid reply
-//! ends the connection. A connection that carried a reply to another request or bytes after the
-//! reply is not reused.
+//! an error reply may lack the id. On a reused connection, an error reply without the id may be a late
+//! copy of an earlier one, so it proves nothing about this request. Replies to other requests are
+//! discarded, and an invalid reply ends the connection. A connection that carried a reply to another
+//! request or bytes after the reply is not reused.
 
 use rosemarybank_adapter::HEADERS;
 use rosemarybank_http1::{BodyReader, Progress, ResponseHead};
@@ -16,7 +17,11 @@
 };
 
 /// Maximum size of a reply body in bytes.
-const MAX_BODY_LEN: usize = 8 << 20;
+const MAX_BODY_LEN: u64 = 8 << 20;
+
+/// Maximum size of a reply body as a fraction of the memory of the process: replicas of many shards
+/// may send bytes without end at the same time.
+const MAX_BODY_MEMORY_DIVISOR: u64 = 256;
 
 impl EventLoop {
     /// Parses the received bytes of a connection.
@@ -31,6 +36,8 @@
     }
 
     fn parse_step(&mut self, index: usize, end: ReadOutcome) -> ParseStep {
+        let max_body_len =
+            ((self.settings.memory_mb << 20) / MAX_BODY_MEMORY_DIVISOR).min(MAX_BODY_LEN) as usize;
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return ParseStep::Wait };
         let UpstreamState::Busy(exchange) = &mut conn.state else { return ParseStep::Wait };
         if exchange.head.is_none() {
@@ -45,7 +52,7 @@
                     exchange.is_foreign_reply = is_foreign(&head, &exchange.request_id);
                     conn.is_tainted |= exchange.is_foreign_reply;
                     let framing = head.framing.filter(|_| !exchange.is_head_request);
-                    exchange.body = framing.map(|it| BodyReader::new(it, MAX_BODY_LEN));
+                    exchange.body = framing.map(|it| BodyReader::new(it, max_body_len));
                     exchange.head = Some(head);
                     ParseStep::Continue
                 }
@@ -83,6 +90,11 @@
             return if head.closes_connection { ParseStep::Broken } else { ParseStep::Continue };
         }
         let attempt = exchange.attempt;
+        let is_identified = head.request_id.is_some() || exchange.request_id.is_empty();
+        if conn.is_reused && !is_identified {
+            self.metrics.foreign_replies += 1;
+            return ParseStep::Broken;
+        }
         conn.idle_timeout = head.idle_timeout.or(conn.idle_timeout);
         let is_reusable = !head.closes_connection
             && !conn.is_tainted
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -44,8 +44,8 @@
 /// Fraction of the idle timeout announced by a replica after which its connection is not reused.
 const IDLE_TIMEOUT_FRACTION: f32 = 0.7;
 
-/// Maximum number of buffered bytes of a reply before they are parsed.
-const MAX_UNPARSED_LEN: usize = 16 << 20;
+/// Number of bytes of a reply that are read before they are parsed.
+const READ_LEN: usize = 64 << 10;
 
 /// Connection pool of a replica.
 #[derive(Debug, Default)]
@@ -70,6 +70,8 @@
     pub(super) idle_timeout: Option<Duration>,
     /// Whether a reply to another request arrived, so that the connection is not reused.
     pub(super) is_tainted: bool,
+    /// Whether an earlier request was sent on the connection, of which another reply may arrive late.
+    pub(super) is_reused: bool,
     pub(super) buf: Vec<u8>,
 }
 
@@ -210,14 +212,27 @@
             self.check_is_open(index);
             return;
         }
-        let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, MAX_UNPARSED_LEN);
-        if matches!(conn.state, UpstreamState::Idle) {
-            if end != ReadOutcome::Drained || !conn.buf.is_empty() {
-                self.close_idle(index);
+        self.read_replies(index);
+    }
+
+    /// Reads and parses what has arrived, in pieces: a faulty replica may send bytes without end.
+    fn read_replies(&mut self, index: usize) {
+        loop {
+            let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
+            let limit = conn.buf.len() + READ_LEN;
+            let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, limit);
+            let may_have_more = end == ReadOutcome::Drained && conn.buf.len() >= limit;
+            match conn.state {
+                UpstreamState::Idle if end != ReadOutcome::Drained || !conn.buf.is_empty() => {
+                    return self.close_idle(index);
+                }
+                UpstreamState::Idle => return,
+                _ => self.parse_replies(index, end),
+            }
+            if !may_have_more {
+                return;
             }
-            return;
         }
-        self.parse_replies(index, end);
     }
 
     /// Fails the attempt of a connection without a request if the replica has closed it or has sent
@@ -226,7 +241,7 @@
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return false };
         let UpstreamState::Connected(exchange) = &conn.state else { return false };
         let attempt = exchange.attempt;
-        let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, MAX_UNPARSED_LEN);
+        let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, READ_LEN);
         let is_open = end == ReadOutcome::Drained && conn.buf.is_empty();
         if !is_open {
             self.metrics.connects_refused += 1;
@@ -361,6 +376,7 @@
         conn.socket.write_buf().extend_from_slice(message);
         conn.state = UpstreamState::Busy(exchange);
         conn.state_since = self.now;
+        conn.is_reused = true;
         self.start_write(index);
     }
 
@@ -408,6 +424,7 @@
             state_since: self.now,
             idle_timeout: None,
             is_tainted: false,
+            is_reused: false,
             buf: Vec::new(),
         }));
         Ok(index)
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -236,6 +236,57 @@
     }
 }
 
+/// Guards against an order that runs twice: a replica sent a late copy of a refusal on a connection that
+/// was in use again, and the order in progress was taken as refused and sent to another replica.
+#[test]
+fn a_late_refusal_without_an_id_is_not_believed() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    for number in 0..10 {
+        cluster.set_behaviour("orders", Behaviour::Normal);
+        assert_relayed(
+            &call(&instance, "POST", "/order/x", &format!("w{number}")),
+            &format!("w{number}"),
+        );
+        cluster.set_behaviour("orders", Behaviour::LateRefusal);
+        let id = format!("l{number}");
+        let status = call(&instance, "POST", "/order/x", &id).status();
+        assert_eq!(cluster.runs(&id).len(), 1, "status {status}");
+        assert_ne!(status, 503, "the order has run");
+    }
+}
+
+/// A faulty replica sends bytes without end. They must not take the memory of the instance, and the
+/// connection is closed; another replica answers.
+#[test]
+fn bytes_without_end_are_bounded() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    for behaviour in [Behaviour::EndlessHead, Behaviour::EndlessBody, Behaviour::EndlessInterim] {
+        cluster.replica("orders-1").set_behaviour(behaviour);
+        std::thread::scope(|scope| {
+            for caller in 0..20 {
+                let instance = &instance;
+                scope.spawn(move || {
+                    let id = format!("{behaviour:?}-{caller}");
+                    // The budget permits only some of the retries.
+                    let answer = call(instance, "GET", "/read/x", &id);
+                    match answer.status() {
+                        504 => {}
+                        _ => assert_relayed(&answer, &id),
+                    }
+                });
+            }
+        });
+        cluster.replica("orders-1").set_behaviour(Behaviour::Normal);
+        let is_over = || cluster.replica("orders-1").endless_responses() == 0;
+        assert!(wait_until(WAIT, is_over), "{behaviour:?}: a connection stays open");
+    }
+    // The settings allow 260 MB.
+    let peak_kb = instance.peak_memory_kb().unwrap();
+    assert!(peak_kb < 65_000, "{peak_kb} kB");
+}
+
 #[test]
 fn no_request_runs_as_a_replica_whose_address_was_reused() {
     let cluster = Cluster::new();
--- a/crates/standins/src/platform_mode/instance.rs
+++ b/crates/standins/src/platform_mode/instance.rs
@@ -187,6 +187,19 @@
         Ok(String::from_utf8_lossy(&answer.body).into_owned())
     }
 
+    /// Peak of the memory of the process in kB.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is not running or its status has no peak.
+    pub fn peak_memory_kb(&self) -> io::Result<u64> {
+        let pid = self.pid().ok_or_else(|| io::Error::other("the process is not running"))?;
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        peak.and_then(|it| it.trim().trim_end_matches(" kB").parse().ok())
+            .ok_or_else(|| io::Error::other("no peak memory in the status"))
+    }
+
     /// Sends a signal to the process, given as an option of `kill` such as `-TERM`.
     pub fn signal(&self, signal: &str) {
         if let Some(pid) = self.pid() {
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -48,6 +48,15 @@
     Trail,
     /// Answers without a content length and closes the connection.
     Unframed,
+    /// Sends a refusal without a request id, as a late copy of an earlier one, before the response to a
+    /// further request on a connection.
+    LateRefusal,
+    /// Sends a head without end, until the peer closes the connection.
+    EndlessHead,
+    /// Sends a body without end, until the peer closes the connection.
+    EndlessBody,
+    /// Sends interim responses without end, until the peer closes the connection.
+    EndlessInterim,
     /// Crashes after it ran a request whose target contains [`POISON`]; answers others.
     CrashOnPoison,
 }
@@ -95,6 +104,7 @@
     max_connections: AtomicU64,
     close_delay: Mutex<Duration>,
     open_connections: AtomicU64,
+    endless_responses: AtomicU64,
 }
 
 /// A running replica.
@@ -143,6 +153,7 @@
             max_connections: AtomicU64::new(u64::MAX),
             close_delay: Mutex::default(),
             open_connections: AtomicU64::new(0),
+            endless_responses: AtomicU64::new(0),
         });
         let replica = Replica { addr: listener.local_addr()?, shared };
         replica.send_heartbeat();
@@ -202,6 +213,12 @@
         self.shared.max_connections.store(max, Ordering::Relaxed);
     }
 
+    /// Number of connections on which it sends bytes without end.
+    #[must_use]
+    pub fn endless_responses(&self) -> u64 {
+        self.shared.endless_responses.load(Ordering::Relaxed)
+    }
+
     /// Delays the closing of connections beyond the limit, as on a busy machine.
     pub fn set_close_delay(&self, delay: Duration) {
         *lock(&self.shared.close_delay) = delay;
@@ -278,7 +295,12 @@
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = Reader::new(stream.try_clone()?);
+        let mut is_first = true;
         while let Some(call) = reader.read()? {
+            let is_reused = !std::mem::take(&mut is_first);
+            if is_reused && *lock(&self.shared.behaviour) == Behaviour::LateRefusal {
+                write_reply(&mut stream, 503, &[("x-rosemarybank-not-executed", "1")], b"")?;
+            }
             if self.is_stopped() || !self.handle(&call, &mut stream)? {
                 return Ok(());
             }
@@ -296,7 +318,8 @@
         }
         let behaviour = *lock(&self.shared.behaviour);
         if behaviour == Behaviour::Refuse {
-            let fields = [("x-rosemarybank-not-executed", "1")];
+            let fields =
+                [("x-rosemarybank-not-executed", "1"), ("x-rosemarybank-request-id", &request)];
             return write_reply(stream, 503, &fields, b"").map(|()| true);
         }
         self.acquire_slot();
@@ -314,6 +337,19 @@
         self.reply(behaviour, &request, &id, stream)
     }
 
+    /// Writes a text over and over until the peer closes the connection.
+    fn write_endlessly(&self, stream: &mut TcpStream, text: &[u8]) -> io::Result<()> {
+        let block = text.repeat(4_096);
+        self.shared.endless_responses.fetch_add(1, Ordering::Relaxed);
+        let end = loop {
+            if let Err(err) = stream.write_all(&block) {
+                break err;
+            }
+        };
+        self.shared.endless_responses.fetch_sub(1, Ordering::Relaxed);
+        Err(end)
+    }
+
     fn acquire_slot(&self) {
         let mut free_slots = lock(&self.shared.free_slots);
         while *free_slots == 0 {
@@ -361,8 +397,12 @@
             ("x-rosemarybank-server-stamp", stamp.as_str()),
         ];
         match behaviour {
-            // `handle` answers `Refuse` itself and does not reply to a poisoned request.
-            Behaviour::Normal | Behaviour::Refuse | Behaviour::CrashOnPoison => {
+            // `handle` answers `Refuse` itself and does not reply to a poisoned request. The late
+            // refusal has been sent when the request arrived.
+            Behaviour::Normal
+            | Behaviour::Refuse
+            | Behaviour::CrashOnPoison
+            | Behaviour::LateRefusal => {
                 write_reply(stream, 200, &fields, &body)?;
             }
             Behaviour::Fail => write_reply(stream, 500, &fields, b"failed")?,
@@ -405,6 +445,21 @@
                 write_reply(stream, 200, &fields, &body)?;
                 stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc")?;
             }
+            Behaviour::EndlessHead => {
+                stream.write_all(b"HTTP/1.1 200 OK\r\n")?;
+                self.write_endlessly(stream, b"x-filler: 0123456789\r\n")?;
+            }
+            Behaviour::EndlessBody => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {stamp}\r\n\r\n",
+                    fields[0].0, fields[1].0
+                );
+                stream.write_all(head.as_bytes())?;
+                self.write_endlessly(stream, &body)?;
+            }
+            Behaviour::EndlessInterim => {
+                self.write_endlessly(stream, b"HTTP/1.1 100 Continue\r\n\r\n")?;
+            }
             Behaviour::Unframed => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {stamp}\r\n\r\n",
