Give the feed's new message format a path of its own

During an upgrade an instance of the former version could take a response of this one apart at other places. Change: the path names the format, so that an instance of another version answers 404 and is passed over; each side reads the store meanwhile. An instance that can wait calls an unreachable store after 4 s at the latest (6 s before), the time for which a silent source is passed over. Test: feed_requests_of_another_version_are_rejected.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,9 +8,9 @@
 pub mod claim;
 pub mod claim_gc;
 pub mod config;
+pub mod feed;
 pub mod hash;
 pub mod key;
-pub mod feed;
 pub mod membership;
 pub mod quarantine;
 pub mod replica_list;
--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -37,8 +37,9 @@
 /// source reads the store again within 700 ms.
 const OLDER_DATA_DELAY: Duration = Duration::from_millis(300);
 
-/// Path of feed requests.
-const FEED_PATH: &str = "/feed";
+/// Path of feed requests. It names the format of the messages: an instance of another version answers
+/// 404 and is passed over.
+const FEED_PATH: &str = "/feed/2";
 
 /// The follower side of the feed.
 #[derive(Debug, Default)]
--- a/crates/daemon/src/platform/poller.rs
+++ b/crates/daemon/src/platform/poller.rs
@@ -59,7 +59,7 @@
 const MIN_PATIENT_BACKOFF: Duration = Duration::from_secs(1);
 
 /// [`MAX_BACKOFF`] of an instance that can wait until others have noticed that the store has recovered.
-const MAX_PATIENT_BACKOFF: Duration = Duration::from_secs(6);
+const MAX_PATIENT_BACKOFF: Duration = Duration::from_secs(4);
 
 /// Maximum delay after a call without a reply, until the first call has succeeded: an instance
 /// without a configuration and replicas cannot serve requests. It does not apply to rejected calls,
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -447,6 +447,19 @@
     assert!(wait_until(Duration::from_secs(2), || instances.iter().all(has_new)));
 }
 
+/// During an upgrade, an instance of another version asks on the path of its own format. Its message
+/// must not be read as one of this version.
+#[test]
+fn feed_requests_of_another_version_are_rejected() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    let addr = ([127, 0, 0, 1], instance.ports().peer).into();
+    for path in ["/feed", "/feed/1"] {
+        let answer = Caller::connect(addr).unwrap().call("POST", path, "f", 1_000).unwrap();
+        assert_eq!(answer.status(), 404, "{path}");
+    }
+}
+
 #[test]
 fn requests_beyond_the_limits_are_rejected() {
     let cluster = Cluster::new();
