Wait for the run of an order after a late refusal in its test

The instance closes the connection at the refusal and answers 502, which promises nothing, before the replica's thread has begun to run the order. Change: the stand-in begins to run 5 ms after the late refusal, which makes the order of events the same on any machine (the former check fails then). The test waits for the run and checks at its end that each order ran exactly once; a 503 is still refused. Stand-in and test only.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -251,8 +251,12 @@
         cluster.set_behaviour("orders", Behaviour::LateRefusal);
         let id = format!("l{number}");
         let status = call(&instance, "POST", "/order/x", &id).status();
-        assert_eq!(cluster.runs(&id).len(), 1, "status {status}");
-        assert_ne!(status, 503, "the order has run");
+        assert_ne!(status, 503, "the order runs");
+        // The instance gives up before the replica begins to run the order.
+        assert!(wait_until(WAIT, || !cluster.runs(&id).is_empty()), "status {status}");
+    }
+    for number in 0..10 {
+        assert_eq!(cluster.runs(&format!("l{number}")).len(), 1);
     }
 }
 
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -117,6 +117,9 @@
 /// Time after which a draining replica must get no new requests.
 const MAX_DRAIN_DELAY: Duration = Duration::from_secs(3);
 
+/// Time between a late refusal and the execution of the request in progress.
+const LATE_REFUSAL_LEAD: Duration = Duration::from_millis(5);
+
 /// Maximum number of requests that a replica runs concurrently.
 const SLOTS: u32 = 8;
 
@@ -300,6 +303,7 @@
             let is_reused = !std::mem::take(&mut is_first);
             if is_reused && *lock(&self.shared.behaviour) == Behaviour::LateRefusal {
                 write_reply(&mut stream, 503, &[("x-rosemarybank-not-executed", "1")], b"")?;
+                thread::sleep(LATE_REFUSAL_LEAD);
             }
             if self.is_stopped() || !self.handle(&call, &mut stream)? {
                 return Ok(());
