Reserve the ports of the instances that tests start

Ports were chosen by binding and closing them, and the process bound them some time later. Tests run side by side, so two instances could get the same port, and the second process ended at its start.

--- a/crates/standins/src/platform_mode/instance.rs
+++ b/crates/standins/src/platform_mode/instance.rs
@@ -33,7 +33,7 @@
     name: String,
     dir: PathBuf,
     binary: PathBuf,
-    ports: Ports,
+    ports: PortBlock,
     child: Option<Child>,
     starts: u32,
 }
@@ -42,31 +42,38 @@
 /// port of that range between the check and the start of the process.
 const PORT_RANGE: std::ops::Range<u16> = 20_000..32_000;
 
-/// Ports to try before [`Ports::find_free`] fails.
-const MAX_PORT_ATTEMPTS: u32 = 1_000;
+/// Number of consecutive ports of a [`PortBlock`].
+const BLOCK_LEN: u16 = 5;
 
-impl Ports {
-    /// Finds four ports that are free at the time of the call.
-    ///
-    /// # Errors
-    ///
-    /// Fails when too few free ports are found.
-    pub fn find_free() -> io::Result<Ports> {
-        let mut ports = Vec::new();
-        let mut rng = fastrand::Rng::new();
-        for _ in 0..MAX_PORT_ATTEMPTS {
-            let port = rng.u16(PORT_RANGE);
-            if !ports.contains(&port) && TcpListener::bind(("127.0.0.1", port)).is_ok() {
-                ports.push(port);
-            }
-            if ports.len() == 4 {
-                break;
+/// Blocks to try before [`PortBlock::reserve`] fails.
+const MAX_BLOCK_ATTEMPTS: u32 = 1_000;
+
+/// Ports reserved for an instance, also while it is not running: a process binds its ports some time
+/// after they were chosen. All users of the range reserve a block by listening on its first port.
+#[derive(Debug)]
+struct PortBlock {
+    _first: TcpListener,
+    ports: Ports,
+}
+
+impl PortBlock {
+    fn reserve() -> io::Result<PortBlock> {
+        let bind = |port| TcpListener::bind(("127.0.0.1", port));
+        let blocks = (PORT_RANGE.end - PORT_RANGE.start) / BLOCK_LEN;
+        for _ in 0..MAX_BLOCK_ATTEMPTS {
+            let first = PORT_RANGE.start + fastrand::u16(0..blocks) * BLOCK_LEN;
+            let Ok(listener) = bind(first) else { continue };
+            if (first + 1..first + BLOCK_LEN).all(|it| bind(it).is_ok()) {
+                let ports = Ports {
+                    client: first + 1,
+                    readiness: first + 2,
+                    peer: first + 3,
+                    metrics: first + 4,
+                };
+                return Ok(PortBlock { _first: listener, ports });
             }
         }
-        if ports.len() < 4 {
-            return Err(io::Error::other("fewer than four free ports found"));
-        }
-        Ok(Ports { client: ports[0], readiness: ports[1], peer: ports[2], metrics: ports[3] })
+        Err(io::Error::other("no block of free ports found"))
     }
 }
 
@@ -83,7 +90,8 @@
         binary: &Path,
         store: SocketAddr,
     ) -> io::Result<Instance> {
-        let ports = Ports::find_free()?;
+        let block = PortBlock::reserve()?;
+        let ports = block.ports;
         let addr = |port: u16| format!("127.0.0.1:{port}");
         let settings = json!({
             "node_name": name,
@@ -107,7 +115,7 @@
             name: name.to_owned(),
             dir: dir.to_owned(),
             binary: binary.to_owned(),
-            ports,
+            ports: block,
             child: None,
             starts: 0,
         })
@@ -116,13 +124,13 @@
     /// Ports of the instance.
     #[must_use]
     pub fn ports(&self) -> Ports {
-        self.ports
+        self.ports.ports
     }
 
     /// Address for client requests.
     #[must_use]
     pub fn client_addr(&self) -> SocketAddr {
-        SocketAddr::from(([127, 0, 0, 1], self.ports.client))
+        SocketAddr::from(([127, 0, 0, 1], self.ports().client))
     }
 
     /// Id of the process; `None` while it is not running.
@@ -140,7 +148,7 @@
         self.starts += 1;
         let log = File::create(self.log_path())?;
         let child = Command::new(&self.binary)
-            .args(["--platform", "--metrics-port", &self.ports.metrics.to_string()])
+            .args(["--platform", "--metrics-port", &self.ports().metrics.to_string()])
             .env("ROSEMARYBANK_NODE_FILE", self.settings_path())
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
@@ -164,7 +172,7 @@
     /// Whether the readiness check succeeds.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let addr = SocketAddr::from(([127, 0, 0, 1], self.ports.readiness));
+        let addr = SocketAddr::from(([127, 0, 0, 1], self.ports().readiness));
         let answer =
             Caller::connect(addr).and_then(|mut it| it.call("GET", "/-/readiness", "r", 500));
         answer.is_ok_and(|it| it.status() == 200)
@@ -182,7 +190,7 @@
     ///
     /// Fails when the process does not answer.
     pub fn metrics(&self) -> io::Result<String> {
-        let addr = SocketAddr::from(([127, 0, 0, 1], self.ports.metrics));
+        let addr = SocketAddr::from(([127, 0, 0, 1], self.ports().metrics));
         let answer = Caller::connect(addr)?.call("GET", "/metrics", "m", 500)?;
         Ok(String::from_utf8_lossy(&answer.body).into_owned())
     }
