Do not count refused connections as attempts of a request

Cause: an innocent request got 503 beside load in a_request_that_crashes_replicas_is_quarantined_by_all_instances. The log of the instance shows four refused connections within a millisecond, while two of the eight replicas still ran: after the attempts of the route and two more, a part failed, although nothing had been sent and each refusal takes no time.

A refused connection no longer uses up an attempt. The search for a replica still ends, because a replica that is down is not selected. A request without any reachable replica is refused at once, as before.

Ruled out: the budget of extra sends (nothing was sent) and the time left (1,499 ms). The test fails before (4 sends instead of 8) and passes now.

--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -333,6 +333,8 @@
         }
         match failure {
             Failure::WrongReplica => self.record_not_run(&attempt),
+            // Nothing was sent. Replicas that are down are not selected.
+            Failure::Unreachable => self.forget_tried(&attempt),
             Failure::NotAccepted => return self.retry_not_accepted(now, &attempt, out),
             _ => {}
         }
@@ -355,16 +357,22 @@
         attempt: &Attempt,
         out: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(attempt.request) else { return };
-        let part = &mut request.parts[attempt.part];
-        part.tried.retain(|it| *it != attempt.replica);
+        self.forget_tried(attempt);
+        let Some(request) = self.requests.get(attempt.request) else { return };
         // The first attempt goes on if its hedge was not accepted.
-        if part.running.is_empty() {
+        if request.parts[attempt.part].running.is_empty() {
             self.poll_waiting(now, attempt.request, attempt.part, out);
             self.schedule_timer(now, attempt.request);
         }
     }
 
+    /// Removes the replica of an attempt from those that its part has tried.
+    fn forget_tried(&mut self, attempt: &Attempt) {
+        if let Some(request) = self.requests.get_mut(attempt.request) {
+            request.parts[attempt.part].tried.retain(|it| *it != attempt.replica);
+        }
+    }
+
     pub(super) fn record_unreachable(
         &mut self,
         now: Time,
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -58,6 +58,34 @@
     assert_eq!(routes.find("other.example", "/a/b/c"), None);
 }
 
+/// Most replicas of a service have just crashed. Each connection that is refused costs nothing, so a
+/// request goes on to those that are left.
+#[test]
+fn a_request_reaches_the_replicas_that_are_left() {
+    for route in [plain_route("p", "s"), at_most_once_route("p", "s")] {
+        let replicas = (0..8).map(|it| replica(&format!("r{it}"), "s", "a")).collect();
+        let mut harness = Harness::new(vec![route], replicas);
+        harness.submit("p");
+        for index in 0..7 {
+            assert_eq!(harness.sent.len(), index + 1);
+            harness.fail(index, Failure::Unreachable);
+        }
+        harness.reply_to(7, reply(200, "stamp", b""));
+        assert_eq!(*harness.only_answer(), Answer::Relay(reply(200, "stamp", b"")));
+    }
+}
+
+/// When no replica is left, the request is refused at once as not run.
+#[test]
+fn a_request_without_a_reachable_replica_is_refused() {
+    let mut harness = Harness::new(vec![plain_route("p", "s")], two_replicas("s"));
+    harness.submit("p");
+    harness.fail(0, Failure::Unreachable);
+    harness.fail(1, Failure::Unreachable);
+    assert_eq!(harness.sent.len(), 2);
+    assert_eq!(harness.refusal_kind(), ErrorKind::Overloaded);
+}
+
 /// A request that must not be executed twice is retried only if it was certainly not executed.
 #[test]
 fn an_at_most_once_request_is_retried_only_if_it_was_not_executed() {
