Detect the crash of a replica that can still be reached for a moment

Cause: a_request_that_crashes_replicas_is_quarantined_by_all_instances failed beside load with 6 crashed replicas. A broken connection counts as a crash only if the replica cannot be reached afterwards, which a new connection tests at once.

A new connection that closes unused is now replaced up to three times per broken connection. It is no evidence by itself, since a replica at its connection limit closes connections too.

The new test gives replicas an exit delay of 30 ms, on a quiet machine: 11 of 12 replicas crashed before, 2 now. The stand-in closed its listener some time after the connection, and left its other connections open, which no ended process does; crash() now closes the listener and all connections. The bound of the existing test stays.

Platform tests print the logs of the instances when they fail.

--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -91,7 +91,8 @@
         }
         let attempt = exchange.attempt;
         let is_identified = head.request_id.is_some() || exchange.request_id.is_empty();
-        if conn.is_reused && !is_identified {
+        let is_reused = conn.requests > 1;
+        if is_reused && !is_identified {
             self.metrics.foreign_replies += 1;
             return ParseStep::Broken;
         }
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -70,8 +70,8 @@
     pub(super) idle_timeout: Option<Duration>,
     /// Whether a reply to another request arrived, so that the connection is not reused.
     pub(super) is_tainted: bool,
-    /// Whether an earlier request was sent on the connection, of which another reply may arrive late.
-    pub(super) is_reused: bool,
+    /// Number of requests sent on the connection.
+    pub(super) requests: u32,
     pub(super) buf: Vec<u8>,
 }
 
@@ -224,7 +224,7 @@
             let may_have_more = end == ReadOutcome::Drained && conn.buf.len() >= limit;
             match conn.state {
                 UpstreamState::Idle if end != ReadOutcome::Drained || !conn.buf.is_empty() => {
-                    return self.close_idle(index);
+                    return self.idle_closed(index);
                 }
                 UpstreamState::Idle => return,
                 _ => self.parse_replies(index, end),
@@ -376,7 +376,6 @@
         conn.socket.write_buf().extend_from_slice(message);
         conn.state = UpstreamState::Busy(exchange);
         conn.state_since = self.now;
-        conn.is_reused = true;
         self.start_write(index);
     }
 
@@ -424,7 +423,7 @@
             state_since: self.now,
             idle_timeout: None,
             is_tainted: false,
-            is_reused: false,
+            requests: 0,
             buf: Vec::new(),
         }));
         Ok(index)
@@ -435,6 +434,7 @@
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
         let UpstreamState::Busy(exchange) = &conn.state else { return };
         let attempt = exchange.attempt;
+        conn.requests += 1;
         match conn.socket.flush() {
             WriteOutcome::Broken(true) => {
                 self.close_conn(index);
@@ -502,6 +502,16 @@
         self.conns.contains(index)
     }
 
+    /// Handles the end of an idle connection by the replica.
+    fn idle_closed(&mut self, index: usize) {
+        let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
+        let (replica, is_unused) = (conn.replica, conn.requests == 0);
+        self.close_idle(index);
+        if is_unused {
+            self.forwarder.handle(self.now, Event::ClosedUnused(replica), &mut self.actions);
+        }
+    }
+
     fn close_idle(&mut self, index: usize) {
         if let Some(Conn::Upstream(conn)) = self.conns.get(index)
             && let Some(pool) = self.pools.get_mut(conn.replica)
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -83,6 +83,22 @@
     }
 }
 
+/// Prints the logs of the instances when a test fails.
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let files = std::fs::read_dir(self.dir.path()).into_iter().flatten().flatten();
+        for path in
+            files.map(|it| it.path()).filter(|it| it.extension().is_some_and(|it| it == "log"))
+        {
+            let log = std::fs::read_to_string(&path);
+            eprintln!("{}:\n{}", path.display(), log.unwrap_or_else(|err| err.to_string()));
+        }
+    }
+}
+
 fn call(instance: &Instance, method: &str, path: &str, id: &str) -> Response {
     Caller::connect(instance.client_addr()).unwrap().call(method, path, id, 1_500).unwrap()
 }
@@ -236,6 +252,29 @@
     }
 }
 
+/// A replica may clean up before its process ends, so it can be reached for a moment after the
+/// connection of the request broke. No other requests show that it has crashed.
+#[test]
+fn a_request_that_crashes_replicas_with_a_delay_is_quarantined() {
+    let mut cluster = Cluster::new();
+    for number in 3..=12 {
+        cluster.add_replica(&format!("orders-{number}"), "orders", "a");
+    }
+    for it in &cluster.replicas {
+        it.set_exit_delay(Duration::from_millis(30));
+    }
+    cluster.set_behaviour("orders", Behaviour::CrashOnPoison);
+    let instance = cluster.start_ready_instance();
+    let path = format!("/read/{POISON}");
+    for number in 0..10 {
+        assert_ne!(call(&instance, "GET", &path, &format!("p{number}")).status(), 200);
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    let crashes = cluster.runs.lock().unwrap().len();
+    assert_eq!(crashes, 2, "replicas crashed");
+    assert_eq!(call(&instance, "GET", &path, "last").status(), 503);
+}
+
 /// Guards against an order that runs twice: a replica sent a late copy of a refusal on a connection that
 /// was in use again, and the order in progress was taken as refused and sent to another replica.
 #[test]
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -321,9 +321,7 @@
             Failure::Broken if attempt.is_sent => {
                 let Attempt { replica, fingerprint, sent_at, .. } = attempt;
                 self.crash_detector.record_broken(now, replica, fingerprint, sent_at);
-                if let Some(it) = self.replicas.get(replica).filter(|it| it.is_listed) {
-                    out.push(Action::Reconnect { replica, addr: it.info.addr });
-                }
+                self.reconnect(replica, out);
             }
             Failure::Unreachable => self.record_unreachable(now, attempt.replica, out),
             _ => {}
@@ -373,6 +371,13 @@
         }
     }
 
+    /// Opens a connection to a replica, which shows whether it has crashed.
+    pub(super) fn reconnect(&self, replica: ReplicaKey, out: &mut Vec<Action>) {
+        if let Some(it) = self.replicas.get(replica).filter(|it| it.is_listed) {
+            out.push(Action::Reconnect { replica, addr: it.info.addr });
+        }
+    }
+
     pub(super) fn record_unreachable(
         &mut self,
         now: Time,
--- a/crates/query/src/forward/crash_detector.rs
+++ b/crates/query/src/forward/crash_detector.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a request crashes each replica that starts to execute it, and its caller sends it
 //! again through any instance. A broken connection alone is not evidence of a crash, because lost
 //! replies and link failures are far more frequent. It counts only if the replica is unreachable
-//! soon afterwards. Quarantined requests are shared with the other instances, since each instance
+//! soon afterwards. A crashing process can still be reached while it cleans up, so a connection that
+//! it then closes unused is replaced as well. Quarantined requests are shared with the other instances, since each instance
 //! sees only some of the crashes.
 
 use std::{collections::HashMap, time::Duration};
@@ -19,6 +20,10 @@
 /// replica is back after some seconds.
 const CONFIRMATION_WINDOW: Duration = Duration::from_secs(3);
 
+/// Maximum number of replacements of connections that closed unused, for each broken connection. A
+/// replica at its connection limit closes each of them.
+const MAX_RECONNECTS: u32 = 3;
+
 /// Maximum number of broken connections that await confirmation, and of requests with confirmed
 /// crashes.
 const MAX_TRACKED: usize = 4_096;
@@ -41,6 +46,8 @@
     fingerprint: Fingerprint,
     sent_at: Time,
     broken_at: Time,
+    /// Number of connections opened after the first replacement closed unused.
+    reconnects: u32,
 }
 
 /// Crash evidence and quarantined requests.
@@ -105,10 +112,28 @@
                 fingerprint,
                 sent_at,
                 broken_at: now,
+                reconnects: 0,
             });
         }
     }
 
+    /// Whether to open another connection to a replica after the replacement of a broken one closed
+    /// unused.
+    pub(crate) fn is_reconnect_due(&mut self, now: Time, replica: ReplicaKey) -> bool {
+        let is_open = |it: &&mut BrokenConnection| {
+            it.replica == replica
+                && it.broken_at + CONFIRMATION_WINDOW > now
+                && it.reconnects < MAX_RECONNECTS
+        };
+        match self.unconfirmed.iter_mut().rfind(is_open) {
+            Some(it) => {
+                it.reconnects += 1;
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Records that a replica is unreachable, which confirms its recent broken connections as
     /// crashes. Returns the requests that are quarantined as a result.
     pub(crate) fn record_unreachable(
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -223,6 +223,11 @@
                 }
                 self.record_unreachable(now, replica, out);
             }
+            Event::ClosedUnused(replica) => {
+                if self.crash_detector.is_reconnect_due(now, replica) {
+                    self.reconnect(replica, out);
+                }
+            }
             Event::Configure(table) => self.configure(*table),
             Event::Replicas(list) => self.set_replicas(now, list, out),
             Event::PeerQuarantined(fingerprint, left) => {
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -30,6 +30,8 @@
     Failed(AttemptKey, Failure),
     /// A connection requested by [`Action::Reconnect`] could not be opened.
     Unreachable(ReplicaKey),
+    /// A connection opened by [`Action::Reconnect`] closed before a request was sent on it.
+    ClosedUnused(ReplicaKey),
     /// A new configuration. Ignored unless its version is newer than the current one.
     Configure(Box<RouteTable>),
     /// The complete list of usable replicas.
--- a/crates/query/tests/forward_crash_detector.rs
+++ b/crates/query/tests/forward_crash_detector.rs
@@ -60,6 +60,26 @@
     assert_eq!(harness.quarantined, [0; 0]);
 }
 
+/// A crashing process can be reached while it cleans up. Replacements that it closes unused are opened
+/// again, which is no evidence by itself: a replica at its connection limit closes them as well.
+#[test]
+fn replacements_that_close_unused_are_opened_again() {
+    let mut harness = harness();
+    harness.fingerprint = FINGERPRINT;
+    crash(&mut harness);
+    let broken = std::mem::take(&mut harness.reconnects);
+    for _ in 0..10 {
+        harness.handle(Event::ClosedUnused(broken[0]));
+    }
+    assert_eq!(harness.reconnects, vec![broken[0]; 3]);
+    assert_eq!(harness.quarantined, [0; 0]);
+    harness.reconnects = vec![broken[0], broken[1]];
+    report_unreachable(&mut harness);
+    assert_eq!(harness.quarantined, [FINGERPRINT]);
+    harness.handle(Event::ClosedUnused(broken[0]));
+    assert_eq!(harness.reconnects, []);
+}
+
 /// A request that was in flight during another request's crash succeeds on another replica and must
 /// not be quarantined.
 #[test]
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -1,8 +1,9 @@
 //! A replica that registers itself in the store, runs requests, and injects faults.
 
 use std::{
+    collections::HashMap,
     io::{self, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -104,6 +105,12 @@
     max_connections: AtomicU64,
     close_delay: Mutex<Duration>,
     open_connections: AtomicU64,
+    /// The open connections by number, to close all of them when the replica crashes.
+    streams: Mutex<HashMap<u64, TcpStream>>,
+    next_stream: AtomicU64,
+    is_listening: Mutex<bool>,
+    listener_closed: Condvar,
+    exit_delay: Mutex<Duration>,
     endless_responses: AtomicU64,
 }
 
@@ -156,12 +163,17 @@
             max_connections: AtomicU64::new(u64::MAX),
             close_delay: Mutex::default(),
             open_connections: AtomicU64::new(0),
+            streams: Mutex::default(),
+            next_stream: AtomicU64::new(0),
+            is_listening: Mutex::new(true),
+            listener_closed: Condvar::new(),
+            exit_delay: Mutex::default(),
             endless_responses: AtomicU64::new(0),
         });
         let replica = Replica { addr: listener.local_addr()?, shared };
         replica.send_heartbeat();
         let (acceptor, heartbeat_sender) = (replica.clone(), replica.clone());
-        thread::spawn(move || acceptor.accept(&listener));
+        thread::spawn(move || acceptor.accept(listener));
         thread::spawn(move || {
             while !heartbeat_sender.is_stopped() {
                 heartbeat_sender.send_heartbeat();
@@ -233,11 +245,24 @@
         self.send_heartbeat();
     }
 
-    /// Stops the replica without removing its registration, which stays until its lease expires.
+    /// Delays the end of the process after a request has crashed it, as when it cleans up first. The
+    /// connection of that request breaks at once.
+    pub fn set_exit_delay(&self, delay: Duration) {
+        *lock(&self.shared.exit_delay) = delay;
+    }
+
+    /// Stops the replica without removing its registration, which stays until its lease expires. When
+    /// this returns, all its sockets are closed, as after the end of a process.
     pub fn crash(&self) {
         self.shared.is_stopped.store(true, Ordering::Relaxed);
         // Wakes the thread that accepts connections, which then closes the listener.
         let _ = TcpStream::connect(self.addr);
+        let is_listening = lock(&self.shared.is_listening);
+        drop(self.shared.listener_closed.wait_while(is_listening, |it| *it));
+        for stream in lock(&self.shared.streams).values() {
+            // The peer may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
 
     /// Stops the replica and removes its registration.
@@ -274,7 +299,14 @@
         shared.store.register(&self.id(), entry, HEARTBEAT_INTERVAL);
     }
 
-    fn accept(&self, listener: &TcpListener) {
+    fn accept(&self, listener: TcpListener) {
+        self.serve_connections(&listener);
+        drop(listener);
+        *lock(&self.shared.is_listening) = false;
+        self.shared.listener_closed.notify_all();
+    }
+
+    fn serve_connections(&self, listener: &TcpListener) {
         for stream in listener.incoming().flatten() {
             if self.is_stopped() {
                 return;
@@ -287,9 +319,14 @@
             }
             self.shared.open_connections.fetch_add(1, Ordering::Relaxed);
             let replica = self.clone();
+            let number = self.shared.next_stream.fetch_add(1, Ordering::Relaxed);
+            if let Ok(copy) = stream.try_clone() {
+                lock(&self.shared.streams).insert(number, copy);
+            }
             thread::spawn(move || {
                 // An error also closes the connection, which is all that the peer sees.
                 drop(replica.serve(stream));
+                lock(&replica.shared.streams).remove(&number);
                 replica.shared.open_connections.fetch_sub(1, Ordering::Relaxed);
             });
         }
@@ -335,12 +372,25 @@
             return Ok(false);
         }
         if behaviour == Behaviour::CrashOnPoison && call.method_and_target().1.contains(POISON) {
-            self.crash();
+            self.exit();
             return Ok(false);
         }
         self.reply(behaviour, &request, &id, stream)
     }
 
+    /// Ends the process after the exit delay.
+    fn exit(&self) {
+        let delay = *lock(&self.shared.exit_delay);
+        if delay.is_zero() {
+            return self.crash();
+        }
+        let replica = self.clone();
+        thread::spawn(move || {
+            thread::sleep(delay);
+            replica.crash();
+        });
+    }
+
     /// Writes a text over and over until the peer closes the connection.
     fn write_endlessly(&self, stream: &mut TcpStream, text: &[u8]) -> io::Result<()> {
         let block = text.repeat(4_096);
