Pass the list of the instances through the feed

Load pattern: some hundred instances need to know each other, for the shares of the budget and as sources, and each listed them at the store every 10 s. Their number rarely changes.

Each instance lists 0, 2, 4, 8 and 16 s after its start, so an instance that registers late in a slow start is missed by the others for up to 8 s and longer.

The instance that reads the store lists the instances every 5 s. Responses of the feed carry the list when the follower has another one, and its age. A follower lists the instances itself when its list is 11 s old. A list that was requested earlier than the current one is ignored. A follower that finds itself missing on a list registers again. The format of the messages changed, so their path is /feed/3. A response that is read long after its request was sent counts as older by that time, as the process may have been paused.

--- a/crates/coordination/src/feed.rs
+++ b/crates/coordination/src/feed.rs
@@ -29,6 +29,11 @@
     pub quarantine_seq: u64,
     /// Sequence number of the last read of the store.
     pub read_seq: u64,
+    /// Sequence number of the last list of the instances.
+    pub list_seq: u64,
+    /// Sequence number of the last change of the list of the instances; 0 if the owner lacks the list
+    /// of the source.
+    pub members_seq: u64,
 }
 
 impl FeedPosition {
@@ -51,6 +56,13 @@
             || self.config_version < source.config_version
             || self.quarantine_seq != source.quarantine_seq
             || self.read_seq != source.read_seq
+            || self.list_seq != source.list_seq
+    }
+
+    /// Whether the owner of this position lacks the list of the instances that `source` has.
+    #[must_use]
+    pub fn lacks_members(&self, source: &FeedPosition) -> bool {
+        self.epoch != source.epoch || self.members_seq != source.members_seq
     }
 }
 
--- a/crates/coordination/src/source.rs
+++ b/crates/coordination/src/source.rs
@@ -81,7 +81,7 @@
 /// let max_age = Duration::from_millis(1_500);
 /// let mut selector = SourceSelector::new("small".into(), "dc".into(), max_age, Start::Later);
 /// assert_eq!(selector.source(Duration::ZERO), Source::Store);
-/// selector.set_members(vec![member("small", 120), member("large", 500)]);
+/// selector.set_members(Duration::ZERO, vec![member("small", 120), member("large", 500)]);
 /// assert_eq!(selector.source(Duration::ZERO), Source::Peer(member("large", 500)));
 /// selector.record_failure(Duration::ZERO, &"large".into());
 /// assert_eq!(selector.source(Duration::ZERO), Source::Store);
@@ -92,6 +92,12 @@
     data_centre: DataCentre,
     /// In descending order of preference.
     members: Vec<Member>,
+    /// When the list of members was requested from the store; `None` before the first list.
+    members_at: Option<Time>,
+    /// Number of lists of members so far, each requested later than the ones before.
+    list_seq: u64,
+    /// Number of these lists that differed from the one before.
+    members_seq: u64,
     excluded_until: HashMap<InstanceId, Time>,
     /// Time of the latest store read that the current state is based on.
     read_at: Option<Time>,
@@ -139,6 +145,9 @@
             own,
             data_centre,
             members: Vec::new(),
+            members_at: None,
+            list_seq: 0,
+            members_seq: 0,
             excluded_until: HashMap::new(),
             read_at: None,
             own_read_at: None,
@@ -151,12 +160,80 @@
         }
     }
 
-    /// Replaces the list of registered members.
-    pub fn set_members(&mut self, members: Vec<Member>) {
-        self.members = members;
-        self.members.sort_by_cached_key(|it| {
+    /// Replaces the list of registered members by one that was requested from the store at
+    /// `requested_at`. Returns whether that is later than for the current list, which otherwise stays.
+    pub fn set_members(&mut self, requested_at: Time, mut members: Vec<Member>) -> bool {
+        if !self.confirm_members(requested_at) {
+            return false;
+        }
+        members.sort_by_cached_key(|it| {
             (std::cmp::Reverse(it.millicores), hash::bytes(0, it.id.as_bytes()), it.id.clone())
         });
+        if self.members_seq == 0 || self.members != members {
+            self.members_seq += 1;
+            self.members = members;
+        }
+        true
+    }
+
+    /// Records that the list of members was still the same in one requested at `requested_at`. Returns
+    /// whether that is later than for the current list.
+    pub fn confirm_members(&mut self, requested_at: Time) -> bool {
+        let is_newer = self.members_at.is_none_or(|it| it < requested_at);
+        if is_newer {
+            self.members_at = Some(requested_at);
+            self.list_seq += 1;
+        }
+        is_newer
+    }
+
+    /// Handles the list of members in a response of a source, which requested it from the store at
+    /// `requested_at`. `members` is `None` if the source still has the list that it sent last. `received`
+    /// is what was received from the source before. Returns whether the list is later than the current
+    /// one.
+    pub fn receive_members(
+        &mut self,
+        received: &mut FeedPosition,
+        source: &FeedPosition,
+        requested_at: Time,
+        members: Option<Vec<Member>>,
+    ) -> bool {
+        let has_same = received.members_seq == source.members_seq;
+        if members.is_none() && has_same && received.list_seq == source.list_seq {
+            return false;
+        }
+        let is_newer = match members {
+            Some(members) => self.set_members(requested_at, members),
+            None => has_same && self.confirm_members(requested_at),
+        };
+        received.list_seq = source.list_seq;
+        // Without the list of the source, the next response has to contain it.
+        received.members_seq = if is_newer { source.members_seq } else { 0 };
+        is_newer
+    }
+
+    /// Returns the registered members, in descending order of preference.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the time since the list of members was requested from the store.
+    #[must_use]
+    pub fn members_age(&self, now: Time) -> Option<Duration> {
+        self.members_at.map(|it| now.saturating_sub(it))
+    }
+
+    /// Returns the number of lists of members that were recorded so far.
+    #[must_use]
+    pub fn list_seq(&self) -> u64 {
+        self.list_seq
+    }
+
+    /// Returns the number of recorded lists that differed from the one before.
+    #[must_use]
+    pub fn members_seq(&self) -> u64 {
+        self.members_seq
     }
 
     /// Returns the number of registered members, including this instance even if it is not listed.
--- a/crates/coordination/tests/source.rs
+++ b/crates/coordination/tests/source.rs
@@ -22,7 +22,7 @@
         Duration::from_millis(1_500),
         Start::Later,
     );
-    selector.set_members(members.to_vec());
+    selector.set_members(Time::ZERO, members.to_vec());
     selector
 }
 
@@ -84,7 +84,7 @@
         let mut selector =
             SourceSelector::new(own.id.clone(), own.data_centre.clone(), max_age, start);
         assert!(!selector.should_read_store(Time::ZERO), "no members are known yet");
-        selector.set_members(members.clone());
+        selector.set_members(Time::ZERO, members.clone());
         assert!(!selector.should_read_store(Duration::from_millis(wait - 1)));
         assert!(selector.should_read_store(Duration::from_millis(wait)));
         selector.record_read(Duration::from_millis(wait));
--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -39,13 +39,13 @@
 
 /// Path of feed requests. It names the format of the messages: an instance of another version answers
 /// 404 and is passed over.
-const FEED_PATH: &str = "/feed/2";
+const FEED_PATH: &str = "/feed/3";
 
 /// The follower side of the feed.
 #[derive(Debug, Default)]
 pub(super) struct FeedClient {
-    /// Connection and source of the request in flight.
-    in_flight: Option<(usize, Member)>,
+    /// Connection and source of the request in flight, and when it was sent.
+    in_flight: Option<(usize, Member, Time)>,
     next_request_at: Time,
     /// The last source and what was received from it.
     received: (Option<InstanceId>, FeedPosition),
@@ -54,7 +54,7 @@
 impl EventLoop {
     /// Sends the next request if it is due, or fails one that timed out.
     pub(super) fn poll_feed(&mut self) {
-        if let Some((index, member)) = self.feed_client.in_flight.clone() {
+        if let Some((index, member, _)) = self.feed_client.in_flight.clone() {
             let has_timed_out = match self.conns.get(index) {
                 Some(Conn::Call(call)) => call.deadline.is_some_and(|it| it <= self.now),
                 _ => true,
@@ -70,16 +70,20 @@
 
     /// Handles a request that failed without a response.
     pub(super) fn feed_call_failed(&mut self, reason: &str) {
-        if let Some((_, member)) = self.feed_client.in_flight.clone() {
+        if let Some((_, member, _)) = self.feed_client.in_flight.clone() {
             self.feed_failed(&member, reason);
         }
     }
 
     /// Handles a response.
     pub(super) fn feed_replied(&mut self, index: usize, status: u16, body: &[u8], closes: bool) {
-        let Some((_, member)) = self.feed_client.in_flight.take() else { return };
-        match feed_codec::decode(body) {
-            Ok(feed) if status == 200 => {
+        let Some((_, member, sent_at)) = self.feed_client.in_flight.take() else { return };
+        // This process may have been paused since the response arrived.
+        let lateness = self.now.saturating_sub(sent_at + LONG_POLL_WAIT);
+        match feed_codec::decode::<FeedResponse>(body) {
+            Ok(mut feed) if status == 200 => {
+                feed.age = feed.age.map(|it| it.saturating_add(lateness));
+                feed.members_age = feed.members_age.map(|it| it.saturating_add(lateness));
                 let keeps_source = !closes
                     && self.source_selector.source(self.now) == Source::Peer(member.clone());
                 match self.apply_feed(&member, feed) {
@@ -156,6 +160,8 @@
             config_version: self.forwarder.table().map_or(0, |it| it.version),
             quarantine_seq: self.forwarder.quarantine_seq(),
             read_seq: self.source_selector.read_seq(),
+            list_seq: self.source_selector.list_seq(),
+            members_seq: self.source_selector.members_seq(),
         }
     }
 
@@ -177,6 +183,10 @@
             replicas,
             config,
             quarantined: self.forwarder.quarantined(self.now).collect(),
+            members_age: self.source_selector.members_age(self.now),
+            members: known
+                .lacks_members(&position)
+                .then(|| self.source_selector.members().to_vec()),
         }
     }
 
@@ -219,17 +229,18 @@
             body.len()
         );
         let message = [head.as_bytes(), &body].concat();
-        self.feed_client.in_flight = Some((index, member));
+        self.feed_client.in_flight = Some((index, member, self.now));
         self.send_call(index, &message, LONG_POLL_WAIT + RESPONSE_TIMEOUT);
     }
 
     /// Applies a response of another instance.
-    fn apply_feed(&mut self, member: &Member, feed: FeedResponse) -> UpdateOutcome {
+    fn apply_feed(&mut self, member: &Member, mut feed: FeedResponse) -> UpdateOutcome {
         let now = self.now;
-        if let Some(text) = feed.config {
+        if let Some(text) = feed.config.take() {
             self.apply_compressed_config(text, &member.id);
         }
         self.apply_quarantine(&feed.quarantined);
+        self.apply_received_members(&mut feed);
         let received = &mut self.feed_client.received.1;
         received.quarantine_seq = feed.position.quarantine_seq;
         received.read_seq = feed.position.read_seq;
@@ -252,6 +263,26 @@
         UpdateOutcome::Applied
     }
 
+    /// Applies the list of the instances of a response.
+    fn apply_received_members(&mut self, feed: &mut FeedResponse) {
+        let Some(age) = feed.members_age else { return };
+        let (requested_at, members) = (self.now.saturating_sub(age), feed.members.take());
+        let received = &mut self.feed_client.received.1;
+        if !self.source_selector.receive_members(received, &feed.position, requested_at, members) {
+            return;
+        }
+        self.publish_members(requested_at);
+        let members = self.source_selector.members();
+        for it in &mut self.pollers {
+            it.poller.instances_received(self.now, requested_at, members);
+        }
+    }
+
+    /// Records that the list of the instances is not the one received from the source.
+    pub(super) fn forget_received_members(&mut self) {
+        self.feed_client.received.1.members_seq = 0;
+    }
+
     fn apply_quarantine(&mut self, quarantined: &[Quarantined]) {
         for (fingerprint, remaining) in quarantined {
             let event = Event::PeerQuarantined(*fingerprint, *remaining);
--- a/crates/daemon/src/platform/feed_codec.rs
+++ b/crates/daemon/src/platform/feed_codec.rs
@@ -6,7 +6,7 @@
     config::{Configuration, Limit, LittleEndian, Varint},
     error::{DecodeError, EncodeError},
 };
-use rosemarybank_coordination::feed::FeedPosition;
+use rosemarybank_coordination::{feed::FeedPosition, source::Member};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::directory::ListUpdate;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -43,6 +43,10 @@
     pub config: Option<Vec<u8>>,
     /// Requests in the quarantine of the sender.
     pub quarantined: Vec<Quarantined>,
+    /// Time since the list of the instances was requested from the store; `None` if there is none yet.
+    pub members_age: Option<Duration>,
+    /// The list of the instances, if it is another one than the follower's.
+    pub members: Option<Vec<Member>>,
 }
 
 /// Encodes a message.
--- a/crates/daemon/src/platform/poller.rs
+++ b/crates/daemon/src/platform/poller.rs
@@ -43,7 +43,11 @@
 
 /// Maximum interval of listing the instances. Their number determines the share of the budgets that
 /// each of them may use.
-const MAX_INSTANCE_POLL_INTERVAL: Duration = Duration::from_secs(10);
+const MAX_INSTANCE_POLL_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Age of the last list at which an instance that follows another one lists the instances itself. The
+/// other one may miss a list before.
+const FOLLOWER_INSTANCE_POLL_INTERVAL: Duration = Duration::from_secs(11);
 
 /// Timeout of a call, in addition to the time for which a watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -124,6 +128,10 @@
     registered_at: Option<Time>,
     /// When the list in progress was requested.
     list_requested_at: Time,
+    /// When the newest complete list of the instances was requested, by this instance or another one.
+    instances_at: Option<Time>,
+    /// Whether this instance reads the store instead of following another one.
+    reads_store: bool,
     is_suspended: bool,
 }
 
@@ -160,6 +168,8 @@
             urgency: Urgency::Starting,
             registered_at: None,
             list_requested_at: Time::ZERO,
+            instances_at: None,
+            reads_store: true,
             is_suspended: false,
         }
     }
@@ -199,7 +209,7 @@
     /// Returns the next call if it is due.
     #[must_use]
     pub fn next_call(&mut self, now: Time) -> Option<TimedCall> {
-        if now < self.next_call_at || self.is_suspended {
+        if now < self.next_call_at || self.is_suspended || !self.is_list_due(now) {
             return None;
         }
         let kind = self.object_kind();
@@ -235,6 +245,21 @@
         Some(TimedCall { call, timeout: CALL_TIMEOUT + wait })
     }
 
+    /// Whether the next call is no list of the instances or their last list is old enough.
+    fn is_list_due(&self, now: Time) -> bool {
+        let interval = match self.reads_store {
+            true => self.instance_poll_interval,
+            false => FOLLOWER_INSTANCE_POLL_INTERVAL,
+        };
+        let is_first_page = matches!(self.step, PollStep::List { after: None });
+        !is_first_page || self.instances_at.is_none_or(|it| now >= it + interval)
+    }
+
+    /// Sets whether this instance reads the store, and lists the instances for those that follow it.
+    pub fn set_reads_store(&mut self, reads_store: bool) {
+        self.reads_store = reads_store;
+    }
+
     /// Sets how soon to try again after failed calls.
     pub fn set_urgency(&mut self, urgency: Urgency) {
         self.urgency = urgency;
@@ -342,7 +367,7 @@
 
     /// Writes the registration of this instance if a list of the instances lacks it or has another
     /// one. A list that was requested at `requested_at` may be too old to contain it.
-    pub fn check_registration(&mut self, now: Time, requested_at: Time, members: &[Member]) {
+    fn check_registration(&mut self, now: Time, requested_at: Time, members: &[Member]) {
         let own = &self.own_registration;
         let listed = members.iter().find(|it| it.id == own.id);
         let may_be_older = self.registered_at.is_some_and(|it| requested_at < it + MAX_STALENESS);
@@ -353,6 +378,16 @@
         }
     }
 
+    /// Handles a list of the instances that another instance requested at `requested_at`: this instance
+    /// lists them only when no newer one arrives in time.
+    pub fn instances_received(&mut self, now: Time, requested_at: Time, members: &[Member]) {
+        if self.resource != Resource::Instances {
+            return;
+        }
+        self.instances_at = self.instances_at.max(Some(requested_at));
+        self.check_registration(now, requested_at, members);
+    }
+
     fn handle_list_page(&mut self, now: Time, page: Listing, updates: &mut Vec<Update>) {
         let last = page.items.last().map(|it| it.meta.name.clone());
         self.items.extend(page.items);
@@ -382,7 +417,7 @@
                     items.iter().filter_map(|it| decode_member(it, updates)).collect();
                 // A stale list costs less than a watch.
                 self.step = PollStep::List { after: None };
-                self.next_call_at = now + self.instance_poll_interval;
+                self.instances_at = self.instances_at.max(Some(self.list_requested_at));
                 self.instance_poll_interval =
                     (self.instance_poll_interval * 2).min(MAX_INSTANCE_POLL_INTERVAL);
                 self.check_registration(now, self.list_requested_at, &members);
--- a/crates/daemon/src/platform/store.rs
+++ b/crates/daemon/src/platform/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rosemarybank_adapter::{Call, HEADERS, calls};
-use rosemarybank_coordination::source::Source;
+use rosemarybank_coordination::source::{Member, Source};
 use rosemarybank_http1::{BodyReader, Progress, ResponseHead};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::Event;
@@ -64,7 +64,7 @@
             let poller = &mut self.pollers[poller_index].poller;
             poller.set_urgency(urgency);
             match (poller.resource(), reads_store) {
-                (Resource::Instances, _) => {}
+                (Resource::Instances, _) => poller.set_reads_store(reads_store),
                 (_, true) => poller.resume(self.now),
                 (_, false) => poller.suspend(),
             }
@@ -268,22 +268,10 @@
                 self.publish_replicas();
             }
             Update::Instances(members) => {
-                let is_listed = members.iter().any(|it| it.id == self.settings.instance);
-                self.source_selector.set_members(members);
-                let count = u32::try_from(self.source_selector.member_count()).unwrap_or(u32::MAX);
-                self.metrics.instances = count;
-                let source = match self.source_selector.source(now) {
-                    Source::Store => "store".into(),
-                    Source::Peer(it) => it.id,
-                };
-                self.journal.log(
-                    now,
-                    LineKind::Discovery,
-                    "instances",
-                    format_args!(r#""count":{count},"source":{:?}"#, source.as_str()),
-                );
-                let event = Event::Instances { requested_at: asked_at, count, is_listed };
-                self.forwarder.handle(now, event, &mut self.actions);
+                if self.source_selector.set_members(asked_at, members) {
+                    self.publish_members(asked_at);
+                }
+                self.forget_received_members();
             }
             Update::Invalid(name, reason) => self.journal.log(
                 now,
@@ -294,6 +282,28 @@
         }
     }
 
+    /// Passes the number of instances to the forwarder. `requested_at` is the time at which their list
+    /// was requested from the store.
+    pub(super) fn publish_members(&mut self, requested_at: Time) {
+        let now = self.now;
+        let is_own = |it: &Member| it.id == self.settings.instance;
+        let is_listed = self.source_selector.members().iter().any(is_own);
+        let count = u32::try_from(self.source_selector.member_count()).unwrap_or(u32::MAX);
+        self.metrics.instances = count;
+        let source = match self.source_selector.source(now) {
+            Source::Store => "store".into(),
+            Source::Peer(it) => it.id,
+        };
+        self.journal.log(
+            now,
+            LineKind::Discovery,
+            "instances",
+            format_args!(r#""count":{count},"source":{:?}"#, source.as_str()),
+        );
+        let event = Event::Instances { requested_at, count, is_listed };
+        self.forwarder.handle(now, event, &mut self.actions);
+    }
+
     /// Passes the replicas to the forwarder if they changed.
     pub(super) fn publish_replicas(&mut self) {
         self.directory.tick(self.now);
--- a/crates/daemon/tests/feed_tree.rs
+++ b/crates/daemon/tests/feed_tree.rs
@@ -4,12 +4,14 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use fastrand::Rng;
+use rosemarybank_adapter::{calls::Call, instances};
 use rosemarybank_coordination::{
     feed::{FeedPosition, LONG_POLL_WAIT, is_answer_due},
     source::{Member, Source, SourceSelector, Start},
 };
-use rosemarybank_daemon::platform::poller::{Poller, Resource};
+use rosemarybank_daemon::platform::poller::{Poller, Resource, Update};
 use rosemarybank_protocol::prelude::*;
+use serde_json::json;
 
 const STEP: Duration = Duration::from_millis(10);
 const SWEEP: Duration = Duration::from_millis(50);
@@ -45,21 +47,39 @@
     /// Requests of followers: the follower, when it arrived and its position.
     held: Vec<(usize, Time, FeedPosition)>,
     received: (Option<usize>, FeedPosition),
-    /// Pollers of the replicas and the configuration.
-    pollers: [Poller; 2],
+    /// Pollers of the replicas, the configuration and the instances.
+    pollers: [Poller; 3],
     /// Whether each poller has a call in flight.
-    is_calling: [bool; 2],
+    is_calling: [bool; 3],
     cut_until: Time,
 }
 
 enum Message {
-    Request { from: usize, position: FeedPosition },
-    Response { from: usize, position: FeedPosition, age: Option<Duration> },
-    CallDone { poller: usize, called_at: Time, epoch: u64, is_watch: bool },
+    Request {
+        from: usize,
+        position: FeedPosition,
+    },
+    Response {
+        from: usize,
+        position: FeedPosition,
+        age: Option<Duration>,
+        members_age: Option<Duration>,
+        members: Option<Vec<Member>>,
+    },
+    CallDone {
+        poller: usize,
+        called_at: Time,
+        epoch: u64,
+        call: Call,
+    },
 }
 
 struct Fleet {
     members: Vec<Member>,
+    /// Number of registered instances: the first ones of `members`.
+    registered: usize,
+    /// The store's list of them.
+    list: (usize, String),
     max_age: Duration,
     nodes: Vec<Node>,
     messages: BTreeMap<(Time, u64), (usize, Message)>,
@@ -69,6 +89,8 @@
     rng: Rng,
     /// Calls to the store in each second.
     calls: Vec<usize>,
+    /// Lists of the instances in each second.
+    lists: Vec<usize>,
     /// Greatest age of an instance's state in each second, not counting instances that just started.
     ages: Vec<Duration>,
 }
@@ -85,6 +107,8 @@
             })
             .collect();
         let mut fleet = Fleet {
+            registered: count,
+            list: (0, String::new()),
             members,
             max_age,
             nodes: Vec::new(),
@@ -94,6 +118,7 @@
             store_down_until: Time::ZERO,
             rng: Rng::with_seed(7),
             calls: Vec::new(),
+            lists: Vec::new(),
             ages: Vec::new(),
         };
         for index in 0..count {
@@ -108,7 +133,7 @@
         let own = &self.members[index];
         let mut selector =
             SourceSelector::new(own.id.clone(), own.data_centre.clone(), self.max_age, start);
-        selector.set_members(self.members.clone());
+        selector.set_members(Time::ZERO, self.members.clone());
         Node {
             selector,
             started_at,
@@ -116,9 +141,9 @@
             feed: Feed::Idle { next_at: Time::ZERO },
             held: Vec::new(),
             received: (None, FeedPosition::default()),
-            pollers: [Resource::Replicas, Resource::Config]
+            pollers: [Resource::Replicas, Resource::Config, Resource::Instances]
                 .map(|it| Poller::new(it, self.members[index].clone(), start)),
-            is_calling: [false; 2],
+            is_calling: [false; 3],
             cut_until: Time::ZERO,
         }
     }
@@ -176,16 +201,30 @@
             Message::Request { from, position } => {
                 self.nodes[to].held.push((from, up, position));
             }
-            Message::Response { from, position, age } => {
+            Message::Response { from, position, age, members_age, members } => {
                 let node = &mut self.nodes[to];
                 if !matches!(node.feed, Feed::InFlight { source, .. } if source == from) {
                     return;
                 }
                 node.feed = Feed::Idle { next_at: up };
+                let requested_at = members_age.map(|it| up.saturating_sub(it));
+                if let Some(requested_at) = requested_at
+                    && node.selector.receive_members(
+                        &mut node.received.1,
+                        &position,
+                        requested_at,
+                        members,
+                    )
+                {
+                    let members = node.selector.members();
+                    node.pollers[2].instances_received(up, requested_at, members);
+                }
                 match age.filter(|it| *it <= node.selector.max_source_age()) {
                     Some(age) => {
                         node.selector.record_read(up.saturating_sub(age));
-                        node.received = (Some(from), position);
+                        let FeedPosition { list_seq, members_seq, .. } = node.received.1;
+                        let received = FeedPosition { list_seq, members_seq, ..position };
+                        node.received = (Some(from), received);
                         self.ask(to, up);
                     }
                     None => {
@@ -195,8 +234,9 @@
                     }
                 }
             }
-            Message::CallDone { poller, called_at, epoch, is_watch } => {
+            Message::CallDone { poller, called_at, epoch, call } => {
                 let is_down = self.now < self.store_down_until;
+                let body = self.store_reply(&call);
                 let node = &mut self.nodes[to];
                 if node.epoch != epoch {
                     return;
@@ -205,9 +245,12 @@
                 if is_down || self.now < node.cut_until {
                     return node.pollers[poller].call_failed(up);
                 }
-                let body =
-                    if is_watch { r#"{"events":[],"at":5}"# } else { r#"{"items":[],"at":5}"# };
-                node.pollers[poller].handle_reply(up, 200, body.as_bytes());
+                for update in node.pollers[poller].handle_reply(up, 200, body.as_bytes()) {
+                    if let Update::Instances(members) = update {
+                        node.selector.set_members(called_at, members);
+                        node.received.1.members_seq = 0;
+                    }
+                }
                 if poller == 0 {
                     node.selector.record_own_read(called_at);
                 }
@@ -215,6 +258,21 @@
         }
     }
 
+    fn store_reply(&mut self, call: &Call) -> String {
+        match call.target.as_str() {
+            it if it.contains("watch") => r#"{"events":[],"at":5}"#.to_owned(),
+            it if it.contains("instances") => {
+                if self.list.0 != self.registered {
+                    let entry = |it: &Member| json!({"meta": {"name": it.id}, "spec": instances::encode(it)});
+                    let items: Vec<_> = self.members[..self.registered].iter().map(entry).collect();
+                    self.list = (self.registered, json!({"items": items, "at": 5}).to_string());
+                }
+                self.list.1.clone()
+            }
+            _ => r#"{"items":[],"at":5}"#.to_owned(),
+        }
+    }
+
     fn answer(&mut self, index: usize, up: Time) {
         let node = &mut self.nodes[index];
         if node.held.is_empty() {
@@ -223,6 +281,8 @@
         let position = FeedPosition {
             epoch: node.epoch,
             read_seq: node.selector.read_seq(),
+            list_seq: node.selector.list_seq(),
+            members_seq: node.selector.members_seq(),
             ..FeedPosition::default()
         };
         let state = node.selector.source_state(up, position);
@@ -231,9 +291,13 @@
             .partition::<Vec<_>, _>(|it| is_answer_due(up, it.1, &it.2, state));
         node.held = held;
         let age = node.selector.age(up);
-        for (follower, ..) in due {
+        let members_age = node.selector.members_age(up);
+        for (follower, _, known) in due {
+            let all = self.nodes[index].selector.members();
+            let members = known.lacks_members(&position).then(|| all.to_vec());
+            let response = Message::Response { from: index, position, age, members_age, members };
             let delay = ms(self.rng.u64(1..20));
-            self.post(delay, follower, Message::Response { from: index, position, age });
+            self.post(delay, follower, response);
         }
     }
 
@@ -241,6 +305,7 @@
         let node = &mut self.nodes[index];
         let second = self.now.as_secs() as usize;
         self.calls.resize(self.calls.len().max(second + 1), 0);
+        self.lists.resize(self.calls.len(), 0);
         self.ages.resize(self.ages.len().max(second + 1), Duration::ZERO);
         if up >= ms(3_000) {
             let age = node.selector.age(up).unwrap_or(up);
@@ -248,12 +313,13 @@
         }
         let reads_store = node.selector.should_read_store(up);
         let urgency = node.selector.urgency();
-        for poller in 0..2 {
+        for poller in 0..3 {
             let node = &mut self.nodes[index];
             node.pollers[poller].set_urgency(urgency);
-            match reads_store {
-                true => node.pollers[poller].resume(up),
-                false => node.pollers[poller].suspend(),
+            match (poller, reads_store) {
+                (2, _) => node.pollers[2].set_reads_store(reads_store),
+                (_, true) => node.pollers[poller].resume(up),
+                (_, false) => node.pollers[poller].suspend(),
             }
             if node.is_calling[poller] {
                 continue;
@@ -264,8 +330,9 @@
             let is_answered = self.now >= self.store_down_until && self.now >= node.cut_until;
             let wait = if poller == 1 && is_watch && is_answered { ms(2_500) } else { ms(20) };
             let epoch = node.epoch;
-            let done = Message::CallDone { poller, called_at: up, epoch, is_watch };
-            self.calls[second] += 1;
+            self.calls[second] += usize::from(poller < 2);
+            self.lists[second] += usize::from(poller == 2);
+            let done = Message::CallDone { poller, called_at: up, epoch, call: timed.call };
             self.post(wait, index, done);
         }
         match self.nodes[index].feed {
@@ -386,3 +453,28 @@
         assert!(fleet.worst_second(13) <= 4, "{:?}", &fleet.calls[8..]);
     }
 }
+
+/// Guards against each instance listing all instances at intervals. The one that reads the store lists
+/// them, and the others know of a new instance soon afterwards.
+#[test]
+fn one_instance_lists_the_instances_for_all() {
+    for count in SIZES {
+        let mut fleet = Fleet::new(count, ms(3_000));
+        fleet.registered = count - 1;
+        fleet.run(ms(12_000));
+        fleet.registered = count;
+        fleet.run(ms(8_000));
+        let known = fleet.nodes.iter().map(|it| it.selector.member_count()).min();
+        assert_eq!(known, Some(count), "{count} instances");
+        fleet.run(ms(11_000));
+        let lists = &fleet.lists[10..];
+        println!("{count} instances: {lists:?}");
+        assert!(lists.iter().sum::<usize>() <= lists.len(), "{count} instances: {lists:?}");
+        let oldest = fleet
+            .nodes
+            .iter()
+            .enumerate()
+            .map(|(index, it)| it.selector.members_age(fleet.up(index).unwrap()).unwrap());
+        assert!(oldest.max() < Some(ms(8_000)), "{count} instances");
+    }
+}
--- a/crates/daemon/tests/malformed_input.rs
+++ b/crates/daemon/tests/malformed_input.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
+use bincode::error::DecodeError;
 use proptest::{prelude::*, test_runner::RngSeed};
 use rosemarybank_coordination::{
     feed::FeedPosition,
-    source::{Member, Start},
+    source::{Member, Source, SourceSelector, Start},
 };
 use rosemarybank_daemon::platform::{
     config_text::{ConfigText, decompress},
@@ -39,6 +40,17 @@
         replicas: ListUpdate::Changes(changes),
         config: Some(b"{}".to_vec()),
         quarantined: vec![(5, Duration::from_secs(6))],
+        members_age: Some(Duration::from_secs(1)),
+        members: Some(vec![member("m"), member("n")]),
+    }
+}
+
+fn member(id: &str) -> Member {
+    Member {
+        id: id.into(),
+        addr: "10.0.0.1:1".parse().unwrap(),
+        data_centre: "a".into(),
+        millicores: 250,
     }
 }
 
@@ -66,27 +78,44 @@
         assert!(forwarder.submit(now, &submission, &mut out).is_err());
     }
     forwarder.handle(now, Event::Replicas(directory.usable_replicas()), &mut out);
+    let (max_age, mut poller) = (Duration::from_millis(1_500), poller(Resource::Instances));
+    let mut selector = SourceSelector::new("m".into(), "a".into(), max_age, Start::First);
+    let requested_at = now.saturating_sub(feed.members_age.unwrap_or_default());
+    selector.set_members(requested_at, feed.members.unwrap_or_default());
+    poller.instances_received(now, requested_at, selector.members());
+    assert!(selector.member_count() > 0);
+    let source = selector.source(now);
+    assert!(!matches!(source, Source::Peer(it) if it.id == "m"));
 }
 
 fn poller(resource: Resource) -> Poller {
-    let own = Member {
-        id: "m".into(),
-        addr: "10.0.0.1:1".parse().unwrap(),
-        data_centre: "a".into(),
-        millicores: 250,
-    };
-    Poller::new(resource, own, Start::First)
+    Poller::new(resource, member("m"), Start::First)
 }
 
 /// A length prefix of 2^60 bytes. Without a limit, decoding would allocate them.
 #[test]
 fn a_length_prefix_beyond_the_limit_is_rejected() {
-    let mut bytes = vec![1, 2, 0, 0, 1, 0];
-    bytes.push(253);
-    bytes.extend((1_u64 << 60).to_le_bytes());
-    assert!(feed_codec::decode::<FeedResponse>(&bytes).is_err());
-    assert!(feed_codec::decode::<String>(&bytes[6..]).is_err());
-    assert!(feed_codec::decode::<Vec<u8>>(&bytes[6..]).is_err());
+    let mut prefix = vec![253];
+    prefix.extend((1_u64 << 60).to_le_bytes());
+    assert!(feed_codec::decode::<String>(&prefix).is_err());
+    assert!(feed_codec::decode::<Vec<u8>>(&prefix).is_err());
+    // The lengths of the list of replicas, of the configuration and of the list of instances.
+    let (position, variant) = (FeedPosition::default(), 0_u32);
+    let no_replicas = ListUpdate::Changes(Vec::new());
+    let (age, no_config) = (None::<Duration>, None::<Vec<u8>>);
+    let quarantined = Vec::<feed_codec::Quarantined>::new();
+    let heads = [
+        feed_codec::encode(&(position, age, variant)),
+        feed_codec::encode(&(position, age, &no_replicas, 1_u8)),
+        feed_codec::encode(&(position, age, &no_replicas, no_config, quarantined, age, 1_u8)),
+    ];
+    for head in heads {
+        let bytes = [&head.unwrap()[..], &prefix].concat();
+        let err = feed_codec::decode::<FeedResponse>(&bytes).unwrap_err();
+        let is_length_error =
+            matches!(err, DecodeError::LimitExceeded | DecodeError::UnexpectedEnd { .. });
+        assert!(is_length_error, "{err}");
+    }
 }
 
 /// Guards against an overflow when a received duration is added to the current time.
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -481,9 +481,9 @@
     let before = cluster.store.calls();
     std::thread::sleep(Duration::from_secs(3));
     let calls = cluster.store.calls() - before;
-    // The reader fetches replica changes 4 times and watches the configuration once or twice; all
-    // four instances list the instances.
-    assert!(calls <= 14, "{calls} calls in 3 s");
+    // The reader fetches replica changes four or five times, watches the configuration once or twice and
+    // lists the instances once.
+    assert!(calls <= 8, "{calls} calls in 3 s");
     cluster.configure(8, json!([]));
     let has_new =
         |it: &Instance| it.metrics().is_ok_and(|it| it.contains("rosemarybank_config_version 8\n"));
