Answer requests that are accepted or in progress around the end of a planned stop

Fault seen at operators of similar systems, and present here: during a planned stop, requests that had just been accepted were cut off without an answer.

Cause, from a test that opens connections every 5 ms during a stop and sends the first request 200 ms later: when the instance closed its listener, it closed all connections without a request at once, also those accepted a moment before, and connections that waited to be accepted were reset with the listener. Requests still in progress at the end of the grace period ended without an answer when the process exited.

Now the instance accepts what waits before it closes the listener, gives a connection without a request a second, and reads a connection once more before it closes it as idle. Shortly before the process exits, each request in progress gets an answer that states what is known: the outcome is unknown, or it was not run.

Ruled out: requests received before the signal, which were answered already.

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -234,8 +234,10 @@
             && self.pollers.iter().all(|it| !it.poller.has_failed())
     }
 
-    /// Closes the listener for clients, so that new connections are refused.
+    /// Closes the listener for clients, so that new connections are refused. Connections that wait to be
+    /// accepted are accepted first, since closing the listener would reset them.
     pub(super) fn close_client_listener(&mut self) {
+        self.accept(CLIENT_TOKEN);
         self.listeners.retain(|it| it.1 != ListenerKind::Client);
     }
 
--- a/crates/daemon/src/platform/run.rs
+++ b/crates/daemon/src/platform/run.rs
@@ -112,7 +112,9 @@
 
 fn begin_shutdown(event_loop: &mut EventLoop) {
     event_loop.shutdown.begin(event_loop.now);
-    event_loop.forwarder.handle(event_loop.now, Event::Stopping, &mut event_loop.actions);
+    let answer_by = event_loop.shutdown.answer_by(event_loop.settings.stop_grace);
+    let event = Event::Stopping { answer_by };
+    event_loop.forwarder.handle(event_loop.now, event, &mut event_loop.actions);
     event_loop.deregister_instance();
     let in_flight = event_loop.forwarder.in_flight();
     event_loop.journal.log(
--- a/crates/daemon/src/platform/shutdown.rs
+++ b/crates/daemon/src/platform/shutdown.rs
@@ -15,6 +15,13 @@
 /// The process exits this long before the platform would kill it.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Requests in progress are answered this long before the process exits.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
+/// Time after which a connection without a request is closed while the instance drains. The first
+/// request of a connection that was just accepted is often on its way.
+pub(super) const NEW_CONNECTION_GRACE: Duration = Duration::from_secs(1);
+
 /// State of the shutdown, and the time of the next sweep.
 #[derive(Debug, Default)]
 pub(super) struct Shutdown {
@@ -29,7 +36,8 @@
     Serving,
     /// The readiness probe fails, but the platform still routes clients here.
     LeavingRotation,
-    /// The client listener and idle connections are closed; requests in progress complete.
+    /// The client listener is closed, and connections are after their answers or when they are idle;
+    /// requests in progress complete.
     Draining,
     /// The grace period is nearly over; the process exits.
     Expired,
@@ -59,6 +67,13 @@
         }
     }
 
+    /// Returns the latest time for the answers to requests in progress, given the time from SIGTERM to
+    /// SIGKILL; [`Time::MAX`] if no shutdown was requested.
+    pub(super) fn answer_by(&self, grace: Duration) -> Time {
+        let left = grace.saturating_sub(EXIT_MARGIN).saturating_sub(ANSWER_MARGIN);
+        self.begun_at.map_or(Time::MAX, |it| it + left)
+    }
+
     /// Returns the time of the next sweep.
     pub(super) fn next_sweep(&self) -> Time {
         self.next_sweep
--- a/crates/daemon/src/platform/sweep.rs
+++ b/crates/daemon/src/platform/sweep.rs
@@ -5,7 +5,7 @@
 use crate::platform::{
     client::{ClientConn, ClientState, LINGER_TIMEOUT},
     event_loop::{Conn, EventLoop, ListenerKind},
-    shutdown::ShutdownPhase,
+    shutdown::{NEW_CONNECTION_GRACE, ShutdownPhase},
 };
 
 impl EventLoop {
@@ -25,7 +25,7 @@
         for index in indices {
             match self.conns.get(index) {
                 Some(Conn::Client(client)) if self.has_timed_out(client, phase) => {
-                    self.close_client(index);
+                    self.close_timed_out_client(index, phase);
                 }
                 Some(Conn::Upstream(_)) => self.close_timed_out_upstream(index),
                 _ => {}
@@ -50,6 +50,18 @@
         }
     }
 
+    /// Closes a connection that has timed out, unless a request has arrived since the last poll.
+    fn close_timed_out_client(&mut self, index: usize, phase: ShutdownPhase) {
+        if matches!(self.conns.get(index), Some(Conn::Client(client)) if client.is_idle()) {
+            self.client_event(index);
+        }
+        if let Some(Conn::Client(client)) = self.conns.get(index)
+            && self.has_timed_out(client, phase)
+        {
+            self.close_client(index);
+        }
+    }
+
     fn has_timed_out(&self, client: &ClientConn, phase: ShutdownPhase) -> bool {
         let limits = self.limits();
         let age = self.now.saturating_sub(client.state_since);
@@ -60,7 +72,8 @@
             ClientState::Lingering => age >= LINGER_TIMEOUT,
             ClientState::ReadingHead if client.is_idle() => {
                 let is_client = client.listener == ListenerKind::Client;
-                age >= limits.idle_timeout || (is_client && phase == ShutdownPhase::Draining)
+                let is_draining = is_client && phase == ShutdownPhase::Draining;
+                age >= limits.idle_timeout || (is_draining && age >= NEW_CONNECTION_GRACE)
             }
             ClientState::ReadingHead => age >= limits.head_timeout,
             ClientState::ReadingBody(..) => age >= body_timeout(limits.head_timeout),
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -449,6 +449,30 @@
     assert!(instance.wait_exit(WAIT).is_some_and(|it| it.success()));
 }
 
+/// Guards against a planned stop that cuts off connections which were accepted just before: their first
+/// requests are still on their way when the instance closes its listener and idle connections.
+#[test]
+fn a_request_on_a_new_connection_is_answered_during_a_stop() {
+    let cluster = Cluster::new();
+    let mut instance = cluster.start_ready_instance();
+    instance.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(1_900));
+    let mut callers = Vec::new();
+    while let Ok(caller) = Caller::connect(instance.client_addr()) {
+        callers.push(std::thread::spawn(move || {
+            let mut caller = caller;
+            std::thread::sleep(Duration::from_millis(200));
+            caller.call("GET", "/read/x", "new", 1_500).map(|it| it.status())
+        }));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(callers.len() > 20, "{} connections before the listener closed", callers.len());
+    for it in callers {
+        assert_eq!(it.join().unwrap().unwrap(), 200);
+    }
+    assert!(instance.wait_exit(WAIT).is_some_and(|it| it.success()));
+}
+
 /// A replica must not continue work for a client that has disconnected, so its connection is closed.
 #[test]
 fn a_client_disconnect_cancels_the_attempt() {
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -84,6 +84,8 @@
     pub(super) attempts: SlotMap<AttemptKey, Attempt>,
     pub(super) crash_detector: CrashDetector,
     pub(super) timers: BinaryHeap<Reverse<(Time, RequestKey)>>,
+    /// Latest time for an answer, because the process exits; [`Time::MAX`] before a shutdown.
+    answer_by: Time,
 }
 
 impl Forwarder {
@@ -105,6 +107,7 @@
             attempts: SlotMap::with_key(),
             crash_detector: CrashDetector::default(),
             timers: BinaryHeap::new(),
+            answer_by: Time::MAX,
         }
     }
 
@@ -188,8 +191,9 @@
             answer_at,
             deadline,
         };
-        let request =
+        let mut request =
             Request::new(route.clone(), services.into_iter(), deadlines, submission.fingerprint);
+        request.limit(self.answer_by);
         if !self.route_latencies.contains_key(&route.name) {
             self.route_latencies.insert(route.name.clone(), RouteLatency::new());
         }
@@ -237,7 +241,7 @@
                 self.instance_count = count.max(1);
                 self.membership.record_list(requested_at, count, is_listed);
             }
-            Event::Stopping => self.membership.leave(),
+            Event::Stopping { answer_by } => self.stop(now, answer_by),
             Event::Tick => self.tick(now, out),
         }
     }
@@ -344,6 +348,17 @@
         }
     }
 
+    /// Limits the time of all requests, because the process exits.
+    fn stop(&mut self, now: Time, answer_by: Time) {
+        self.membership.leave();
+        self.answer_by = answer_by;
+        let keys: Vec<RequestKey> = self.requests.keys().collect();
+        for key in keys {
+            self.requests[key].limit(answer_by);
+            self.schedule_timer(now, key);
+        }
+    }
+
     pub(super) fn configure(&mut self, table: RouteTable) {
         if self.table.as_ref().is_some_and(|it| it.version >= table.version) {
             return;
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -47,8 +47,12 @@
         /// Whether this instance is on the list.
         is_listed: bool,
     },
-    /// The instance is shutting down. Requests in flight are still completed.
-    Stopping,
+    /// The instance is shutting down and will exit soon after `answer_by`. Requests in flight are still
+    /// completed, or answered at that time.
+    Stopping {
+        /// Latest time for an answer.
+        answer_by: Time,
+    },
     /// A timer is due; see `Forwarder::next_wakeup`.
     Tick,
 }
--- a/crates/query/src/forward/request.rs
+++ b/crates/query/src/forward/request.rs
@@ -132,6 +132,18 @@
         }
     }
 
+    /// Moves all points in time that are later than `answer_by` to that time.
+    pub(crate) fn limit(&mut self, answer_by: Time) {
+        for it in [
+            &mut self.wait_until,
+            &mut self.partial_answer_at,
+            &mut self.answer_at,
+            &mut self.deadline,
+        ] {
+            *it = (*it).min(answer_by);
+        }
+    }
+
     pub(crate) fn is_gather(&self) -> bool {
         matches!(self.route.target, Target::Gather { .. })
     }
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -86,6 +86,28 @@
     assert_eq!(harness.refusal_kind(), ErrorKind::Overloaded);
 }
 
+/// Guards against requests that end without an answer because the process exits before their deadline.
+/// The answers state what is known.
+#[test]
+fn requests_are_answered_before_the_process_exits() {
+    let mut harness = Harness::new(vec![at_most_once_route("o", "s")], two_replicas("s"));
+    harness.submit("o");
+    harness.mark_sent(0);
+    harness.handle(Event::Stopping { answer_by: harness.now + ms(50) });
+    harness.submit("o");
+    harness.advance(ms(49));
+    assert_eq!(harness.answers, []);
+    harness.advance(ms(1));
+    let kinds = harness.answers.iter().map(|it| match &it.1 {
+        Answer::Refused { kind, .. } => *kind,
+        other => panic!("not refused: {other:?}"),
+    });
+    assert_eq!(
+        kinds.collect::<Vec<_>>(),
+        [ErrorKind::OutcomeUnknown, ErrorKind::DeadlineUnreachable]
+    );
+}
+
 /// A request that must not be executed twice is retried only if it was certainly not executed.
 #[test]
 fn an_at_most_once_request_is_retried_only_if_it_was_not_executed() {
