Wait a round trip on a new connection where a reset would leave the outcome unknown

Failed attempts had no log line, so they get one now (attempt_failed, with the reason; reply_discarded for a reply that belongs to another request). The lines name the cause: nearly all of these attempts went to the only replica of a service, which resets connections beyond its limit. It can do so only when the last packet of the connect has reached it, so the reset arrives one round trip after the connection is open, 28 ms between regions. The request was sent after 2 ms (an order after 20 ms), and the outcome was unknown.

The delay now depends on what is lost: 2 ms where the request can be sent again, one and a half round trips, measured by the connect, more for orders and for the last attempt or the last replica of other requests. Parts of a search do not wait, since a search is answered without them.

Ruled out: routes with one attempt, and replies that were read late (age 56 to 61 ms, two round trips).

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -87,6 +87,14 @@
         })
     }
 
+    /// Id of the request in progress; empty if there is none.
+    pub(super) fn request_id(&self) -> &str {
+        match &self.state {
+            ClientState::AwaitingAnswer(_, pending) => &pending.head.request_id,
+            _ => "",
+        }
+    }
+
     /// Whether no byte of a request has arrived.
     pub(super) fn is_idle(&self) -> bool {
         matches!(self.state, ClientState::ReadingHead) && self.buf.is_empty()
--- a/crates/daemon/src/platform/connect.rs
+++ b/crates/daemon/src/platform/connect.rs
@@ -1,8 +1,51 @@
-//! Classification of connect errors.
+//! Decisions about new connections to replicas.
+//!
+//! Load pattern: many instances start at once and open more connections than the replicas accept. A
+//! replica resets connections beyond its limit right after accepting them. If the request has been
+//! sent by then, it is unknown whether it ran.
 
-use std::io;
+use std::{io, time::Duration};
 
-use rosemarybank_query::forward::Failure;
+use rosemarybank_query::forward::{Failure, Resend};
+
+/// Time between the acceptance of a connection and its reset by a replica at its limit.
+const RESET_TIME: Duration = Duration::from_millis(2);
+
+/// [`RESET_TIME`] of a busy replica.
+const BUSY_RESET_TIME: Duration = Duration::from_millis(20);
+
+/// Maximum round-trip time. A connect that takes longer was delayed by something else, such as a busy
+/// replica or instance.
+const MAX_ROUND_TRIP: Duration = Duration::from_millis(100);
+
+/// Factor by which a round trip may take longer than the one of the connect.
+const JITTER_FACTOR: f32 = 1.5;
+
+/// Returns the delay between the opening of a connection, which took `connect_time`, and the first
+/// request on it. A reset arrives a round trip later than the connection is open here, since the replica
+/// accepts it only then. A request that can be sent again does not wait for that.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use rosemarybank_daemon::platform::connect::first_request_delay;
+/// use rosemarybank_query::forward::Resend;
+///
+/// let round_trip = Duration::from_millis(30);
+/// assert_eq!(first_request_delay(Resend::Allowed, round_trip), Duration::from_millis(2));
+/// assert!(first_request_delay(Resend::LastAttempt, round_trip) > round_trip);
+/// ```
+#[must_use]
+pub fn first_request_delay(resend: Resend, connect_time: Duration) -> Duration {
+    let round_trip = connect_time.min(MAX_ROUND_TRIP).mul_f32(JITTER_FACTOR);
+    match resend {
+        Resend::Allowed => RESET_TIME,
+        Resend::LastAttempt => round_trip + RESET_TIME,
+        Resend::NotIdempotent => round_trip + BUSY_RESET_TIME,
+    }
+}
 
 /// Returns the failure of an attempt whose connection could not be opened. A replica at its
 /// connection limit accepts a connection and resets it, so after a reset it is reachable and did not
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -277,13 +277,36 @@
         }
     }
 
-    /// Reports a failed attempt to the forwarder.
-    pub(super) fn fail_attempt(&mut self, attempt: AttemptKey, failure: Failure) {
+    /// Reports a failed attempt to the forwarder, and logs the reason.
+    pub(super) fn fail_attempt(&mut self, attempt: AttemptKey, failure: Failure, reason: &str) {
         self.attempt_conns.remove(attempt);
         self.metrics.attempt_failures[failure as usize] += 1;
+        if failure != Failure::Abandoned {
+            self.log_attempt(attempt, "attempt_failed", reason);
+        }
         self.forwarder.handle(self.now, Event::Failed(attempt, failure), &mut self.actions);
     }
 
+    /// Logs what happened to an attempt in flight.
+    pub(super) fn log_attempt(&mut self, attempt: AttemptKey, event: &str, reason: &str) {
+        let Some(info) = self.forwarder.attempt_info(attempt) else { return };
+        let client = self.request_conns.get(info.request).and_then(|it| self.conns.get(*it));
+        let request = match client {
+            Some(Conn::Client(client)) => client.request_id(),
+            _ => "",
+        };
+        self.journal.log(
+            self.now,
+            LineKind::Attempt,
+            event,
+            format_args!(
+                r#""request":{request:?},"replica":{:?},"reason":{reason:?},"age_ms":{}"#,
+                info.replica,
+                self.now.saturating_sub(info.started_at).as_millis()
+            ),
+        );
+    }
+
     fn elapsed(&self) -> Time {
         self.started_at.elapsed()
     }
--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -30,7 +30,7 @@
             match self.parse_step(index, end) {
                 ParseStep::Continue => {}
                 ParseStep::Wait => return,
-                ParseStep::Broken => return self.fail_exchange(index, Failure::Broken),
+                ParseStep::Broken(reason) => return self.fail_exchange(index, reason),
             }
         }
     }
@@ -43,7 +43,8 @@
         if exchange.head.is_none() {
             return match ResponseHead::parse(&conn.buf, &HEADERS) {
                 Ok(None) if end == ReadOutcome::Drained => ParseStep::Wait,
-                Ok(None) | Err(_) => ParseStep::Broken,
+                Ok(None) => ParseStep::Broken("the connection closed before a whole reply head"),
+                Err(_) => ParseStep::Broken("the head of the reply is invalid or too long"),
                 Ok(Some((head, len))) => {
                     conn.buf.drain(..len);
                     if head.status < 200 {
@@ -73,10 +74,12 @@
                 match end {
                     ReadOutcome::Drained => ParseStep::Wait,
                     ReadOutcome::Closed if ends => self.finish_reply(index),
-                    ReadOutcome::Closed | ReadOutcome::Broken => ParseStep::Broken,
+                    ReadOutcome::Closed | ReadOutcome::Broken => {
+                        ParseStep::Broken("the connection closed within the reply")
+                    }
                 }
             }
-            Err(_) => ParseStep::Broken,
+            Err(_) => ParseStep::Broken("the body of the reply is invalid or too long"),
         }
     }
 
@@ -84,17 +87,25 @@
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return ParseStep::Wait };
         let UpstreamState::Busy(exchange) = &mut conn.state else { return ParseStep::Wait };
         let body = exchange.body.take().map(BodyReader::into_bytes).unwrap_or_default();
-        let Some(head) = exchange.head.take() else { return ParseStep::Broken };
+        let Some(head) = exchange.head.take() else {
+            return ParseStep::Broken("the reply has no head");
+        };
+        let attempt = exchange.attempt;
         if exchange.is_foreign_reply {
             self.metrics.foreign_replies += 1;
-            return if head.closes_connection { ParseStep::Broken } else { ParseStep::Continue };
+            self.log_attempt(attempt, "reply_discarded", "it belongs to another request");
+            return match head.closes_connection {
+                true => {
+                    ParseStep::Broken("the connection closed after the reply to another request")
+                }
+                false => ParseStep::Continue,
+            };
         }
-        let attempt = exchange.attempt;
         let is_identified = head.request_id.is_some() || exchange.request_id.is_empty();
         let is_reused = conn.requests > 1;
         if is_reused && !is_identified {
             self.metrics.foreign_replies += 1;
-            return ParseStep::Broken;
+            return ParseStep::Broken("an error reply without an id on a reused connection");
         }
         conn.idle_timeout = head.idle_timeout.or(conn.idle_timeout);
         let is_reusable = !head.closes_connection
@@ -118,10 +129,11 @@
     /// Reports a complete reply to the forwarder.
     fn report_reply(&mut self, attempt: AttemptKey, head: ResponseHead, body: Vec<u8>) {
         if head.status == 421 {
-            return self.fail_attempt(attempt, Failure::WrongReplica);
+            let reason = "the address belongs to another replica";
+            return self.fail_attempt(attempt, Failure::WrongReplica, reason);
         }
         if head.is_encoded {
-            return self.fail_attempt(attempt, Failure::Broken);
+            return self.fail_attempt(attempt, Failure::Broken, "the reply is encoded");
         }
         self.attempt_conns.remove(attempt);
         let reply = Reply {
@@ -138,12 +150,12 @@
     }
 
     /// Closes a connection and fails its exchange.
-    pub(super) fn fail_exchange(&mut self, index: usize, failure: Failure) {
+    pub(super) fn fail_exchange(&mut self, index: usize, reason: &str) {
         let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
         let UpstreamState::Busy(exchange) = &conn.state else { return };
         let attempt = exchange.attempt;
         self.close_conn(index);
-        self.fail_attempt(attempt, failure);
+        self.fail_attempt(attempt, Failure::Broken, reason);
     }
 }
 
@@ -151,7 +163,8 @@
 enum ParseStep {
     Continue,
     Wait,
-    Broken,
+    /// The exchange fails for the given reason.
+    Broken(&'static str),
 }
 
 /// Whether a reply belongs to another request. A replica repeats the request id in its reply, so a
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -6,7 +6,9 @@
 use rosemarybank_adapter::HEADERS;
 use rosemarybank_http1::{BodyReader, ResponseHead};
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{Action, AttemptKey, AttemptKind, Event, Failure, ReplicaKey};
+use rosemarybank_query::forward::{
+    Action, AttemptKey, AttemptKind, Event, Failure, ReplicaKey, Resend,
+};
 
 use crate::platform::{
     client::ClientState,
@@ -20,15 +22,6 @@
 /// another replica has answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Delay between the opening of a connection and the first request on it. A replica resets
-/// connections beyond its limit right after accepting them. If the request had been sent by then, it
-/// would be unknown whether it ran.
-const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(2);
-
-/// [`FIRST_REQUEST_DELAY`] of a request that must not run twice. A busy replica resets a connection
-/// some milliseconds after accepting it, and such a request could not be retried then.
-const FIRST_NON_IDEMPOTENT_REQUEST_DELAY: Duration = Duration::from_millis(20);
-
 /// Maximum idle time of a connection that is reused for a request which must not run twice. If the
 /// replica closed the idle connection at that moment, it would be unknown whether the request ran.
 const MAX_NON_IDEMPOTENT_IDLE: Duration = Duration::from_millis(800);
@@ -84,7 +77,9 @@
     pub(super) is_head_request: bool,
     pub(super) head: Option<ResponseHead>,
     pub(super) body: Option<BodyReader>,
-    /// Delay of the request if it is the first one on its connection.
+    /// Whether the request may be sent again.
+    pub(super) resend: Resend,
+    /// Delay of the request if it is the first one on its connection; set when that is open.
     pub(super) first_request_delay: Duration,
     /// Whether the reply being read belongs to another request and is discarded.
     pub(super) is_foreign_reply: bool,
@@ -110,27 +105,18 @@
 impl EventLoop {
     /// Performs [`Action::Send`]: sends a request to a replica.
     pub(super) fn send(&mut self, action: Action) {
-        let Action::Send {
-            attempt,
-            request,
-            replica,
-            id,
-            addr,
-            deadline,
-            is_at_most_once,
-            service,
-            kind,
-        } = action
+        let Action::Send { attempt, request, replica, id, addr, deadline, resend, service, kind } =
+            action
         else {
             return;
         };
         let now = self.now;
         let client = self.request_conns.get(request).and_then(|it| self.conns.get_mut(*it));
         let Some(Conn::Client(client)) = client else {
-            return self.fail_attempt(attempt, Failure::NotSent);
+            return self.fail_attempt(attempt, Failure::NotSent, "the client has left");
         };
         let ClientState::AwaitingAnswer(_, pending) = &mut client.state else {
-            return self.fail_attempt(attempt, Failure::NotSent);
+            return self.fail_attempt(attempt, Failure::NotSent, "the client has left");
         };
         pending.sends += 1;
         let left = deadline.saturating_sub(now);
@@ -142,10 +128,8 @@
             is_head_request: pending.head.is_head_request,
             head: None,
             body: None,
-            first_request_delay: match is_at_most_once {
-                true => FIRST_NON_IDEMPOTENT_REQUEST_DELAY,
-                false => FIRST_REQUEST_DELAY,
-            },
+            resend,
+            first_request_delay: Duration::ZERO,
             is_foreign_reply: false,
             close_at: None,
         };
@@ -168,7 +152,7 @@
         if self.pools.get(replica).is_none() {
             self.pools.insert(replica, Pool::default());
         }
-        match self.take_idle(replica, is_at_most_once) {
+        match self.take_idle(replica, resend) {
             Some(index) => self.send_on_idle(index, exchange, &message),
             None => self.open_conn(replica, addr, exchange, &message),
         }
@@ -183,7 +167,7 @@
             UpstreamState::Busy(exchange) => exchange.close_at = Some(close_at),
             UpstreamState::Connecting(_) | UpstreamState::Connected(_) => {
                 self.close_conn(index);
-                self.fail_attempt(attempt, Failure::Abandoned);
+                self.fail_attempt(attempt, Failure::Abandoned, "it is no longer needed");
             }
             UpstreamState::Reopening | UpstreamState::Idle => {}
         }
@@ -246,7 +230,8 @@
         if !is_open {
             self.metrics.connects_refused += 1;
             self.close_conn(index);
-            self.fail_attempt(attempt, Failure::NotAccepted);
+            let reason = "the replica closed the new connection";
+            self.fail_attempt(attempt, Failure::NotAccepted, reason);
         }
         is_open
     }
@@ -291,13 +276,13 @@
                 let attempt = exchange.attempt;
                 self.metrics.connect_timeouts += 1;
                 self.close_conn(index);
-                self.fail_attempt(attempt, Failure::Unreachable);
+                self.fail_attempt(attempt, Failure::Unreachable, "the connect timed out");
             }
             UpstreamState::Busy(exchange) if exchange.close_at.is_some_and(|it| it <= now) => {
                 let (attempt, replica, since) = (exchange.attempt, conn.replica, conn.state_since);
                 self.close_conn(index);
                 self.close_idle_since(replica, since);
-                self.fail_attempt(attempt, Failure::Abandoned);
+                self.fail_attempt(attempt, Failure::Abandoned, "it is no longer needed");
             }
             UpstreamState::Idle
                 if now >= conn.state_since + SURPLUS_IDLE_TIMEOUT
@@ -351,7 +336,7 @@
         self.pools.get(replica).is_none_or(|it| it.idle.len() > MIN_IDLE_CONNS)
     }
 
-    fn take_idle(&mut self, replica: ReplicaKey, is_at_most_once: bool) -> Option<usize> {
+    fn take_idle(&mut self, replica: ReplicaKey, resend: Resend) -> Option<usize> {
         loop {
             let index = *self.pools.get(replica)?.idle.last()?;
             let Some(Conn::Upstream(conn)) = self.conns.get(index) else {
@@ -361,7 +346,8 @@
             let age = self.now.saturating_sub(conn.state_since);
             let is_stale =
                 conn.idle_timeout.is_some_and(|it| age >= it.mul_f32(IDLE_TIMEOUT_FRACTION));
-            if is_stale || (is_at_most_once && age >= MAX_NON_IDEMPOTENT_IDLE) {
+            let is_too_old = resend == Resend::NotIdempotent && age >= MAX_NON_IDEMPOTENT_IDLE;
+            if is_stale || is_too_old {
                 self.close_idle(index);
                 continue;
             }
@@ -392,13 +378,7 @@
                 self.attempt_conns.insert(attempt, index);
             }
             Err(err) => {
-                self.journal.log(
-                    self.now,
-                    LineKind::Attempt,
-                    "connect_failed",
-                    format_args!(r#""addr":"{addr}","error":"{err}""#),
-                );
-                self.fail_attempt(attempt, Failure::Unreachable);
+                self.fail_attempt(attempt, Failure::Unreachable, &err.to_string());
             }
         }
     }
@@ -438,11 +418,11 @@
         match conn.socket.flush() {
             WriteOutcome::Broken(true) => {
                 self.close_conn(index);
-                self.fail_attempt(attempt, Failure::NotSent);
+                self.fail_attempt(attempt, Failure::NotSent, "the idle connection was closed");
             }
             WriteOutcome::Broken(false) => {
                 self.forwarder.handle(self.now, Event::Sent(attempt), &mut self.actions);
-                self.fail_exchange(index, Failure::Broken);
+                self.fail_exchange(index, "the connection closed while the request was sent");
             }
             WriteOutcome::Done | WriteOutcome::Blocked => {
                 self.forwarder.handle(self.now, Event::Sent(attempt), &mut self.actions);
@@ -480,12 +460,15 @@
                         let failure = connect::classify_error(&err);
                         self.metrics.connects_refused += u64::from(failure == Failure::NotAccepted);
                         self.close_conn(index);
-                        self.fail_attempt(attempt, failure);
+                        self.fail_attempt(attempt, failure, &err.to_string());
                         return false;
                     }
                 }
                 let state = std::mem::replace(&mut conn.state, UpstreamState::Idle);
-                let UpstreamState::Connecting(exchange) = state else { return false };
+                let UpstreamState::Connecting(mut exchange) = state else { return false };
+                let connect_time = now.saturating_sub(conn.state_since);
+                exchange.first_request_delay =
+                    connect::first_request_delay(exchange.resend, connect_time);
                 let due = now + exchange.first_request_delay;
                 conn.state = UpstreamState::Connected(exchange);
                 conn.state_since = now;
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -7,7 +7,10 @@
 use crate::{
     forward::{
         forwarder::Forwarder,
-        interface::{Action, AttemptKey, AttemptKind, Failure, ReplicaKey, Reply, RequestKey},
+        interface::{
+            Action, AttemptKey, AttemptKind, Failure, ReplicaKey, Reply, RequestKey, Resend,
+        },
+        replicas::Replica,
         request::{Attempt, Part, Request},
         selection::{ReplicaSelector, Selection},
         wait_queue::Waiter,
@@ -184,6 +187,7 @@
         kind: AttemptKind,
         out: &mut Vec<Action>,
     ) {
+        let resend = self.resend(key, index, replica_key);
         let request = &mut self.requests[key];
         let attempt = self.attempts.insert(Attempt {
             request: key,
@@ -217,12 +221,36 @@
             id: replica.info.id.clone(),
             addr: replica.info.addr,
             deadline: request.deadline,
-            is_at_most_once: !request.route.is_idempotent,
+            resend,
             service: part.service.clone(),
             kind,
         });
     }
 
+    /// Returns whether a part may be sent again after its next attempt, to the given replica.
+    fn resend(&self, key: RequestKey, index: usize, next: ReplicaKey) -> Resend {
+        let request = &self.requests[key];
+        let part = &request.parts[index];
+        if !request.route.is_idempotent {
+            return Resend::NotIdempotent;
+        }
+        let is_other = |it: &&ReplicaKey| {
+            **it != next
+                && !part.tried.contains(it)
+                && self.replicas.get(**it).is_some_and(Replica::accepts_requests)
+        };
+        let has_other = || {
+            let service = self.services.get(&part.service);
+            service.is_some_and(|it| it.replicas.iter().any(|it| is_other(&it)))
+        };
+        // A search is answered without the part, so a later part is no better than a missing one.
+        let is_last = self.possible_runs(part) + 1 >= request.route.max_attempts || !has_other();
+        match request.is_gather() || !is_last {
+            true => Resend::Allowed,
+            false => Resend::LastAttempt,
+        }
+    }
+
     pub(super) fn record_sent(&mut self, key: AttemptKey) {
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         attempt.is_sent = true;
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -15,7 +15,8 @@
 use crate::forward::{
     crash_detector::CrashDetector,
     interface::{
-        Action, Answer, AttemptKey, AttemptKind, Event, ReplicaKey, RequestKey, Submission,
+        Action, Answer, AttemptInfo, AttemptKey, AttemptKind, Event, ReplicaKey, RequestKey,
+        Submission,
     },
     membership::Membership,
     replicas::Replica,
@@ -124,6 +125,17 @@
         (usable, self.replicas.len())
     }
 
+    /// Describes an attempt in flight, for logs.
+    #[must_use]
+    pub fn attempt_info(&self, attempt: AttemptKey) -> Option<AttemptInfo<'_>> {
+        let attempt = self.attempts.get(attempt)?;
+        Some(AttemptInfo {
+            request: attempt.request,
+            replica: self.replicas.get(attempt.replica).map_or("", |it| &it.info.id),
+            started_at: attempt.sent_at,
+        })
+    }
+
     /// Replaces the limit on extra attempts.
     pub fn set_budget(&mut self, budget: RetryBudget) {
         self.settings.budget = budget;
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -120,8 +120,8 @@
         addr: SocketAddr,
         /// Time after which the reply is no longer useful.
         deadline: Time,
-        /// Whether the request must not be executed more than once.
-        is_at_most_once: bool,
+        /// Whether the request may be sent again if it is unknown whether the replica ran it.
+        resend: Resend,
         /// Service, for the log.
         service: ServiceId,
         /// Whether this is a first attempt, a retry or a hedge.
@@ -181,6 +181,29 @@
     },
 }
 
+/// An attempt in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptInfo<'a> {
+    /// Key of the client request.
+    pub request: RequestKey,
+    /// Id of the replica; empty if it has been removed.
+    pub replica: &'a str,
+    /// When the attempt began.
+    pub started_at: Time,
+}
+
+/// Whether a request may be sent again when its connection breaks and it is unknown whether the replica
+/// ran it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resend {
+    /// It may be sent again, or it is one of the parts of a search, which can be left out.
+    Allowed,
+    /// It could run twice, but no attempt of its route or no other replica is left.
+    LastAttempt,
+    /// It must not run twice.
+    NotIdempotent,
+}
+
 /// Why an attempt is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptKind {
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -28,8 +28,8 @@
 pub use forwarder::{Forwarder, Settings};
 pub use gather::TopRecords;
 pub use interface::{
-    Action, Answer, AttemptKey, AttemptKind, Event, Failure, ReplicaKey, Reply, RequestKey,
-    Submission,
+    Action, Answer, AttemptInfo, AttemptKey, AttemptKind, Event, Failure, ReplicaKey, Reply,
+    RequestKey, Resend, Submission,
 };
 pub use membership::Membership;
 pub use retry_after::RetryAfterSchedule;
--- a/crates/query/tests/forward_harness/mod.rs
+++ b/crates/query/tests/forward_harness/mod.rs
@@ -7,8 +7,8 @@
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
     Action, Answer, AttemptKey, AttemptKind, ClientLimits, Event, Failure, Forwarder, ReplicaInfo,
-    ReplicaKey, ReplicaState, Reply, RequestKey, RetryBudget, Route, RouteTable, ServiceInfo,
-    Settings, Submission, Target,
+    ReplicaKey, ReplicaState, Reply, RequestKey, Resend, RetryBudget, Route, RouteTable,
+    ServiceInfo, Settings, Submission, Target,
 };
 
 /// Returns a time in milliseconds.
@@ -25,6 +25,7 @@
     pub replica: ReplicaKey,
     pub service: ServiceId,
     pub kind: AttemptKind,
+    pub resend: Resend,
     pub sent_at: Time,
     pub deadline: Time,
 }
@@ -219,7 +220,17 @@
     fn collect(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { attempt, request, replica, id, service, kind, deadline, .. } => {
+                Action::Send {
+                    attempt,
+                    request,
+                    replica,
+                    id,
+                    service,
+                    kind,
+                    resend,
+                    deadline,
+                    ..
+                } => {
                     self.sent.push(SentAttempt {
                         attempt,
                         request,
@@ -227,6 +238,7 @@
                         replica,
                         service,
                         kind,
+                        resend,
                         sent_at: self.now,
                         deadline,
                     });
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -11,7 +11,7 @@
 use proptest::prelude::*;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
-    Answer, AttemptKind, Event, Failure, ReplicaKey, ReplicaState, Route, Target,
+    Answer, AttemptKind, Event, Failure, ReplicaKey, ReplicaState, Resend, Route, Target,
 };
 
 fn at_most_once_route(name: &str, service: &str) -> Route {
@@ -86,6 +86,33 @@
     assert_eq!(harness.refusal_kind(), ErrorKind::Overloaded);
 }
 
+/// The last attempt and a request that must not run twice wait longer on a new connection, because their
+/// answer would be an unknown outcome if the replica reset it.
+#[test]
+fn attempts_state_whether_the_request_may_be_sent_again() {
+    let cases = [
+        (plain_route("p", "s"), vec![Resend::Allowed, Resend::LastAttempt]),
+        (Route { max_attempts: 1, ..plain_route("p", "s") }, vec![Resend::LastAttempt]),
+        (at_most_once_route("p", "s"), vec![Resend::NotIdempotent]),
+        (plain_route("p", "single"), vec![Resend::LastAttempt]),
+    ];
+    for (route, expected) in cases {
+        let replicas = [two_replicas("s"), vec![replica("r3", "single", "b")]].concat();
+        let mut harness = Harness::new(vec![route], replicas);
+        harness.submit("p");
+        harness.mark_sent(0);
+        harness.fail(0, Failure::Broken);
+        let resends: Vec<Resend> = harness.sent.iter().map(|it| it.resend).collect();
+        assert_eq!(resends, expected);
+    }
+    // A search is answered without a part rather than late.
+    let mut harness = gather_harness(1, 0.0);
+    harness.submit("all");
+    harness.mark_sent(0);
+    harness.fail(0, Failure::Broken);
+    assert_eq!(harness.sent[1].resend, Resend::Allowed);
+}
+
 /// Guards against requests that end without an answer because the process exits before their deadline.
 /// The answers state what is known.
 #[test]
