Take no old configuration when an instance starts

Fault seen at operators of similar systems, and possible here: after a restart, something that had been withdrawn was in use again. An instance without a configuration took any version from the instance that it follows, also from one that had been cut off from the store for long. Its replicas were refused as too old, but the configuration came into force, and with replicas read from the store the instance would have served withdrawn routes until its own read of the configuration succeeded.

An instance without a configuration now takes one only from a source whose state is current. A running instance still takes a newer version from any source.

The test starts an instance beside a source whose state is an hour old; before, its log shows version 1 from that source in force. Replicas that had left were refused already (directory, earlier tests).

--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -82,6 +82,13 @@
         let lateness = self.now.saturating_sub(sent_at + LONG_POLL_WAIT);
         match feed_codec::decode::<FeedResponse>(body) {
             Ok(mut feed) if status == 200 => {
+                // Without a configuration, this instance would take any version, also one that has long
+                // been replaced.
+                let is_current =
+                    feed.age.is_some_and(|it| it <= self.source_selector.max_source_age());
+                if !is_current && self.forwarder.table().is_none() {
+                    feed.config = None;
+                }
                 feed.age = feed.age.map(|it| it.saturating_add(lateness));
                 feed.members_age = feed.members_age.map(|it| it.saturating_add(lateness));
                 let keeps_source = !closes
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -1,10 +1,18 @@
 //! End-to-end tests of `rosemarybankd --platform`, with stand-ins for the store and the replicas.
 
 use std::{
+    io::{Read as _, Write as _},
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
+use rosemarybank_adapter::{calls, instances};
+use rosemarybank_coordination::{feed::FeedPosition, source::Member};
+use rosemarybank_daemon::platform::{
+    config_text::ConfigText,
+    feed_codec::{self, FeedResponse},
+};
+use rosemarybank_query::forward::directory::ListUpdate;
 use rosemarybank_standins::platform_mode::{
     Behaviour, Caller, Execution, Instance, Replica, Response, Store, StoreFault, config,
     instance::wait_until,
@@ -527,6 +535,51 @@
     }
 }
 
+/// Answers each feed request with a state that was read from the store an hour ago.
+fn serve_old_state(listener: &std::net::TcpListener, config: &Value) {
+    let text = config.to_string().into_bytes();
+    let state = FeedResponse {
+        position: FeedPosition { epoch: 1, config_version: 1, ..FeedPosition::default() },
+        age: Some(Duration::from_secs(3_600)),
+        replicas: ListUpdate::All(Vec::new()),
+        config: Some(ConfigText::plain(text).compressed().unwrap().to_vec()),
+        quarantined: Vec::new(),
+        members_age: None,
+        members: None,
+    };
+    let body = feed_codec::encode(&state).unwrap();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    for stream in listener.incoming().flatten() {
+        let mut stream = stream;
+        // The instance under test may close the connection.
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(&[head.as_bytes(), &body].concat());
+    }
+}
+
+/// Guards against a route that was withdrawn and comes into use again: an instance that has restarted
+/// knows no configuration, so it takes any version, also from an instance that was cut off for long.
+#[test]
+fn a_restarted_instance_takes_no_old_configuration() {
+    let cluster = Cluster::new();
+    let old = config::spec(1, &["s1", "s2", "s3", "s4"], "orders", Vec::new());
+    cluster.configure(2, json!([]));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let source = Member {
+        id: "old".into(),
+        addr: listener.local_addr().unwrap(),
+        data_centre: "a".into(),
+        millicores: 9_000,
+    };
+    cluster.store.put(calls::INSTANCES, "old", instances::encode(&source));
+    std::thread::spawn(move || serve_old_state(&listener, &old));
+    let instance = cluster.start_ready_instance();
+    let log = || std::fs::read_to_string(instance.log_path()).unwrap();
+    assert!(wait_until(WAIT, || log().contains("its data is too old")));
+    assert!(instance.metrics().unwrap().contains("rosemarybank_config_version 2\n"));
+    assert!(!log().contains(r#""event":"config","before":0,"version":1"#), "{}", log());
+}
+
 #[test]
 fn requests_beyond_the_limits_are_rejected() {
     let cluster = Cluster::new();
