Replace only connections that a replica had accepted

All of it is lost at 36 to 42 s, after a loss of power of all instances, when replicas reset connections beyond their limit. A connection that replaces a broken one was then closed unused and replaced up to three times, which added to those connections.

A replica at its limit closes a connection soon after it is open; such a replica is running, so the connection is not replaced. One that closes later was accepted, and its end may be that of the process.

--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -63,6 +63,8 @@
     pub(super) idle_timeout: Option<Duration>,
     /// Whether a reply to another request arrived, so that the connection is not reused.
     pub(super) is_tainted: bool,
+    /// How long the opening of the connection took.
+    pub(super) connect_time: Duration,
     /// Number of requests sent on the connection.
     pub(super) requests: u32,
     pub(super) buf: Vec<u8>,
@@ -403,6 +405,7 @@
             state_since: self.now,
             idle_timeout: None,
             is_tainted: false,
+            connect_time: Duration::ZERO,
             requests: 0,
             buf: Vec::new(),
         }));
@@ -441,6 +444,7 @@
                 match conn.socket.is_connected() {
                     Ok(false) => {}
                     Ok(true) => {
+                        conn.connect_time = now.saturating_sub(conn.state_since);
                         conn.state = UpstreamState::Idle;
                         conn.state_since = now;
                         if let Some(pool) = self.pools.get_mut(replica) {
@@ -466,9 +470,9 @@
                 }
                 let state = std::mem::replace(&mut conn.state, UpstreamState::Idle);
                 let UpstreamState::Connecting(mut exchange) = state else { return false };
-                let connect_time = now.saturating_sub(conn.state_since);
+                conn.connect_time = now.saturating_sub(conn.state_since);
                 exchange.first_request_delay =
-                    connect::first_request_delay(exchange.resend, connect_time);
+                    connect::first_request_delay(exchange.resend, conn.connect_time);
                 let due = now + exchange.first_request_delay;
                 conn.state = UpstreamState::Connected(exchange);
                 conn.state_since = now;
@@ -485,12 +489,16 @@
         self.conns.contains(index)
     }
 
-    /// Handles the end of an idle connection by the replica.
+    /// Handles the end of an idle connection by the replica. One that was opened to replace a broken one
+    /// and closes soon was beyond the limit of the replica, which is therefore running.
     fn idle_closed(&mut self, index: usize) {
         let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
+        let open_for = self.now.saturating_sub(conn.state_since);
+        let was_accepted =
+            open_for >= connect::first_request_delay(Resend::NotIdempotent, conn.connect_time);
         let (replica, is_unused) = (conn.replica, conn.requests == 0);
         self.close_idle(index);
-        if is_unused {
+        if is_unused && was_accepted {
             self.forwarder.handle(self.now, Event::ClosedUnused(replica), &mut self.actions);
         }
     }
