--- a/crates/query/src/forward/crash_detector.rs
+++ b/crates/query/src/forward/crash_detector.rs
@@ -4,8 +4,8 @@
 //! again through any instance. A broken connection alone is not evidence of a crash, because lost
 //! replies and link failures are far more frequent. It counts only if the replica is unreachable
 //! soon afterwards. A crashing process can still be reached while it cleans up, so a connection that
-//! it then closes unused is replaced as well. Quarantined requests are shared with the other instances, since each instance
-//! sees only some of the crashes.
+//! it accepts and then closes unused is replaced as well. Quarantined requests are shared with the
+//! other instances, since each instance sees only some of the crashes.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -21,7 +21,7 @@
 const CONFIRMATION_WINDOW: Duration = Duration::from_secs(3);
 
 /// Maximum number of replacements of connections that closed unused, for each broken connection. A
-/// replica at its connection limit closes each of them.
+/// running replica may close them for other reasons.
 const MAX_RECONNECTS: u32 = 3;
 
 /// Maximum number of broken connections that await confirmation, and of requests with confirmed
--- a/crates/query/src/forward/membership.rs
+++ b/crates/query/src/forward/membership.rs
@@ -12,8 +12,9 @@
 
 use rosemarybank_protocol::prelude::*;
 
-/// Age of the last list of instances at which the full share expires. An instance that gets no lists
-/// from another one reads them every 5 s, after 11 s, so two reads may fail.
+/// Age of the last list of instances at which the full share expires. The instance that reads the store
+/// lists them every 5 s for all, and another one lists them itself when its list is 11 s old, so several
+/// calls may fail.
 pub const LEASE: Duration = Duration::from_secs(25);
 
 /// Maximum staleness of a list. The platform documents it only as "seconds".
