--- a/review/stand-ins/case_foreign_entry.rs
+++ b/review/stand-ins/case_foreign_entry.rs
@@ -31,6 +31,10 @@
 /// JSON escape, in a list that is well-formed JSON.
 const FOREIGN_ENTRY: &str = r#"{"service":"lot-\udcff","address":"127.0.0.1:9","zone":"zone-a","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"sequence":1}"#;
 
+/// Another such entry, played with `ENTRY=number` in the environment: a number that no field of an entry
+/// can hold.
+const FOREIGN_ENTRY_WITH_NUMBER: &str = r#"{"service":"lot-ledger","address":"127.0.0.1:9","zone":"zone-a","version":"v1","slots":1e400,"state":"ready","cold_remaining_ms":0,"sequence":1}"#;
+
 const REPLICAS: usize = 11;
 
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -71,7 +75,11 @@
     }
     thread::sleep(Duration::from_secs(6));
     if day.has_trouble {
-        store.put("servers", "w-0001", FOREIGN_ENTRY);
+        let entry = match std::env::var("ENTRY").as_deref() {
+            Ok("number") => FOREIGN_ENTRY_WITH_NUMBER,
+            _ => FOREIGN_ENTRY,
+        };
+        store.put("servers", "w-0001", entry);
         day.note(Instant::now(), "another writer puts the entry w-0001 into the store");
     }
     let (sent, served) = send_requests(day, &instances, "before");
@@ -92,7 +100,12 @@
     for it in &instances {
         let ready = if it.is_ready() { "ready" } else { "not ready" };
         day.note(Instant::now(), &format!("{} is {ready}", it.name));
-        let unusable = it.log_text().lines().filter(|it| it.contains("unusable_entry")).next_back().map(str::to_owned);
+        let unusable = it
+            .log_text()
+            .lines()
+            .filter(|it| it.contains("unusable_entry"))
+            .next_back()
+            .map(str::to_owned);
         if let Some(line) = unusable {
             day.note(Instant::now(), &format!("its last line on entries: {line}"));
         }
--- a/review/stand-ins/case_head.rs
+++ b/review/stand-ins/case_head.rs
@@ -1,7 +1,10 @@
 //! A client sends a HEAD request on a kept connection while all replicas of the route's service are
 //! down.
 
-use std::{io, thread, time::{Duration, Instant}};
+use std::{
+    io, thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     http::{Client, Request},
@@ -68,7 +71,10 @@
         broken += u32::from(play_client(day, &instance, number)?);
     }
     for it in runs.lock().expect("no thread panics here").iter() {
-        day.note(it.at, &format!("{} of {} runs {} ({})", it.replica, it.service, it.request_id, it.line));
+        day.note(
+            it.at,
+            &format!("{} of {} runs {} ({})", it.replica, it.service, it.request_id, it.line),
+        );
     }
     let text = format!("{broken} of {CLIENTS} clients got bytes that are no answer");
     Ok(if broken > 0 { Outcome::Broken(text) } else { Outcome::Held(text) })
@@ -91,7 +97,10 @@
     day.note(Instant::now(), &format!("client {number} HEAD {head_id}: {}", answer.start));
     let extra = client.unasked_bytes(Duration::from_millis(300))?;
     let text = String::from_utf8_lossy(&extra).into_owned();
-    day.note(Instant::now(), &format!("client {number}: {} bytes after the answer: {text:?}", extra.len()));
+    day.note(
+        Instant::now(),
+        &format!("client {number}: {} bytes after the answer: {text:?}", extra.len()),
+    );
     let get_id = format!("get{number:013x}");
     let answer = client.send(&request("GET", "/list/4", &get_id));
     let line = answer.map_or_else(|it| it.to_string(), |it| it.start);
--- a/review/stand-ins/case_list_pages.rs
+++ b/review/stand-ins/case_list_pages.rs
@@ -104,7 +104,10 @@
         return Ok(Outcome::NotRun("the other instance is not ready".to_owned()));
     }
     let (sent, served) = traffic.stop();
-    day.note(Instant::now(), &format!("clients sent {sent} requests; {served} were answered with 200"));
+    day.note(
+        Instant::now(),
+        &format!("clients sent {sent} requests; {served} were answered with 200"),
+    );
 
     let mut late = Vec::new();
     for run in runs.lock().expect("no thread panics here").iter() {
@@ -210,8 +213,10 @@
                 while !is_over.load(Ordering::SeqCst) {
                     let number = sent.fetch_add(1, Ordering::SeqCst);
                     let service = number as usize % SERVICES;
-                    let (id, target) =
-                        (format!("c{client:02}-{number:09x}"), format!("/shard{service:03}/{number:x}"));
+                    let (id, target) = (
+                        format!("c{client:02}-{number:09x}"),
+                        format!("/shard{service:03}/{number:x}"),
+                    );
                     let request = Request {
                         method: "GET",
                         host: "leno12.example",
--- a/review/stand-ins/http.rs
+++ b/review/stand-ins/http.rs
@@ -99,7 +99,8 @@
         self.stream.set_read_timeout(Some(time))?;
         match self.fill() {
             Ok(_) => {}
-            Err(err) if matches!(err.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+            Err(err)
+                if matches!(err.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
             Err(err) => return Err(err),
         }
         Ok(self.buf.clone())
--- a/review/stand-ins/instance.rs
+++ b/review/stand-ins/instance.rs
@@ -47,7 +47,8 @@
         bounds: Bounds,
     ) -> io::Result<Instance> {
         let ip = free_address()?;
-        let Bounds { contact_ms, drain_ms, config_apply_ms, recovery_s, retry_budget_slack } = bounds;
+        let Bounds { contact_ms, drain_ms, config_apply_ms, recovery_s, retry_budget_slack } =
+            bounds;
         let text = format!(
             r#"{{"node_name":"{name}","role":"entry","machine_class":"frontend","serves":["frontend"],
 "ip":"{ip}","zone":"{zone}","region":"{zone}","zones":{{"zone-a":"zone-a","zone-b":"zone-b","zone-c":"zone-c"}},
@@ -140,7 +141,8 @@
 fn free_address() -> io::Result<Ipv4Addr> {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     for _ in 0..500 {
-        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::SeqCst) + std::process::id() * 16;
+        let number =
+            NEXT.fetch_add(1, std::sync::atomic::Ordering::SeqCst) + std::process::id() * 16;
         let ip = Ipv4Addr::new(127, 77, (number >> 7 & 0xff) as u8, (number & 0x7f) as u8 + 1);
         if PORTS.iter().all(|port| TcpListener::bind((ip, *port)).is_ok()) {
             return Ok(ip);
--- a/review/stand-ins/replica.rs
+++ b/review/stand-ins/replica.rs
@@ -22,8 +22,8 @@
 /// A faulty replica spoils one answer of this number.
 const SPOILED_ONE_IN: u64 = 20;
 
-/// A spoiled answer is repetitions of this, which are no response: the replica repeats them until the
-/// fault is over or the connection is closed.
+/// A spoiled answer is repetitions of this, which are no response: they come "without end [...] until the
+/// caller closes".
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 100 \r\n\r\n";
 
 /// Text in the target of a request that crashes the replicas that run it.
@@ -157,7 +157,8 @@
     /// Whether the next answer is spoiled.
     fn spoils_next_answer(&self) -> bool {
         self.is_faulty.load(Ordering::SeqCst)
-            && self.faulty_answers.fetch_add(1, Ordering::SeqCst) % SPOILED_ONE_IN == SPOILED_ONE_IN - 1
+            && self.faulty_answers.fetch_add(1, Ordering::SeqCst) % SPOILED_ONE_IN
+                == SPOILED_ONE_IN - 1
     }
 
     fn serve(&self, mut reader: Reader) {
@@ -194,14 +195,14 @@
             thread::sleep(self.spec.work);
             if self.spoils_next_answer() {
                 let block = INTERIM_RESPONSE.repeat(4_000);
-                while self.is_faulty.load(Ordering::SeqCst)
-                    && reader.stream.write_all(&block).is_ok()
-                {}
+                while reader.stream.write_all(&block).is_ok() {}
                 return;
             }
             let stamp = format!("{}.{id}", self.spec.id);
-            let fields =
-                [("X-Rosemarybank-Request-Id", id.as_str()), ("X-Rosemarybank-Server-Stamp", &stamp)];
+            let fields = [
+                ("X-Rosemarybank-Request-Id", id.as_str()),
+                ("X-Rosemarybank-Server-Stamp", &stamp),
+            ];
             let body = format!("record of {}\n", request.target());
             let has_body = if request.method() == "HEAD" { Body::None } else { Body::Stated };
             if respond(&mut reader.stream, "200 OK", &fields, body.as_bytes(), has_body).is_err() {
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -105,7 +105,8 @@
             thread::sleep(ANSWER_TIME);
             let (status, body) = self.answer(&call);
             let fields = [("Content-Type", "application/json")];
-            if respond(&mut reader.stream, status, &fields, body.as_bytes(), Body::Stated).is_err() {
+            if respond(&mut reader.stream, status, &fields, body.as_bytes(), Body::Stated).is_err()
+            {
                 return;
             }
         }
