--- a/review/stand-ins/case_foreign_entry.rs
+++ b/review/stand-ins/case_foreign_entry.rs
@@ -58,7 +58,6 @@
             zone: ZONES[number % 3].to_owned(),
             slots: 2,
             work: Duration::from_millis(20),
-            crashes_on_poison: false,
         };
         Replica::start(spec, &store, &runs)?;
     }
--- a/review/stand-ins/case_head.rs
+++ b/review/stand-ins/case_head.rs
@@ -44,7 +44,6 @@
                 zone: "zone-a".to_owned(),
                 slots: 2,
                 work: Duration::from_millis(20),
-                crashes_on_poison: false,
             },
             &store,
             &runs,
--- a/review/stand-ins/case_interim.rs
+++ b/review/stand-ins/case_interim.rs
@@ -67,7 +67,6 @@
             zone: zone.to_owned(),
             slots: 2,
             work: Duration::from_millis(60),
-            crashes_on_poison: false,
         };
         replicas.push(Replica::start(spec, &store, &runs)?);
     }
--- a/review/stand-ins/case_list_pages.rs
+++ b/review/stand-ins/case_list_pages.rs
@@ -152,7 +152,6 @@
         zone: "zone-a".to_owned(),
         slots: 2,
         work: Duration::from_millis(20),
-        crashes_on_poison: false,
     };
     Replica::start(spec, store, runs)
 }
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -2,7 +2,6 @@
 //! with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment the disruption is left out.
 
-mod case_crashing_request;
 mod case_foreign_entry;
 mod case_head;
 mod case_interim;
@@ -32,7 +31,6 @@
         "foreign-entry" => case_foreign_entry::play,
         "head" => case_head::play,
         "interim" => case_interim::play,
-        "crashing-request" => case_crashing_request::play,
         _ => {
             eprintln!("unknown case {name}");
             exit(2);
