Log iterations of the event loop that take long

An instance that is stuck looks like one that is paused or cut off: its readiness probe and its clients get no answer, and it logs nothing. The new line slow_turn tells these apart and says how many connections were open.

The line costs no further clock reading: the time of the next wait is reused.

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -1,6 +1,12 @@
 //! The event loop: its state, and the dispatch of I/O events and timers.
 
-use std::{cmp::Reverse, collections::BinaryHeap, io, sync::Arc, time::Instant};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use mio::{
     Events, Interest, Poll, Token,
@@ -49,6 +55,9 @@
 /// Maximum number of events per poll.
 const MAX_EVENTS: usize = 512;
 
+/// Duration of an iteration that is logged: readiness probes and timers wait for its end.
+const SLOW_TURN: Duration = Duration::from_millis(250);
+
 /// Listener that accepted a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ListenerKind {
@@ -112,6 +121,8 @@
     pub(super) metrics: Metrics,
     pub(super) shutdown: Shutdown,
     started_at: Instant,
+    /// Start of the current iteration, after its wait.
+    turn_started_at: Time,
     /// Time since the start, updated once per iteration.
     pub(super) now: Time,
 }
@@ -164,6 +175,7 @@
             metrics: Metrics::default(),
             shutdown: Shutdown::default(),
             started_at: Instant::now(),
+            turn_started_at: Time::ZERO,
             now: Time::ZERO,
         };
         event_loop.listen(CLIENT_TOKEN, ListenerKind::Client, event_loop.settings.client_addr)?;
@@ -182,12 +194,15 @@
 
     /// Runs one iteration: waits for events, handles them and does the work that is due.
     pub(super) fn run_once(&mut self, events: &mut Events) -> io::Result<()> {
-        let wait = self.next_wakeup().saturating_sub(self.elapsed());
+        let turn_end = self.elapsed();
+        self.log_slow_turn(turn_end);
+        let wait = self.next_wakeup().saturating_sub(turn_end);
         match self.poll.poll(events, Some(wait)) {
             Err(err) if err.kind() != io::ErrorKind::Interrupted => return Err(err),
             _ => {}
         }
         self.now = self.elapsed();
+        self.turn_started_at = self.now;
         for event in events.iter() {
             match event.token() {
                 token @ (CLIENT_TOKEN | READINESS_TOKEN | METRICS_TOKEN | PEER_TOKEN) => {
@@ -216,6 +231,23 @@
         Ok(())
     }
 
+    /// Logs an iteration that took long, because the process was paused or had too much to do.
+    fn log_slow_turn(&mut self, end: Time) {
+        let took = end.saturating_sub(self.turn_started_at);
+        if took >= SLOW_TURN {
+            self.journal.log(
+                end,
+                LineKind::Lifecycle,
+                "slow_turn",
+                format_args!(
+                    r#""took_ms":{},"connections":{}"#,
+                    took.as_millis(),
+                    self.conns.len()
+                ),
+            );
+        }
+    }
+
     /// Allocates the event buffer for [`EventLoop::run_once`].
     pub(super) fn event_buffer() -> Events {
         Events::with_capacity(MAX_EVENTS)
