Bound the chunk extensions and trailers of a body

A faulty peer could send trailer lines or chunk extensions without end after or within a chunked body: the decoded bytes were bounded, these were not, so the connection was read until the request timed out.

Extensions and trailers of a body may take 16 KiB together.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -5,6 +5,9 @@
 /// Longest chunk-size line or trailer line in bytes.
 const MAX_LINE_LEN: usize = 256;
 
+/// Maximum number of bytes of all chunk extensions and trailer lines of a body.
+const MAX_EXTRA_LEN: usize = 16 << 10;
+
 /// Result of passing bytes to a [`BodyReader`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -30,6 +33,8 @@
 pub struct BodyReader {
     state: State,
     max_len: usize,
+    /// Number of bytes of chunk extensions and trailer lines so far.
+    extra_len: usize,
     bytes: Vec<u8>,
 }
 
@@ -54,7 +59,7 @@
             Framing::Chunked => State::ChunkSize { line: Vec::new() },
             Framing::UntilClose => State::UntilClose,
         };
-        BodyReader { state, max_len, bytes: Vec::new() }
+        BodyReader { state, max_len, extra_len: 0, bytes: Vec::new() }
     }
 
     /// Consumes the next bytes received on the connection.
@@ -105,11 +110,12 @@
             State::UntilClose => self.append(buf).map(|()| buf.len()),
             State::ChunkSize { line } => {
                 let Some(text) = push_line_byte(line, buf[0])? else { return Ok(1) };
-                let size = parse_chunk_size(&text)?;
+                let (size, extension_len) = parse_chunk_size(&text)?;
                 self.state = match size {
                     0 => State::Trailer { line: Vec::new() },
                     remaining => State::ChunkData { remaining },
                 };
+                self.count_extra(extension_len)?;
                 Ok(1)
             }
             State::ChunkEnd { bytes_seen } => {
@@ -129,6 +135,7 @@
                         true => self.state = State::Done,
                         false => line.clear(),
                     }
+                    self.count_extra(text.len())?;
                 }
                 Ok(1)
             }
@@ -136,6 +143,14 @@
         }
     }
 
+    fn count_extra(&mut self, len: usize) -> Result<(), MessageError> {
+        self.extra_len += len;
+        match self.extra_len <= MAX_EXTRA_LEN {
+            true => Ok(()),
+            false => Err(MessageError::MalformedChunk),
+        }
+    }
+
     fn append(&mut self, buf: &[u8]) -> Result<(), MessageError> {
         if self.bytes.len() + buf.len() > self.max_len {
             return Err(MessageError::BodyTooLarge);
@@ -160,11 +175,13 @@
     }
 }
 
-/// Parses the hexadecimal size of a chunk and ignores chunk extensions.
-fn parse_chunk_size(line: &[u8]) -> Result<u64, MessageError> {
+/// Parses the line before a chunk into the size of the chunk and the length of its extensions, which are
+/// ignored.
+fn parse_chunk_size(line: &[u8]) -> Result<(u64, usize), MessageError> {
     let digits = line.split(|it| *it == b';').next().unwrap_or_default();
     let text = std::str::from_utf8(digits).unwrap_or_default().trim_end();
     let is_hex = !text.is_empty() && text.len() <= 15;
     let is_hex = is_hex && text.bytes().all(|it| it.is_ascii_hexdigit());
-    is_hex.then(|| u64::from_str_radix(text, 16).ok()).flatten().ok_or(MessageError::MalformedChunk)
+    let size = is_hex.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+    Ok((size.ok_or(MessageError::MalformedChunk)?, line.len() - digits.len()))
 }
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -85,6 +85,21 @@
     }
 }
 
+/// Chunk extensions and trailers that a faulty peer repeats without end end the body with an error.
+#[test]
+fn chunk_extensions_and_trailers_are_bounded() {
+    let cases: [(&[u8], &[u8]); 2] =
+        [(b"", b"1;extension=0123456789\r\nx\r\n"), (b"0\r\n", b"trailer: 0123456789\r\n")];
+    for (start, repeated) in cases {
+        let mut body = BodyReader::new(Framing::Chunked, 1 << 20);
+        body.read(start).unwrap();
+        let pieces = (0..2_000).map(|_| body.read(repeated)).take_while(Result::is_ok).count();
+        assert!((100..1_000).contains(&pieces), "{pieces} pieces of {repeated:?}");
+        let mut body = BodyReader::new(Framing::Chunked, 1 << 20);
+        assert_eq!(body.read(b"1;a=b\r\nx\r\n0\r\nt: 1\r\n\r\n"), Ok(Progress::Complete(21)));
+    }
+}
+
 proptest! {
     /// A chunked body decodes to the same bytes however it is split into reads.
     #[test]
