Serve other connections while a replica sends replies without end

Cause: read_replies went on with one connection as long as each piece of 64 KB was full. Interim responses, and replies to other requests, were skipped without a limit, and each was removed by moving the rest of the buffer, which is slower than a replica sends.

Evidence: replies_without_end_do_not_stop_other_requests failed before (a request to a sound service took more than 1 s; slow_turn lines of 528 ms). Trial: with the limit per iteration but none on skipped replies the test still fails, because some sixty connections share each iteration, so both are needed.

Related: an interim response of the store fails the call instead of shifting replies by one, and a connection whose end arrived together with the reply does not go back to the pool.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -2,6 +2,7 @@
 
 use std::{io, time::Duration};
 
+use bytes::{Buf as _, BytesMut};
 use mio::{Registry, net::TcpStream};
 use rosemarybank_adapter::{HEADERS, headers::READINESS_PATH};
 use rosemarybank_coordination::hash;
@@ -14,7 +15,7 @@
     event_loop::{Conn, EventLoop, ListenerKind},
     feed_codec::FeedRequest,
     journal::LineKind,
-    socket::{ReadOutcome, Socket, WriteOutcome},
+    socket::{Socket, WriteOutcome},
 };
 
 /// Time for which input is discarded after the last answer before the connection is closed. Closing
@@ -36,7 +37,7 @@
     pub(super) state: ClientState,
     /// Time at which the connection entered its state.
     pub(super) state_since: Time,
-    buf: Vec<u8>,
+    buf: BytesMut,
     /// Whether the connection is closed after the next answer.
     pub(super) close_after_answer: bool,
 }
@@ -82,7 +83,7 @@
             listener,
             state: ClientState::ReadingHead,
             state_since: now,
-            buf: Vec::new(),
+            buf: BytesMut::new(),
             close_after_answer: false,
         })
     }
@@ -120,7 +121,7 @@
         if matches!(client.state, ClientState::Lingering) {
             client.buf.clear();
         }
-        if end != ReadOutcome::Drained {
+        if end.is_end() {
             self.close_client(index);
             return;
         }
@@ -139,7 +140,7 @@
                     match RequestHead::parse(&client.buf, limits.head_bytes, &HEADERS) {
                         Ok(None) => return,
                         Ok(Some((head, len))) => {
-                            client.buf.drain(..len);
+                            client.buf.advance(len);
                             if !self.begin_body(index, head, &limits) {
                                 return;
                             }
@@ -150,7 +151,7 @@
                 ClientState::ReadingBody(_, reader) => match reader.read(&client.buf) {
                     Ok(Progress::NeedsMore) => return client.buf.clear(),
                     Ok(Progress::Complete(len)) => {
-                        client.buf.drain(..len);
+                        client.buf.advance(len);
                         let state = std::mem::replace(&mut client.state, ClientState::ReadingHead);
                         client.state_since = now;
                         if let ClientState::ReadingBody(head, reader) = state {
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -111,6 +111,8 @@
     pub(super) actions: Vec<Action>,
     /// Client connections whose buffer may hold another request.
     pub(super) unprocessed_clients: Vec<usize>,
+    /// Connections of which more input may be available than was read in this iteration.
+    pub(super) unread_conns: Vec<usize>,
     /// Client connections with a request that arrived before the first configuration and replica
     /// list.
     pub(super) startup_queue: Vec<usize>,
@@ -168,6 +170,7 @@
             attempt_conns: SparseSecondaryMap::new(),
             actions: Vec::new(),
             unprocessed_clients: Vec::new(),
+            unread_conns: Vec::new(),
             startup_queue: Vec::new(),
             delayed_sends: BinaryHeap::new(),
             read_buf: vec![0; READ_BUF_LEN],
@@ -196,7 +199,11 @@
     pub(super) fn run_once(&mut self, events: &mut Events) -> io::Result<()> {
         let turn_end = self.elapsed();
         self.log_slow_turn(turn_end);
-        let wait = self.next_wakeup().saturating_sub(turn_end);
+        let unread_conns = std::mem::take(&mut self.unread_conns);
+        let wait = match unread_conns.is_empty() {
+            true => self.next_wakeup().saturating_sub(turn_end),
+            false => Duration::ZERO,
+        };
         match self.poll.poll(events, Some(wait)) {
             Err(err) if err.kind() != io::ErrorKind::Interrupted => return Err(err),
             _ => {}
@@ -212,6 +219,10 @@
             }
             self.perform_actions();
         }
+        for index in unread_conns {
+            self.conn_event(index, false);
+            self.perform_actions();
+        }
         self.now = self.elapsed();
         self.send_delayed_requests();
         self.perform_actions();
--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -6,6 +6,7 @@
 //! discarded, and an invalid reply ends the connection. A connection that carried a reply to another
 //! request or bytes after the reply is not reused.
 
+use bytes::Buf as _;
 use rosemarybank_adapter::HEADERS;
 use rosemarybank_http1::{BodyReader, Progress, ResponseHead};
 use rosemarybank_query::forward::{AttemptKey, Event, Failure, Reply};
@@ -13,7 +14,7 @@
 use crate::platform::{
     event_loop::{Conn, EventLoop},
     socket::ReadOutcome,
-    upstream::UpstreamState,
+    upstream::{Exchange, UpstreamState},
 };
 
 /// Maximum size of a reply body in bytes.
@@ -23,6 +24,10 @@
 /// may send bytes without end at the same time.
 const MAX_BODY_MEMORY_DIVISOR: u64 = 256;
 
+/// Maximum number of interim responses and replies to other requests that are discarded before the
+/// reply to a request.
+const MAX_DISCARDED_REPLIES: u32 = 16;
+
 impl EventLoop {
     /// Parses the received bytes of a connection.
     pub(super) fn parse_replies(&mut self, index: usize, end: ReadOutcome) {
@@ -42,13 +47,13 @@
         let UpstreamState::Busy(exchange) = &mut conn.state else { return ParseStep::Wait };
         if exchange.head.is_none() {
             return match ResponseHead::parse(&conn.buf, &HEADERS) {
-                Ok(None) if end == ReadOutcome::Drained => ParseStep::Wait,
+                Ok(None) if !end.is_end() => ParseStep::Wait,
                 Ok(None) => ParseStep::Broken("the connection closed before a whole reply head"),
                 Err(_) => ParseStep::Broken("the head of the reply is invalid or too long"),
                 Ok(Some((head, len))) => {
-                    conn.buf.drain(..len);
+                    conn.buf.advance(len);
                     if head.status < 200 {
-                        return ParseStep::Continue;
+                        return exchange.count_discarded_reply();
                     }
                     exchange.is_foreign_reply = is_foreign(&head, &exchange.request_id);
                     conn.is_tainted |= exchange.is_foreign_reply;
@@ -65,15 +70,15 @@
         };
         match progress {
             Ok(Progress::Complete(len)) => {
-                conn.buf.drain(..len);
-                self.finish_reply(index)
+                conn.buf.advance(len);
+                self.finish_reply(index, end)
             }
             Ok(Progress::NeedsMore) => {
                 conn.buf.clear();
                 let ends = exchange.body.as_ref().is_some_and(BodyReader::ends_with_connection);
                 match end {
-                    ReadOutcome::Drained => ParseStep::Wait,
-                    ReadOutcome::Closed if ends => self.finish_reply(index),
+                    ReadOutcome::Drained | ReadOutcome::LimitReached => ParseStep::Wait,
+                    ReadOutcome::Closed if ends => self.finish_reply(index, end),
                     ReadOutcome::Closed | ReadOutcome::Broken => {
                         ParseStep::Broken("the connection closed within the reply")
                     }
@@ -83,7 +88,7 @@
         }
     }
 
-    fn finish_reply(&mut self, index: usize) -> ParseStep {
+    fn finish_reply(&mut self, index: usize, end: ReadOutcome) -> ParseStep {
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return ParseStep::Wait };
         let UpstreamState::Busy(exchange) = &mut conn.state else { return ParseStep::Wait };
         let body = exchange.body.take().map(BodyReader::into_bytes).unwrap_or_default();
@@ -92,13 +97,14 @@
         };
         let attempt = exchange.attempt;
         if exchange.is_foreign_reply {
+            let next = exchange.count_discarded_reply();
             self.metrics.foreign_replies += 1;
             self.log_attempt(attempt, "reply_discarded", "it belongs to another request");
             return match head.closes_connection {
                 true => {
                     ParseStep::Broken("the connection closed after the reply to another request")
                 }
-                false => ParseStep::Continue,
+                false => next,
             };
         }
         let is_identified = head.request_id.is_some() || exchange.request_id.is_empty();
@@ -111,6 +117,7 @@
         let is_reusable = !head.closes_connection
             && !conn.is_tainted
             && conn.buf.is_empty()
+            && end == ReadOutcome::Drained
             && conn.socket.is_flushed()
             && self.pools.get(conn.replica).is_some_and(|it| !it.is_retired);
         if is_reusable {
@@ -159,6 +166,17 @@
     }
 }
 
+impl Exchange {
+    /// Counts a reply that was discarded. Returns whether to go on with the next one.
+    fn count_discarded_reply(&mut self) -> ParseStep {
+        self.discarded_replies += 1;
+        match self.discarded_replies <= MAX_DISCARDED_REPLIES {
+            true => ParseStep::Continue,
+            false => ParseStep::Broken("too many interim responses or replies to other requests"),
+        }
+    }
+}
+
 /// Result of one parsing step.
 enum ParseStep {
     Continue,
--- a/crates/daemon/src/platform/socket.rs
+++ b/crates/daemon/src/platform/socket.rs
@@ -5,19 +5,29 @@
     net::SocketAddr,
 };
 
+use bytes::BytesMut;
 use mio::{Interest, Registry, Token, net::TcpStream};
 
 /// Result of reading from a socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReadOutcome {
-    /// All available bytes were read, or the limit was reached.
+    /// All available bytes were read.
     Drained,
+    /// The limit was reached. More bytes may be available, and no further event reports them.
+    LimitReached,
     /// The peer closed its sending side.
     Closed,
     /// The connection failed.
     Broken,
 }
 
+impl ReadOutcome {
+    /// Whether nothing more will arrive.
+    pub(super) fn is_end(self) -> bool {
+        matches!(self, ReadOutcome::Closed | ReadOutcome::Broken)
+    }
+}
+
 /// Result of flushing a socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WriteOutcome {
@@ -102,7 +112,7 @@
     /// of single reads.
     pub(super) fn read(
         &mut self,
-        buf: &mut Vec<u8>,
+        buf: &mut BytesMut,
         scratch: &mut [u8],
         limit: usize,
     ) -> ReadOutcome {
@@ -121,7 +131,7 @@
                 Err(_) => return ReadOutcome::Broken,
             }
         }
-        ReadOutcome::Drained
+        ReadOutcome::LimitReached
     }
 
     /// Shuts down the sending side, so that the peer reads the last answer before a reset.
--- a/crates/daemon/src/platform/store.rs
+++ b/crates/daemon/src/platform/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::{Buf as _, BytesMut};
 use rosemarybank_adapter::{Call, HEADERS, calls};
 use rosemarybank_coordination::source::{Member, Source};
 use rosemarybank_http1::{BodyReader, Progress, ResponseHead};
@@ -50,7 +51,7 @@
     pub(super) purpose: CallPurpose,
     /// Time at which the call times out; `None` while no call is in flight.
     pub(super) deadline: Option<Time>,
-    buf: Vec<u8>,
+    buf: BytesMut,
     head: Option<ResponseHead>,
     body: Option<BodyReader>,
 }
@@ -97,6 +98,9 @@
             }
         }
         let end = call.socket.read(&mut call.buf, &mut self.read_buf, MAX_BODY_LEN);
+        if end == ReadOutcome::LimitReached {
+            self.unread_conns.push(index);
+        }
         match parse_reply(call, end) {
             ParsedReply::Incomplete => {}
             ParsedReply::Failed(reason) => self.call_failed(index, reason),
@@ -171,7 +175,7 @@
             socket,
             purpose,
             deadline: None,
-            buf: Vec::new(),
+            buf: BytesMut::new(),
             head: None,
             body: None,
         }));
@@ -328,17 +332,16 @@
 }
 
 fn parse_reply(call: &mut CallConn, end: ReadOutcome) -> ParsedReply {
-    let ended = match end {
-        ReadOutcome::Drained => None,
-        ReadOutcome::Closed | ReadOutcome::Broken => Some(()),
-    };
     if call.head.is_none() {
         match ResponseHead::parse(&call.buf, &HEADERS) {
-            Ok(None) if ended.is_none() => return ParsedReply::Incomplete,
+            Ok(None) if !end.is_end() => return ParsedReply::Incomplete,
             Ok(None) => return ParsedReply::Failed("the connection closed before the reply"),
             Err(_) => return ParsedReply::Failed("the head of the reply is invalid"),
+            Ok(Some((head, _))) if head.status < 200 => {
+                return ParsedReply::Failed("an interim response, which no call asks for");
+            }
             Ok(Some((head, len))) => {
-                call.buf.drain(..len);
+                call.buf.advance(len);
                 call.body = head.framing.map(|it| BodyReader::new(it, MAX_BODY_LEN));
                 call.head = Some(head);
             }
@@ -351,7 +354,7 @@
     };
     let is_complete = match progress {
         Ok(Progress::Complete(len)) => {
-            call.buf.drain(..len);
+            call.buf.advance(len);
             true
         }
         Ok(Progress::NeedsMore) => {
@@ -361,12 +364,12 @@
         }
         Err(_) => return ParsedReply::Failed("the body of the reply is invalid"),
     };
-    match (is_complete, ended) {
-        (true, _) => {
-            let body = call.body.take().map(BodyReader::into_bytes).unwrap_or_default();
-            ParsedReply::Complete(status, body)
-        }
-        (false, None) => ParsedReply::Incomplete,
-        (false, Some(_)) => ParsedReply::Failed("the connection closed within the reply"),
+    if is_complete {
+        let body = call.body.take().map(BodyReader::into_bytes).unwrap_or_default();
+        return ParsedReply::Complete(status, body);
+    }
+    match end.is_end() {
+        false => ParsedReply::Incomplete,
+        true => ParsedReply::Failed("the connection closed within the reply"),
     }
 }
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::{cmp::Reverse, time::Duration};
 
+use bytes::BytesMut;
 use compact_str::CompactString;
 use rosemarybank_adapter::HEADERS;
 use rosemarybank_http1::{BodyReader, ResponseHead};
@@ -37,7 +38,7 @@
 /// Fraction of the idle timeout announced by a replica after which its connection is not reused.
 const IDLE_TIMEOUT_FRACTION: f32 = 0.7;
 
-/// Number of bytes of a reply that are read before they are parsed.
+/// Maximum number of bytes read from a connection in one iteration of the event loop.
 const READ_LEN: usize = 64 << 10;
 
 /// Connection pool of a replica.
@@ -67,7 +68,7 @@
     pub(super) connect_time: Duration,
     /// Number of requests sent on the connection.
     pub(super) requests: u32,
-    pub(super) buf: Vec<u8>,
+    pub(super) buf: BytesMut,
 }
 
 /// The request and reply of an attempt.
@@ -85,6 +86,8 @@
     pub(super) first_request_delay: Duration,
     /// Whether the reply being read belongs to another request and is discarded.
     pub(super) is_foreign_reply: bool,
+    /// Number of interim responses and replies to other requests that were discarded.
+    pub(super) discarded_replies: u32,
     /// Time at which an abandoned attempt's connection is closed if the reply has not arrived.
     pub(super) close_at: Option<Time>,
 }
@@ -133,6 +136,7 @@
             resend,
             first_request_delay: Duration::ZERO,
             is_foreign_reply: false,
+            discarded_replies: 0,
             close_at: None,
         };
         self.metrics.sends[kind as usize] += 1;
@@ -201,23 +205,21 @@
         self.read_replies(index);
     }
 
-    /// Reads and parses what has arrived, in pieces: a faulty replica may send bytes without end.
+    /// Reads and parses what has arrived, at most [`READ_LEN`] bytes: a faulty replica may send bytes
+    /// without end, and faster than they are parsed.
     fn read_replies(&mut self, index: usize) {
-        loop {
-            let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
-            let limit = conn.buf.len() + READ_LEN;
-            let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, limit);
-            let may_have_more = end == ReadOutcome::Drained && conn.buf.len() >= limit;
-            match conn.state {
-                UpstreamState::Idle if end != ReadOutcome::Drained || !conn.buf.is_empty() => {
-                    return self.idle_closed(index);
-                }
-                UpstreamState::Idle => return,
-                _ => self.parse_replies(index, end),
-            }
-            if !may_have_more {
-                return;
+        let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
+        let limit = conn.buf.len() + READ_LEN;
+        let end = conn.socket.read(&mut conn.buf, &mut self.read_buf, limit);
+        if end == ReadOutcome::LimitReached {
+            self.unread_conns.push(index);
+        }
+        match conn.state {
+            UpstreamState::Idle if end != ReadOutcome::Drained || !conn.buf.is_empty() => {
+                self.idle_closed(index);
             }
+            UpstreamState::Idle => {}
+            _ => self.parse_replies(index, end),
         }
     }
 
@@ -407,7 +409,7 @@
             is_tainted: false,
             connect_time: Duration::ZERO,
             requests: 0,
-            buf: Vec::new(),
+            buf: BytesMut::new(),
         }));
         Ok(index)
     }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -313,7 +313,13 @@
 fn bytes_without_end_are_bounded() {
     let cluster = Cluster::new();
     let instance = cluster.start_ready_instance();
-    for behaviour in [Behaviour::EndlessHead, Behaviour::EndlessBody, Behaviour::EndlessInterim] {
+    let behaviours = [
+        Behaviour::EndlessHead,
+        Behaviour::EndlessBody,
+        Behaviour::EndlessInterim,
+        Behaviour::EndlessReplies,
+    ];
+    for behaviour in behaviours {
         cluster.replica("orders-1").set_behaviour(behaviour);
         std::thread::scope(|scope| {
             for caller in 0..20 {
@@ -338,6 +344,44 @@
     assert!(peak_kb < 65_000, "{peak_kb} kB");
 }
 
+/// Guards against an event loop that never leaves the connection of one replica: bytes without end
+/// arrived faster than they were parsed, and no client, probe or timer was served any more.
+#[test]
+fn replies_without_end_do_not_stop_other_requests() {
+    for behaviour in [Behaviour::EndlessInterim, Behaviour::EndlessReplies] {
+        check_other_requests(behaviour);
+    }
+}
+
+fn check_other_requests(behaviour: Behaviour) {
+    let mut cluster = Cluster::new();
+    for number in 3..=8 {
+        cluster.add_replica(&format!("orders-{number}"), "orders", "a");
+    }
+    cluster.configure(2, json!([config::route("part", "idempotent", "s1")]));
+    let instance = cluster.start_ready_instance();
+    let has_route = || call(&instance, "GET", "/part/x", "route").status() == 200;
+    assert!(wait_until(WAIT, has_route));
+    cluster.set_behaviour("orders", behaviour);
+    std::thread::scope(|scope| {
+        for caller in 0..40 {
+            let instance = &instance;
+            scope.spawn(move || {
+                let answer = call(instance, "GET", "/read/x", &format!("faulty-{caller}"));
+                assert!(matches!(answer.status(), 502..=504), "{answer:?}");
+            });
+        }
+        for number in 0..100 {
+            let start = Instant::now();
+            let id = format!("sound-{number}");
+            assert_relayed(&call(&instance, "GET", "/part/x", &id), &id);
+            assert!(start.elapsed() < Duration::from_secs(1), "{id} took {:?}", start.elapsed());
+            assert!(instance.is_ready());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    });
+}
+
 #[test]
 fn no_request_runs_as_a_replica_whose_address_was_reused() {
     let cluster = Cluster::new();
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -58,6 +58,8 @@
     EndlessBody,
     /// Sends interim responses without end, until the peer closes the connection.
     EndlessInterim,
+    /// Sends replies to other requests without end, until the peer closes the connection.
+    EndlessReplies,
     /// Crashes after it ran a request whose target contains [`POISON`]; answers others.
     CrashOnPoison,
 }
@@ -512,7 +514,11 @@
                 self.write_endlessly(stream, &body)?;
             }
             Behaviour::EndlessInterim => {
-                self.write_endlessly(stream, b"HTTP/1.1 100 Continue\r\n\r\n")?;
+                self.write_endlessly(stream, b"HTTP/1.1 100 \r\n\r\n")?;
+            }
+            Behaviour::EndlessReplies => {
+                let other = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                self.write_endlessly(stream, other)?;
             }
             Behaviour::Unframed => {
                 let head = format!(
