Read pipelined requests beyond the buffer after the answer

A client that pipelined more than 64 KB of requests behind one in progress got no answer to the rest: reading had stopped at the limit of the buffer, and readiness is reported once for input that has arrived.

The connection remembers that input is left and reads on when no request is in progress. The test pipelined_requests_beyond_the_buffer_are_answered failed before (no answer for 10 s).

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -15,7 +15,7 @@
     event_loop::{Conn, EventLoop, ListenerKind},
     feed_codec::FeedRequest,
     journal::LineKind,
-    socket::{Socket, WriteOutcome},
+    socket::{ReadOutcome, Socket, WriteOutcome},
 };
 
 /// Time for which input is discarded after the last answer before the connection is closed. Closing
@@ -38,6 +38,8 @@
     /// Time at which the connection entered its state.
     pub(super) state_since: Time,
     buf: BytesMut,
+    /// Whether more input than the limit may have arrived while a request was in progress.
+    has_unread_input: bool,
     /// Whether the connection is closed after the next answer.
     pub(super) close_after_answer: bool,
 }
@@ -84,6 +86,7 @@
             state: ClientState::ReadingHead,
             state_since: now,
             buf: BytesMut::new(),
+            has_unread_input: false,
             close_after_answer: false,
         })
     }
@@ -96,6 +99,16 @@
         }
     }
 
+    /// Whether a request is in progress.
+    fn is_awaiting(&self) -> bool {
+        matches!(
+            self.state,
+            ClientState::AwaitingAnswer(..)
+                | ClientState::AwaitingStart(_)
+                | ClientState::AwaitingFeed(_)
+        )
+    }
+
     /// Whether no byte of a request has arrived.
     pub(super) fn is_idle(&self) -> bool {
         matches!(self.state, ClientState::ReadingHead) && self.buf.is_empty()
@@ -111,11 +124,9 @@
             self.linger_after_last_answer(index);
         }
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
-        let limit = match client.state {
-            ClientState::AwaitingAnswer(..)
-            | ClientState::AwaitingStart(_)
-            | ClientState::AwaitingFeed(_) => MAX_PIPELINED_LEN,
-            _ => limits.head_bytes + limits.body_bytes + MAX_PIPELINED_LEN,
+        let limit = match client.is_awaiting() {
+            true => MAX_PIPELINED_LEN,
+            false => limits.head_bytes + limits.body_bytes + MAX_PIPELINED_LEN,
         };
         let end = client.socket.read(&mut client.buf, &mut self.read_buf, limit);
         if matches!(client.state, ClientState::Lingering) {
@@ -125,7 +136,20 @@
             self.close_client(index);
             return;
         }
+        if end == ReadOutcome::LimitReached {
+            client.has_unread_input = true;
+        }
         self.process_client(index);
+        self.resume_reading(index);
+    }
+
+    /// Reads further input in the next iteration if there may be some and no request is in progress.
+    pub(super) fn resume_reading(&mut self, index: usize) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
+        if client.has_unread_input && !client.is_awaiting() {
+            client.has_unread_input = false;
+            self.unread_conns.push(index);
+        }
     }
 
     /// Parses and starts the buffered requests, until more input or an answer is needed.
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -316,6 +316,7 @@
             }
             for index in std::mem::take(&mut self.unprocessed_clients) {
                 self.process_client(index);
+                self.resume_reading(index);
             }
         }
     }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    fn set_service_time(&self, service: &str, service_time: Duration) {
+        for it in self.replicas.iter().filter(|it| it.service() == service) {
+            it.set_service_time(service_time);
+        }
+    }
+
     /// Returns the executions of a request.
     fn runs(&self, request: &str) -> Vec<Execution> {
         let runs = self.runs.lock().unwrap();
@@ -344,6 +350,25 @@
     assert!(peak_kb < 65_000, "{peak_kb} kB");
 }
 
+/// Guards against requests that are never read: more than the buffer for pipelined requests had arrived
+/// while an earlier one was in progress, and no event reported the rest.
+#[test]
+fn pipelined_requests_beyond_the_buffer_are_answered() {
+    const COUNT: usize = 1_000;
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    cluster.set_service_time("orders", Duration::from_millis(300));
+    let mut caller = Caller::connect(instance.client_addr()).unwrap();
+    caller.send("GET", "/read/x", "first", 1_500).unwrap();
+    for number in 0..COUNT {
+        caller.send("GET", "/unknown/x", &format!("further-{number}"), 1_500).unwrap();
+    }
+    assert_relayed(&caller.receive().unwrap(), "first");
+    for _ in 0..COUNT {
+        assert_eq!(caller.receive().unwrap().status(), 404);
+    }
+}
+
 /// Guards against an event loop that never leaves the connection of one replica: bytes without end
 /// arrived faster than they were parsed, and no client, probe or timer was served any more.
 #[test]
