Notice the end of a connection that arrives with the last bytes

Cause: a read shorter than its buffer was taken for the end of the input. Readiness is reported once, so when the end had arrived with the bytes, no further event told of it. A connection that had ended also counted as idle, and the next request went to it.

Fix: the event that reports the end marks the socket, and a read goes on to the end then.

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -29,6 +29,7 @@
     metrics::Metrics,
     poller::{Poller, Resource},
     shutdown::Shutdown,
+    socket::Socket,
     store::{CallConn, StorePoller},
     upstream::{Pool, UpstreamConn},
 };
@@ -82,6 +83,16 @@
     Call(CallConn),
 }
 
+impl Conn {
+    fn socket_mut(&mut self) -> &mut Socket {
+        match self {
+            Conn::Client(it) => &mut it.socket,
+            Conn::Upstream(it) => &mut it.socket,
+            Conn::Call(it) => &mut it.socket,
+        }
+    }
+}
+
 /// State of the event loop.
 pub(super) struct EventLoop {
     pub(super) settings: NodeSettings,
@@ -215,7 +226,14 @@
                 token @ (CLIENT_TOKEN | READINESS_TOKEN | METRICS_TOKEN | PEER_TOKEN) => {
                     self.accept(token)
                 }
-                Token(index) => self.conn_event(index, event.is_writable()),
+                Token(index) => {
+                    if event.is_read_closed()
+                        && let Some(conn) = self.conns.get_mut(index)
+                    {
+                        conn.socket_mut().set_read_closed();
+                    }
+                    self.conn_event(index, event.is_writable());
+                }
             }
             self.perform_actions();
         }
@@ -287,12 +305,7 @@
     /// Closes a connection.
     pub(super) fn close_conn(&mut self, index: usize) {
         if let Some(mut conn) = self.conns.try_remove(index) {
-            let socket = match &mut conn {
-                Conn::Client(it) => &mut it.socket,
-                Conn::Upstream(it) => &mut it.socket,
-                Conn::Call(it) => &mut it.socket,
-            };
-            socket.deregister(self.poll.registry());
+            conn.socket_mut().deregister(self.poll.registry());
         }
     }
 
--- a/crates/daemon/src/platform/socket.rs
+++ b/crates/daemon/src/platform/socket.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 pub(super) struct Socket {
     stream: TcpStream,
+    /// Whether the peer has closed its sending side; bytes sent before may still be unread.
+    is_read_closed: bool,
     write_buf: Vec<u8>,
     written: usize,
 }
@@ -56,7 +58,7 @@
     ) -> io::Result<Socket> {
         stream.set_nodelay(true)?;
         registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Socket { stream, write_buf: Vec::new(), written: 0 })
+        Ok(Socket { stream, is_read_closed: false, write_buf: Vec::new(), written: 0 })
     }
 
     /// Starts a non-blocking connect.
@@ -108,6 +110,11 @@
         WriteOutcome::Done
     }
 
+    /// Records that an event reported the end of the input.
+    pub(super) fn set_read_closed(&mut self) {
+        self.is_read_closed = true;
+    }
+
     /// Appends the available bytes to `buf` while it is shorter than `limit`. `scratch` is the buffer
     /// of single reads.
     pub(super) fn read(
@@ -121,8 +128,9 @@
                 Ok(0) => return ReadOutcome::Closed,
                 Ok(len) => {
                     buf.extend_from_slice(&scratch[..len]);
-                    // A short read means that the socket is empty; a later close is a new event.
-                    if len < scratch.len() {
+                    // A short read means that the socket is empty; a later close is a new event. A close
+                    // that was reported together with these bytes is not reported again.
+                    if len < scratch.len() && !self.is_read_closed {
                         return ReadOutcome::Drained;
                     }
                 }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -178,6 +178,21 @@
     }
 }
 
+/// Guards against a whole answer that is lost: its end, which is the end of the connection, had arrived
+/// together with the last bytes, and no further event reported it.
+#[test]
+fn replies_that_end_with_their_connection_are_relayed_at_once() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    cluster.set_behaviour("orders", Behaviour::Unframed);
+    for number in 0..50 {
+        let id = format!("u{number}");
+        let start = Instant::now();
+        assert_relayed(&call(&instance, "POST", "/order/x", &id), &id);
+        assert!(start.elapsed() < Duration::from_millis(500), "{id} took {:?}", start.elapsed());
+    }
+}
+
 /// A non-idempotent request whose reply was lost may have run. It must not be retried, and the client
 /// must not be told that it did not run.
 #[test]
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -525,8 +525,7 @@
                     "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {stamp}\r\n\r\n",
                     fields[0].0, fields[1].0
                 );
-                stream.write_all(head.as_bytes())?;
-                stream.write_all(&body)?;
+                stream.write_all(&[head.as_bytes(), &body].concat())?;
                 return Ok(false);
             }
         }
