Watch from the first page of a list

Cause: a long list comes in pages, each read at a revision of its own. The watch began at the revision of the last page, so changes between the pages to entries on earlier ones were in no page and in no event.

Evidence: changes_between_the_pages_of_a_list_are_seen failed before (the draining replica was still ready).

Related: each page, and a reply that the history is gone, counted as a read of the whole list, so that followers took old lists for new ones. The age is now that of the first page of a complete list or of the last changes (a_read_counts_from_the_first_page_and_only_with_content; Poller::read_at is new, so this test did not run before).

--- a/crates/daemon/src/platform/poller.rs
+++ b/crates/daemon/src/platform/poller.rs
@@ -115,6 +115,8 @@
     in_flight: Option<PollStep>,
     /// Objects of the pages received so far.
     items: Vec<Object>,
+    /// Revision of the first page of the list in progress.
+    list_revision: Option<Revision>,
     next_call_at: Time,
     backoff: Duration,
     instance_poll_interval: Duration,
@@ -126,8 +128,12 @@
     urgency: Urgency,
     /// When this instance last wrote its registration.
     registered_at: Option<Time>,
+    /// When the last call was made.
+    called_at: Time,
     /// When the list in progress was requested.
     list_requested_at: Time,
+    /// When the newest state that was received completely was requested.
+    read_at: Option<Time>,
     /// When the newest complete list of the instances was requested, by this instance or another one.
     instances_at: Option<Time>,
     /// Whether this instance reads the store instead of following another one.
@@ -159,6 +165,7 @@
             step,
             in_flight: None,
             items: Vec::new(),
+            list_revision: None,
             next_call_at: Time::ZERO,
             backoff: MIN_BACKOFF,
             instance_poll_interval: FIRST_INSTANCE_POLL_INTERVAL,
@@ -167,7 +174,9 @@
             has_succeeded: false,
             urgency: Urgency::Starting,
             registered_at: None,
+            called_at: Time::ZERO,
             list_requested_at: Time::ZERO,
+            read_at: None,
             instances_at: None,
             reads_store: true,
             is_suspended: false,
@@ -186,6 +195,13 @@
         self.is_reachable
     }
 
+    /// Returns when the newest complete list or changes were requested. The pages of a list are read one
+    /// after the other, and the first one is the oldest.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Time> {
+        self.read_at
+    }
+
     /// Whether the last call failed.
     #[must_use]
     pub fn has_failed(&self) -> bool {
@@ -242,6 +258,7 @@
             }
         };
         self.in_flight = Some(self.step.clone());
+        self.called_at = now;
         Some(TimedCall { call, timeout: CALL_TIMEOUT + wait })
     }
 
@@ -328,6 +345,7 @@
     /// Starts over with a list, because a watch cannot continue from the last revision.
     fn restart(&mut self) {
         self.items.clear();
+        self.list_revision = None;
         self.step = PollStep::List { after: None };
     }
 
@@ -391,12 +409,17 @@
     fn handle_list_page(&mut self, now: Time, page: Listing, updates: &mut Vec<Update>) {
         let last = page.items.last().map(|it| it.meta.name.clone());
         self.items.extend(page.items);
+        // Each page is read at a revision of its own. A watch from the first one has all changes that
+        // were made between the pages.
+        let revision = *self.list_revision.get_or_insert(page.revision);
         if page.has_more && last.is_some() {
             self.step = PollStep::List { after: last };
             return;
         }
         let items = std::mem::take(&mut self.items);
-        self.step = PollStep::Watch { since: page.revision };
+        self.list_revision = None;
+        self.step = PollStep::Watch { since: revision };
+        self.read_at = Some(self.list_requested_at);
         match self.resource {
             Resource::Config => {
                 for it in &items {
@@ -428,6 +451,7 @@
 
     fn handle_changes(&mut self, now: Time, page: WatchPage, updates: &mut Vec<Update>) {
         self.step = PollStep::Watch { since: page.revision };
+        self.read_at = Some(self.called_at);
         match self.resource {
             Resource::Config => {
                 for it in page.events.iter().filter(|it| !it.is_deleted) {
--- a/crates/daemon/src/platform/store.rs
+++ b/crates/daemon/src/platform/store.rs
@@ -25,13 +25,11 @@
 pub(super) struct StorePoller {
     pub(super) poller: Poller,
     conn: Option<usize>,
-    /// Start time of the last call.
-    called_at: Time,
 }
 
 impl StorePoller {
     pub(super) fn new(poller: Poller) -> StorePoller {
-        StorePoller { poller, conn: None, called_at: Time::ZERO }
+        StorePoller { poller, conn: None }
     }
 }
 
@@ -141,7 +139,6 @@
             return;
         }
         if let Some(timed) = poller.next_call(self.now) {
-            self.pollers[poller_index].called_at = self.now;
             self.call_store(poller_index, &timed.call, timed.timeout);
         }
     }
@@ -223,18 +220,20 @@
 
     fn poll_replied(&mut self, poller_index: usize, status: u16, body: &[u8]) {
         let now = self.now;
-        let called_at = self.pollers[poller_index].called_at;
         let poller = &mut self.pollers[poller_index].poller;
-        let was_reachable = poller.is_reachable();
+        let (was_reachable, last_read_at) = (poller.is_reachable(), poller.read_at());
         let updates = poller.handle_reply(now, status, body);
         let (resource, is_reachable) = (poller.resource(), poller.is_reachable());
+        let read_at = poller.read_at();
         if resource == Resource::Replicas {
-            match is_reachable {
-                true => {
-                    self.directory.set_store_reachable(now, called_at);
-                    self.source_selector.record_own_read(called_at);
+            match (is_reachable, read_at) {
+                (false, _) => self.directory.set_store_unreachable(),
+                (true, Some(at)) if read_at != last_read_at => {
+                    self.directory.set_store_reachable(now, at);
+                    self.source_selector.record_own_read(at);
                 }
-                false => self.directory.set_store_unreachable(),
+                // More pages follow, or the list starts over.
+                (true, _) => {}
             }
         }
         if was_reachable != is_reachable {
@@ -247,7 +246,7 @@
             );
         }
         for it in updates {
-            self.apply_update(it, called_at);
+            self.apply_update(it, read_at.unwrap_or(now));
         }
         // A starting instance learns from the list where to get its state from.
         if resource == Resource::Instances && !self.has_replica_list {
@@ -256,7 +255,7 @@
         }
     }
 
-    fn apply_update(&mut self, update: Update, asked_at: Time) {
+    fn apply_update(&mut self, update: Update, read_at: Time) {
         let now = self.now;
         match update {
             Update::Config(table, json) => {
@@ -272,8 +271,8 @@
                 self.publish_replicas();
             }
             Update::Instances(members) => {
-                if self.source_selector.set_members(asked_at, members) {
-                    self.publish_members(asked_at);
+                if self.source_selector.set_members(read_at, members) {
+                    self.publish_members(read_at);
                 }
                 self.forget_received_members();
             }
