Decode the objects of a reply of the store one by one

Cause: a page was decoded as a whole, and the JSON parser rejects it for one text, number or nesting that it cannot represent. The call failed and was repeated while the entry existed; running instances learned nothing new either.

Evidence: unreadable_entries_are_left_out failed before (not ready within 10 s) for entries among replicas, instances and configurations.

Fix: a reply is split into objects by brackets and quotes, and each is decoded by itself.

A port out of range was left out before. Names and errors of such entries are cut in the log.

--- a/crates/daemon/src/platform/poller.rs
+++ b/crates/daemon/src/platform/poller.rs
@@ -11,7 +11,8 @@
 
 use compact_str::CompactString;
 use rosemarybank_adapter::{
-    calls::{self, Call, Freshness, Listing, Object, Revision, WatchPage},
+    ObjectError,
+    calls::{self, Call, Freshness, Listing, Object, Revision, WatchEvent, WatchPage},
     config, instances, registration,
 };
 use rosemarybank_coordination::source::{Member, Start, Urgency};
@@ -70,6 +71,9 @@
 /// because a fleet that starts at once would exceed the rate limits of the store.
 const MAX_STARTUP_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Maximum number of characters of the name of an invalid object, and of the error, in a report.
+const MAX_REPORTED_LEN: usize = 200;
+
 /// Resource that a poller loads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Resource {
@@ -407,8 +411,8 @@
     }
 
     fn handle_list_page(&mut self, now: Time, page: Listing, updates: &mut Vec<Update>) {
-        let last = page.items.last().map(|it| it.meta.name.clone());
-        self.items.extend(page.items);
+        let last = page.last_name().cloned();
+        self.items.extend(page.items.into_iter().filter_map(|it| readable(it, updates)));
         // Each page is read at a revision of its own. A watch from the first one has all changes that
         // were made between the pages.
         let revision = *self.list_revision.get_or_insert(page.revision);
@@ -454,18 +458,15 @@
         self.read_at = Some(self.called_at);
         match self.resource {
             Resource::Config => {
-                for it in page.events.iter().filter(|it| !it.is_deleted) {
-                    decode_config(&it.object, updates);
+                for event in page.events.into_iter().filter(|it| !it.is_deleted) {
+                    if let Some(object) = readable(event.object, updates) {
+                        decode_config(&object, updates);
+                    }
                 }
             }
             Resource::Replicas | Resource::Instances => {
-                let mut changes = Vec::with_capacity(page.events.len());
-                for it in &page.events {
-                    changes.push(match it.is_deleted {
-                        true => Change::Absent(it.object.meta.name.clone()),
-                        false => decode_replica(&it.object, updates),
-                    });
-                }
+                let changes = page.events.into_iter().filter_map(|it| decode_change(it, updates));
+                let changes = changes.collect();
                 updates.push(Update::ReplicaChanges(changes));
                 self.next_call_at = now + self.replica_poll_interval(now);
             }
@@ -509,7 +510,37 @@
     }
 }
 
+/// Decodes a change of a registration. A registration that becomes unreadable names no replica any more;
+/// nothing follows from one without a readable name.
+fn decode_change(event: WatchEvent, updates: &mut Vec<Update>) -> Option<Change> {
+    let name = match &event.object {
+        Ok(object) => object.meta.name.clone(),
+        Err(err) => err.name.clone(),
+    };
+    let object = readable(event.object, updates);
+    match object.filter(|_| !event.is_deleted) {
+        Some(object) => Some(decode_replica(&object, updates)),
+        None => (!name.is_empty()).then_some(Change::Absent(name)),
+    }
+}
+
+/// Returns an object if it can be decoded, and reports it otherwise.
+fn readable(object: Result<Object, ObjectError>, updates: &mut Vec<Update>) -> Option<Object> {
+    match object {
+        Ok(object) => Some(object),
+        Err(err) => {
+            push_invalid(&err.name, &err, updates);
+            None
+        }
+    }
+}
+
 fn push_invalid(name: &str, err: &impl ToString, updates: &mut Vec<Update>) -> bool {
-    updates.push(Update::Invalid(name.into(), err.to_string().into()));
+    updates.push(Update::Invalid(shorten(name), shorten(&err.to_string())));
     false
 }
+
+/// Cuts off a text that another program wrote, to bound the length of log lines.
+fn shorten(text: &str) -> CompactString {
+    text.chars().take(MAX_REPORTED_LEN).collect()
+}
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -517,6 +517,44 @@
     assert_relayed(&call(&instance, "GET", "/read/x", "e1"), "e1");
 }
 
+/// Guards against instances that do not start, or follow no changes any more, because one entry of another
+/// writer cannot be decoded.
+#[test]
+fn unreadable_entries_are_left_out() {
+    let nested = [b"[".repeat(100_000), b"]".repeat(100_000)].concat();
+    let specs: [&[u8]; 6] = [
+        br#"{"service":"\udcff"}"#,
+        b"{\"service\":\"\xff\"}",
+        br#"{"service":"orders","slots":1e400}"#,
+        br#"{"service":"orders","address":"127.0.0.1:99999","slots":1,"state":"ready"}"#,
+        b"{\"service\":\"line\nbreak\"}",
+        &nested,
+    ];
+    for (number, spec) in specs.into_iter().enumerate() {
+        let cluster = Cluster::new();
+        let kinds = [calls::REPLICAS, calls::INSTANCES, calls::CONFIG];
+        for kind in kinds {
+            cluster.store.put_raw(kind, "before", spec);
+        }
+        let mut instance = cluster.start_ready_instance();
+        for kind in kinds {
+            cluster.store.put_raw(kind, "while-running", spec);
+        }
+        cluster.replica("orders-1").drain();
+        cluster.configure(2, json!([config::route("new", "idempotent", "orders")]));
+        let has_changes = || {
+            let answer = call(&instance, "GET", "/new/x", "n");
+            answer.status() == 200 && answer.body == records("orders-2", "n")
+        };
+        assert!(wait_until(Duration::from_secs(3), has_changes), "spec {number}");
+        instance.signal("-KILL");
+        assert!(instance.wait_exit(WAIT).is_some());
+        instance.start().unwrap();
+        assert!(instance.wait_ready(WAIT), "spec {number}");
+        assert_relayed(&call(&instance, "GET", "/read/x", "again"), "again");
+    }
+}
+
 /// After SIGTERM the readiness probe fails, all received requests are answered, and the process exits
 /// with success.
 #[test]
--- a/crates/standins/src/platform_mode/store.rs
+++ b/crates/standins/src/platform_mode/store.rs
@@ -53,6 +53,8 @@
     fault: StoreFault,
     calls: BTreeMap<SocketAddr, u64>,
     is_stopped: bool,
+    /// Specs that are no JSON values; objects refer to them by [`raw_spec_reference`].
+    raw_specs: Vec<Vec<u8>>,
 }
 
 #[derive(Debug, Default)]
@@ -95,6 +97,16 @@
         self.write(kind, name, Some(spec), None);
     }
 
+    /// Writes an object whose spec another program wrote: any bytes, also such that cannot be decoded.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: &[u8]) {
+        let reference = {
+            let mut state = self.lock();
+            state.raw_specs.push(spec.to_vec());
+            raw_spec_reference(state.raw_specs.len() - 1)
+        };
+        self.put(kind, name, Value::String(reference));
+    }
+
     /// Writes the registration of a replica, whose lease is three heartbeat intervals. Returns
     /// whether the store was available.
     pub fn register(&self, name: &str, spec: Value, interval: Duration) -> bool {
@@ -234,7 +246,8 @@
                 }
             }
             let (status, body) = self.handle(&call);
-            write_reply(&mut stream, status, &[], body.to_string().as_bytes())?;
+            let body = self.insert_raw_specs(body.to_string().into_bytes());
+            write_reply(&mut stream, status, &[], &body)?;
             if self.lock().is_stopped {
                 return Ok(());
             }
@@ -242,6 +255,17 @@
         Ok(())
     }
 
+    fn insert_raw_specs(&self, mut body: Vec<u8>) -> Vec<u8> {
+        for (number, spec) in self.lock().raw_specs.iter().enumerate() {
+            let reference = format!("\"{}\"", raw_spec_reference(number)).into_bytes();
+            let found = body.windows(reference.len()).position(|it| it == reference);
+            if let Some(at) = found {
+                body.splice(at..at + reference.len(), spec.iter().copied());
+            }
+        }
+        body
+    }
+
     fn wait_while_silent(&self) {
         let mut state = self.lock();
         while state.fault == StoreFault::Silent && !state.is_stopped {
@@ -336,6 +360,10 @@
     }
 }
 
+fn raw_spec_reference(number: usize) -> String {
+    format!("raw-spec-{number}")
+}
+
 fn object(name: &str, it: &Object) -> Value {
     json!({ "meta": { "name": name, "revision": it.revision }, "spec": it.spec })
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,7 +7,7 @@
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use rosemarybank_adapter::{
-    Call, DecodeError, Listing as ListPage, Object as StoredObject, WatchPage,
+    Call, Listing as ListPage, Object as StoredObject, ObjectError, WatchPage,
     calls::{Freshness, object_to_path, path_to_object},
 };
 
@@ -79,10 +79,11 @@
             if after.is_none() {
                 listing.revision = page.revision;
             }
-            after = page.items.last().map(|it| it.meta.name.clone());
-            let matching =
-                page.items.into_iter().filter(|it| it.meta.name.starts_with(name_prefix));
-            listing.objects.extend(matching.map(|it| from_stored(&kind, it)));
+            after = page.last_name().cloned();
+            let matching = page.items.into_iter().filter(|it| name(it).starts_with(name_prefix));
+            for it in matching {
+                listing.objects.push(from_stored(&kind, decode(it)?));
+            }
             // Objects are sorted by name, so no match follows a greater name without the prefix.
             let is_past_prefix = after
                 .as_ref()
@@ -153,12 +154,12 @@
         }
         let page = decode(WatchPage::decode(&expect_ok(reply)?.body))?;
         let matching =
-            page.events.into_iter().filter(|it| it.object.meta.name.starts_with(name_prefix));
+            page.events.into_iter().filter(|it| name(&it.object).starts_with(name_prefix));
         let changes = matching.map(|it| {
-            let Object { path, version, value } = from_stored(&kind, it.object);
-            ObjectChange { path, version, value: (!it.is_deleted).then_some(value) }
+            let Object { path, version, value } = from_stored(&kind, decode(it.object)?);
+            Ok(ObjectChange { path, version, value: (!it.is_deleted).then_some(value) })
         });
-        Ok(Changes { revision: page.revision, changes: changes.collect() })
+        Ok(Changes { revision: page.revision, changes: changes.collect::<Result<_, CallError>>()? })
     }
 
     async fn send(&self, kind: CallKind, call: Call, wait: Duration) -> Result<Reply, CallError> {
@@ -193,7 +194,15 @@
     }
 }
 
-fn decode<T>(result: Result<T, DecodeError>) -> Result<T, CallError> {
+/// Name of an object of a reply; empty if it cannot be decoded.
+fn name(object: &Result<StoredObject, ObjectError>) -> &str {
+    match object {
+        Ok(it) => &it.meta.name,
+        Err(err) => &err.name,
+    }
+}
+
+fn decode<T>(result: Result<T, impl ToString>) -> Result<T, CallError> {
     result.map_err(|err| CallError::Malformed(err.to_string().into()))
 }
 
