--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -14,7 +14,8 @@
 };
 use rosemarybank_query::forward::directory::ListUpdate;
 use rosemarybank_standins::platform_mode::{
-    Behaviour, Caller, Execution, Instance, Replica, Response, Store, StoreFault, config,
+    Behaviour, BodyCoding, Caller, Execution, Instance, Replica, Response, Store, StoreFault,
+    config,
     instance::wait_until,
     replica::{POISON, records},
 };
@@ -193,6 +194,63 @@
     }
 }
 
+/// Guards against a reply that ends in its head, or before the end that it states, and reaches the client
+/// as a complete one.
+#[test]
+fn a_reply_that_breaks_off_is_no_success() {
+    const REQUEST_LEN: usize = 4;
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    // Length of the head without the field of the body coding; the ids have fixed lengths.
+    let stamp_len = "orders-1.".len() + REQUEST_LEN;
+    let plain_head = format!(
+        "HTTP/1.1 200 OK\r\nx-rosemarybank-request-id: {}\r\nx-rosemarybank-server-stamp: {}\r\n\r\n",
+        "r".repeat(REQUEST_LEN),
+        "s".repeat(stamp_len)
+    );
+    let cases = [
+        (BodyCoding::Length, plain_head.len() + "content-length: 32\r\n".len() + 32),
+        (
+            BodyCoding::Chunked,
+            plain_head.len() + "transfer-encoding: chunked\r\n20\r\n\r\n0\r\n\r\n".len() + 32,
+        ),
+        // Any end within the body is the end that such a response states.
+        (BodyCoding::UntilClose, plain_head.len()),
+    ];
+    let mut unknown = 0;
+    let mut number = 0;
+    for (coding, len) in cases {
+        for at in 0..len {
+            number += 1;
+            let id = format!("{number:0REQUEST_LEN$}");
+            cluster.set_behaviour("orders", Behaviour::Cut(coding, at));
+            let answer = call(&instance, "POST", "/order/x", &id);
+            assert!(matches!(answer.status(), 502 | 503), "{coding:?} {at}: {answer:?}");
+            unknown += usize::from(answer.status() == 502);
+            cluster.set_behaviour("orders", Behaviour::Normal);
+            call(&instance, "GET", "/read/x", "sound");
+        }
+        cluster.set_behaviour("orders", Behaviour::Cut(coding, usize::MAX));
+        number += 1;
+        let id = format!("{number:0REQUEST_LEN$}");
+        assert_relayed(&call(&instance, "POST", "/order/x", &id), &id);
+    }
+    assert!(unknown * 10 > number * 9, "{unknown} of {number} requests reached a replica");
+}
+
+/// Guards against a part of a search that breaks off and is merged.
+#[test]
+fn a_part_that_breaks_off_is_missing() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    for at in [0, 17, 40, 100, 120, 135] {
+        cluster.set_behaviour("s2", Behaviour::Cut(BodyCoding::Length, at));
+        let answer = call(&instance, "GET", "/search/x", &format!("part-{at}"));
+        assert_eq!(answer.status(), 200, "{at}");
+        assert_eq!(answer.field("x-rosemarybank-missing-parts"), Some("1"), "{at}");
+    }
+}
+
 /// A non-idempotent request whose reply was lost may have run. It must not be retried, and the client
 /// must not be told that it did not run.
 #[test]
--- a/crates/standins/src/platform_mode/mod.rs
+++ b/crates/standins/src/platform_mode/mod.rs
@@ -13,7 +13,7 @@
 
 pub use caller::{Caller, Response};
 pub use instance::{Instance, Ports};
-pub use replica::{Behaviour, Execution, Replica};
+pub use replica::{Behaviour, BodyCoding, Execution, Replica};
 pub use store::{Store, StoreFault};
 
 /// Response header with which a replica proves that it ran the request: `<replica>.<request id>`.
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -41,6 +41,8 @@
     Hang,
     /// Sends half of the response and closes the connection.
     Truncate,
+    /// Sends this many bytes of a response whose body has the given coding, and closes the connection.
+    Cut(BodyCoding, usize),
     /// Sends a response to another request before the response.
     Extra,
     /// Sends a response without a request id before the response.
@@ -64,6 +66,32 @@
     CrashOnPoison,
 }
 
+/// How a response states the end of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyCoding {
+    /// By a content length.
+    Length,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+impl BodyCoding {
+    /// Header line of the coding, and the coded body.
+    fn encode(self, body: &[u8]) -> (String, Vec<u8>) {
+        match self {
+            BodyCoding::Length => (format!("content-length: {}\r\n", body.len()), body.to_vec()),
+            BodyCoding::Chunked => {
+                let size = format!("{:x}\r\n", body.len()).into_bytes();
+                let coded = [&size[..], body, b"\r\n0\r\n\r\n"].concat();
+                ("transfer-encoding: chunked\r\n".to_owned(), coded)
+            }
+            BodyCoding::UntilClose => (String::new(), body.to_vec()),
+        }
+    }
+}
+
 /// Text in the targets of requests that crash a replica with [`Behaviour::CrashOnPoison`].
 pub const POISON: &str = "poison";
 
@@ -483,6 +511,16 @@
                 stream.write_all(&body[..body.len() / 2])?;
                 return Ok(false);
             }
+            Behaviour::Cut(coding, len) => {
+                let (field, coded) = coding.encode(&body);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {stamp}\r\n{field}\r\n",
+                    fields[0].0, fields[1].0
+                );
+                let response = [head.as_bytes(), &coded].concat();
+                stream.write_all(&response[..len.min(response.len())])?;
+                return Ok(false);
+            }
             Behaviour::Extra => {
                 let other = format!("{id}.another");
                 let others = [
