Refuse requests that cannot be answered before the process exits

Cause: a stop limits the time of new requests, but a request was accepted and sent however little of it was left.

Evidence: orders_that_arrive_at_the_end_of_a_stop_are_run_or_refused failed before (502 for an order 200 ms before the end, replicas take 300 ms), as did the test of the decision, requests_that_take_longer_than_the_rest_of_the_grace_period_are_refused.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -17,6 +17,7 @@
     Behaviour, BodyCoding, Caller, Execution, Instance, Replica, Response, Store, StoreFault,
     config,
     instance::wait_until,
+    message::Reader,
     replica::{POISON, records},
 };
 use serde_json::{Value, json};
@@ -661,6 +662,52 @@
     assert!(instance.wait_exit(WAIT).is_some_and(|it| it.success()));
 }
 
+/// Guards against orders that are taken at the end of a stop and end with an unknown outcome: their bodies
+/// arrive until shortly before the process exits, and each is run or refused, never left open.
+#[test]
+fn orders_that_arrive_at_the_end_of_a_stop_are_run_or_refused() {
+    let cluster = Cluster::new();
+    let mut instance = cluster.start_ready_instance();
+    cluster.set_service_time("orders", Duration::from_millis(300));
+    std::thread::scope(|scope| {
+        for number in 0..10 {
+            let instance = &instance;
+            scope.spawn(move || call(instance, "POST", "/order/x", &format!("first-{number}")));
+        }
+    });
+    let addr = instance.client_addr();
+    let orders = (0..50).map(|number| {
+        std::thread::spawn(move || {
+            let id = format!("late-{number}");
+            let mut stream = std::net::TcpStream::connect(addr).unwrap();
+            let head = format!(
+                "POST /order/x HTTP/1.1\r\nhost: h.example\r\nx-rosemarybank-request-id: {id}\r\n\
+                 x-rosemarybank-deadline-ms: 9000\r\ncontent-length: 5\r\n\r\nord"
+            );
+            stream.write_all(head.as_bytes()).unwrap();
+            std::thread::sleep(Duration::from_millis(4_200 + 25 * number));
+            stream.write_all(b"er").unwrap();
+            (id, Reader::new(stream).read())
+        })
+    });
+    let orders: Vec<_> = orders.collect();
+    std::thread::sleep(Duration::from_millis(100));
+    instance.signal("-TERM");
+    let mut statuses = Vec::new();
+    for it in orders {
+        let (id, answer) = it.join().unwrap();
+        let answer = answer.unwrap().unwrap_or_else(|| panic!("{id} got no answer"));
+        match answer.status() {
+            200 => assert_relayed(&answer, &id),
+            503 => assert_eq!(cluster.runs(&id), []),
+            status => panic!("{id} got {status}"),
+        }
+        statuses.push(answer.status());
+    }
+    assert!(statuses.contains(&200) && statuses.contains(&503), "{statuses:?}");
+    assert!(instance.wait_exit(WAIT).is_some_and(|it| it.success()));
+}
+
 /// A replica must not continue work for a client that has disconnected, so its connection is closed.
 #[test]
 fn a_client_disconnect_cancels_the_attempt() {
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -189,6 +189,9 @@
         if let Some(until) = quarantined {
             return Err(refused(ErrorKind::Quarantined, Some(until - now)));
         }
+        if self.exits_too_soon(now, route) {
+            return Err(refused(ErrorKind::NotReady, Some(Duration::ZERO)));
+        }
         let Some(services) = self.target_services(route) else {
             return Err(refused(ErrorKind::NoReplica, Some(RETRY_AFTER_NO_REPLICA)));
         };
@@ -214,6 +217,14 @@
         Ok(key)
     }
 
+    /// Whether the process exits before a new request of the route is likely to be answered. It is refused
+    /// then, because another instance can still serve it.
+    fn exits_too_soon(&self, now: Time, route: &Route) -> bool {
+        let latency = self.route_latencies.get(&route.name);
+        let usual = latency.map_or(Duration::ZERO, RouteLatency::usual_duration);
+        now.saturating_add(usual) >= self.answer_by
+    }
+
     /// Handles an event and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
--- a/crates/query/src/forward/services.rs
+++ b/crates/query/src/forward/services.rs
@@ -83,6 +83,13 @@
         self.by_distance[distance as usize].median_us().unwrap_or(guess)
     }
 
+    /// Returns how long a request usually takes at most at the distance where that is shortest; an assumed
+    /// median while there are too few samples.
+    pub(crate) fn usual_duration(&self) -> Duration {
+        let quantiles = self.by_distance.iter().filter_map(LatencyHistogram::high_quantile_us);
+        from_micros(quantiles.reduce(f32::min).unwrap_or_else(|| self.median_us(Distance::Local)))
+    }
+
     /// Returns the age from which an attempt is late: the scaled quantile, or `max` while there are
     /// too few samples. Limited to `max`, but never below [`MIN_LATE_THRESHOLD`].
     pub(crate) fn late_threshold(&self, distance: Distance, max: Duration) -> Duration {
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -2,7 +2,7 @@
 
 mod forward_harness;
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use forward_harness::{
     Harness, SentAttempt, gather_route, ms, plain_route, rejected_reply, replica, reply,
@@ -135,6 +135,33 @@
     );
 }
 
+/// Guards against requests that are accepted shortly before the process exits and end with an unknown
+/// outcome: one that cannot be answered in time is refused at once, and another instance can serve it.
+#[test]
+fn requests_that_take_longer_than_the_rest_of_the_grace_period_are_refused() {
+    let mut harness = Harness::new(vec![at_most_once_route("o", "s")], two_replicas("s"));
+    for index in 0..10 {
+        harness.submit("o");
+        harness.mark_sent(index);
+        harness.advance(ms(60));
+        harness.reply_to(index, reply(200, "stamp", b""));
+    }
+    let served = harness.answers.len();
+    harness.handle(Event::Stopping { answer_by: harness.now + ms(200) });
+    harness.submit("o");
+    assert_eq!(harness.sent.len(), 11, "there is time for one more");
+    harness.advance(ms(160));
+    assert_eq!(harness.try_submit("o"), Err(not_ready()));
+    harness.advance(ms(40));
+    assert_eq!(harness.try_submit("o"), Err(not_ready()), "the process is about to exit");
+    assert_eq!(harness.sent.len(), 11);
+    assert_eq!(harness.answers.len(), served + 1);
+}
+
+fn not_ready() -> Answer {
+    Answer::Refused { kind: ErrorKind::NotReady, retry_after: Some(Duration::ZERO) }
+}
+
 /// A request that must not be executed twice is retried only if it was certainly not executed.
 #[test]
 fn an_at_most_once_request_is_retried_only_if_it_was_not_executed() {
