Honour what replicas ask for in their answers

Two rules that nothing met: a replica that leaves says so in all its answers (Server-Leaving: 1), and one that turns a request away with 503 and Retry-After wants nothing from this instance for so long. Callers saw requests at replicas that were about to exit, and replicas that were overloaded got no rest.

The forwarder records both for the lifetime of the replica. First attempts, retries, hedges, parts, queued and held requests go to others; connections to a replica that leaves close when idle. The list does not take the mark away, nor does an entry that was missing for up to two minutes; a later registration is free of it. Without a replica left, a request is refused at once, until the earliest end, and clients return over 0.4 s. Retry-After is a decimal number of seconds, at most 600 s.

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -16,7 +16,7 @@
 use rosemarybank_coordination::source::{Member, SourceSelector, Start};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
-    Action, AttemptKey, Directory, Event, Failure, Forwarder, ReplicaKey, RequestKey,
+    Action, AttemptKey, Directory, Event, Failure, Forwarder, ReplicaKey, RequestKey, Withdrawal,
 };
 use slab::Slab;
 use slotmap::{SecondaryMap, SparseSecondaryMap};
@@ -318,6 +318,7 @@
                     Action::Abandon { attempt, close_at } => self.abandon(attempt, close_at),
                     Action::Answer { request, answer } => self.answer_request(request, answer),
                     Action::RemoveReplica(replica) => self.retire_pool(replica),
+                    Action::Withdrawn { id, withdrawal } => self.log_withdrawal(&id, withdrawal),
                     Action::Reconnect { replica, addr } => self.reopen(replica, addr),
                     Action::Quarantine(fingerprint) => self.journal.log(
                         self.now,
@@ -344,6 +345,27 @@
         self.forwarder.handle(self.now, Event::Failed(attempt, failure), &mut self.actions);
     }
 
+    /// Logs and counts that a replica wants no further requests.
+    fn log_withdrawal(&mut self, replica: &str, withdrawal: Withdrawal) {
+        let (event, time) = match withdrawal {
+            Withdrawal::Leaving => {
+                self.metrics.replicas_leaving += 1;
+                ("replica_leaving", None)
+            }
+            Withdrawal::For(time) => {
+                self.metrics.replicas_backing_off += 1;
+                ("replica_backs_off", Some(time))
+            }
+        };
+        let time = time.map_or_else(String::new, |it| format!(r#","for_ms":{}"#, it.as_millis()));
+        self.journal.log(
+            self.now,
+            LineKind::Discovery,
+            event,
+            format_args!(r#""replica":{replica:?}{time}"#),
+        );
+    }
+
     /// Logs what happened to an attempt in flight.
     pub(super) fn log_attempt(&mut self, attempt: AttemptKey, event: &str, reason: &str) {
         let Some(info) = self.forwarder.attempt_info(attempt) else { return };
--- a/crates/daemon/src/platform/metrics.rs
+++ b/crates/daemon/src/platform/metrics.rs
@@ -23,6 +23,8 @@
     pub(super) attempt_failures: [u64; 6],
     pub(super) failed_replies: u64,
     pub(super) foreign_replies: u64,
+    pub(super) replicas_leaving: u64,
+    pub(super) replicas_backing_off: u64,
     pub(super) connects: u64,
     pub(super) connect_timeouts: u64,
     pub(super) connects_refused: u64,
@@ -79,6 +81,8 @@
         }
         put("failed_replies_total", metrics.failed_replies);
         put("foreign_replies_total", metrics.foreign_replies);
+        put("replicas_leaving_total", metrics.replicas_leaving);
+        put("replicas_backing_off_total", metrics.replicas_backing_off);
         put("connects_total", metrics.connects);
         put("connects_refused_total", metrics.connects_refused);
         put("connect_timeouts_total", metrics.connect_timeouts);
--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -147,6 +147,8 @@
             status: head.status,
             stamp: head.stamp,
             is_not_run: head.is_not_executed,
+            is_leaving: head.is_leaving,
+            retry_after: head.retry_after,
             fields: head.forwarded_fields,
             body,
         };
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -107,6 +107,17 @@
     Idle,
 }
 
+impl UpstreamConn {
+    /// Attempt whose request has not been sent, because the connection is still opening or has just
+    /// opened.
+    fn unsent_attempt(&self) -> Option<AttemptKey> {
+        match &self.state {
+            UpstreamState::Connecting(it) | UpstreamState::Connected(it) => Some(it.attempt),
+            UpstreamState::Busy(_) | UpstreamState::Reopening | UpstreamState::Idle => None,
+        }
+    }
+}
+
 impl EventLoop {
     /// Performs [`Action::Send`]: sends a request to a replica.
     pub(super) fn send(&mut self, action: Action) {
@@ -180,13 +191,26 @@
     }
 
     /// Performs [`Action::RemoveReplica`]: closes the idle connections to a replica process that has
-    /// ended, and the busy ones after their replies.
+    /// ended or leaves, and the busy ones after their replies. Requests that have not been sent go to
+    /// other replicas.
     pub(super) fn retire_pool(&mut self, replica: ReplicaKey) {
         let Some(pool) = self.pools.get_mut(replica) else { return };
         pool.is_retired = true;
         for index in std::mem::take(&mut pool.idle) {
             self.close_conn(index);
         }
+        let unsent: Vec<(usize, AttemptKey)> = self
+            .conns
+            .iter()
+            .filter_map(|(index, conn)| match conn {
+                Conn::Upstream(it) if it.replica == replica => Some((index, it.unsent_attempt()?)),
+                _ => None,
+            })
+            .collect();
+        for (index, attempt) in unsent {
+            self.close_conn(index);
+            self.fail_attempt(attempt, Failure::NotSent, "the replica has left");
+        }
     }
 
     /// Handles readiness of the socket.
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -510,6 +510,97 @@
     assert!(runs.iter().all(|it| !it.started_after_drain));
 }
 
+/// Sends a read and a search each 10 ms for the given time. Returns how many were answered with 200.
+fn keep_asking(instance: &Instance, time: Duration) -> usize {
+    let end = Instant::now() + time;
+    let mut served = 0;
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        for path in ["/read/x", "/search/x"] {
+            let answer = call(instance, "GET", path, &format!("ask-{number}{}", &path[1..4]));
+            served += usize::from(answer.status() == 200);
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    served
+}
+
+/// Guards against requests to a replica that has said in an answer that it leaves. Its registration, which
+/// still says that it is ready, does not take that back; a restart of the replica does.
+#[test]
+fn a_replica_that_says_it_leaves_gets_no_requests() {
+    let mut cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    for id in ["orders-1", "s2-1"] {
+        cluster.replica(id).set_behaviour(Behaviour::Leave);
+    }
+    keep_asking(&instance, Duration::from_millis(300));
+    let count = |cluster: &Cluster, id: &str| cluster.replica(id).arrivals().len();
+    let before = ["orders-1", "s2-1"].map(|it| count(&cluster, it));
+    assert!(before.iter().all(|it| *it > 0), "{before:?}");
+    // Other registrations change meanwhile, and the store fails for a while.
+    cluster.replica("s3-1").drain();
+    cluster.store.set_fault(StoreFault::Reset);
+    keep_asking(&instance, Duration::from_millis(1_500));
+    cluster.store.set_fault(StoreFault::None);
+    assert!(keep_asking(&instance, Duration::from_millis(1_500)) > 100);
+    assert_eq!(["orders-1", "s2-1"].map(|it| count(&cluster, it)), before);
+    cluster.replica("orders-1").leave();
+    cluster.replicas.retain(|it| it.id() != "orders-1");
+    cluster.add_replica("orders-1", "orders", "a");
+    let is_used = || {
+        keep_asking(&instance, Duration::from_millis(50));
+        count(&cluster, "orders-1") > 0
+    };
+    assert!(wait_until(WAIT, is_used), "the replica has restarted");
+    let log = std::fs::read_to_string(instance.log_path()).unwrap();
+    assert!(log.contains(r#""event":"replica_leaving","replica":"orders-1""#), "{log}");
+}
+
+/// When all replicas of a service leave, its requests are refused at once.
+#[test]
+fn requests_are_refused_at_once_when_all_replicas_leave() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    cluster.set_behaviour("orders", Behaviour::Leave);
+    assert!(wait_until(WAIT, || call(&instance, "GET", "/read/x", "last").status() == 503));
+    let start = Instant::now();
+    let answer = call(&instance, "POST", "/order/x", "refused");
+    assert_eq!((answer.status(), cluster.runs("refused").len()), (503, 0));
+    assert!(answer.field("retry-after").is_some());
+    assert!(start.elapsed() < Duration::from_millis(200));
+}
+
+/// Guards against requests to a replica that has asked for none for a while.
+#[test]
+fn a_replica_that_states_retry_after_gets_no_requests_until_then() {
+    let wait = Duration::from_millis(2_500);
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    keep_asking(&instance, Duration::from_millis(100));
+    let refuse = Behaviour::RefuseFor(wait.as_millis() as u64);
+    let changed_at = Instant::now();
+    for service in ["orders", "s2"] {
+        cluster.set_behaviour(service, refuse);
+    }
+    let answer = call(&instance, "POST", "/order/x", "first");
+    assert_eq!(answer.status(), 503);
+    let stated: f64 = answer.field("retry-after").unwrap().parse().unwrap();
+    assert!((1.0..=2.6).contains(&stated), "{stated}");
+    keep_asking(&instance, wait - Duration::from_millis(200));
+    for id in ["orders-1", "orders-2", "s2-1", "s2-2"] {
+        let arrivals = cluster.replica(id).arrivals();
+        let refused_at = *arrivals.iter().find(|it| **it > changed_at).unwrap();
+        let unwanted = refused_at + Duration::from_millis(500)..refused_at + wait;
+        let early = arrivals.iter().filter(|it| unwanted.contains(*it)).count();
+        assert!(early <= 2, "{id}: {early} requests while it refuses");
+    }
+    cluster.set_behaviour("orders", Behaviour::Normal);
+    let is_served = || call(&instance, "GET", "/read/x", "after").status() == 200;
+    assert!(wait_until(Duration::from_secs(1), is_served), "its time is over");
+}
+
 /// Without a configuration the routes are unknown, so the status must not be 404.
 #[test]
 fn an_instance_without_configuration_refuses_requests_until_the_store_recovers() {
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -43,6 +43,8 @@
     pub expect_replica: &'static str,
     /// Set by a replica that did not execute the request.
     pub not_executed: &'static str,
+    /// Set to `1` by a replica that leaves and wants no further requests.
+    pub leaving: &'static str,
     /// Stamps of the replicas whose responses were merged.
     pub part_stamps: &'static str,
     /// Number of shards that a merged response lacks.
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -12,6 +12,9 @@
 /// Maximum number of bytes received before a response head is complete.
 const MAX_HEAD_LEN: usize = 32 << 10;
 
+/// Longest `Retry-After` that is taken as stated; a longer one counts as this long.
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(600);
+
 /// A parsed response head.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseHead {
@@ -29,6 +32,10 @@
     pub stamp: Option<CompactString>,
     /// Whether the replica states that it did not execute the request.
     pub is_not_executed: bool,
+    /// Whether the replica states that it leaves.
+    pub is_leaving: bool,
+    /// Time in which the sender wants no further requests, if it states one.
+    pub retry_after: Option<Duration>,
     /// Whether the body has a content coding other than `identity`.
     pub is_encoded: bool,
     /// Field lines to forward.
@@ -104,6 +111,10 @@
             head.stamp = Some(field_text(value));
         } else if name.eq_ignore_ascii_case(names.not_executed) {
             head.is_not_executed = true;
+        } else if name.eq_ignore_ascii_case(names.leaving) {
+            head.is_leaving |= value.trim_ascii() == b"1";
+        } else if name.eq_ignore_ascii_case("retry-after") {
+            head.retry_after = head.retry_after.max(parse_retry_after(value));
         } else if name.eq_ignore_ascii_case("content-encoding") {
             head.is_encoded |= !value.eq_ignore_ascii_case(b"identity");
         } else if name.eq_ignore_ascii_case("keep-alive") {
@@ -128,6 +139,15 @@
     seconds.parse().ok().map(Duration::from_secs)
 }
 
+/// Parses a number of seconds, which may have a fraction. A date, zero and anything else state no time.
+fn parse_retry_after(value: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let is_decimal = text.bytes().all(|it| it.is_ascii_digit() || it == b'.');
+    let seconds: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    let time = Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER.as_secs_f64()));
+    (!time.is_zero()).then_some(time)
+}
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 use rosemarybank_http1::{
     BodyReader, Framing, HeaderNames, MessageError, Progress, RequestHead, ResponseHead,
+    response::MAX_RETRY_AFTER,
 };
 
 const NAMES: HeaderNames = HeaderNames {
@@ -13,6 +14,7 @@
     stamp: "x-stamp",
     expect_replica: "x-expect",
     not_executed: "x-not-run",
+    leaving: "x-leaving",
     part_stamps: "x-parts",
     missing_parts: "x-missing",
 };
@@ -73,6 +75,60 @@
     assert_eq!(head.idle_timeout, Some(Duration::from_secs(4)));
 }
 
+/// Whether a replica leaves is stated by the value 1 alone; one that states it once and denies it once
+/// leaves as well, since a needless change of the replica costs less than a request to one that is gone.
+#[test]
+fn a_replica_leaves_if_it_says_so() {
+    let cases = [
+        ("", false),
+        ("X-Leaving: 1\r\n", true),
+        ("x-leaving:   1  \r\n", true),
+        ("X-LEAVING: 0\r\nX-Leaving: 1\r\n", true),
+        ("X-Leaving: 0\r\n", false),
+        ("X-Leaving:\r\n", false),
+        ("X-Leaving: 11\r\n", false),
+        ("X-Leaving: true\r\n", false),
+    ];
+    for (fields, expected) in cases {
+        let (head, _) = response(&format!("HTTP/1.1 200 OK\r\n{fields}\r\n")).unwrap().unwrap();
+        assert_eq!(head.is_leaving, expected, "{fields}");
+    }
+}
+
+/// Values that state no time are ignored, and no value overflows or blocks a replica for ever.
+#[test]
+fn retry_after_is_a_bounded_number_of_seconds() {
+    let max = Some(MAX_RETRY_AFTER);
+    let seconds = |it: f64| Some(Duration::from_secs_f64(it));
+    let cases = [
+        ("", None),
+        ("Retry-After: 3\r\n", seconds(3.0)),
+        ("retry-after:  0.25 \r\n", seconds(0.25)),
+        ("Retry-After: .5\r\n", seconds(0.5)),
+        ("Retry-After: 2\r\nRetry-After: 3\r\n", seconds(3.0)),
+        ("Retry-After: 3\r\nRetry-After: soon\r\n", seconds(3.0)),
+        ("Retry-After: 0\r\n", None),
+        ("Retry-After: 0.0\r\n", None),
+        ("Retry-After: -3\r\n", None),
+        ("Retry-After: +3\r\n", None),
+        ("Retry-After:\r\n", None),
+        ("Retry-After: .\r\n", None),
+        ("Retry-After: 3s\r\n", None),
+        ("Retry-After: 1e3\r\n", None),
+        ("Retry-After: NaN\r\n", None),
+        ("Retry-After: inf\r\n", None),
+        ("Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n", None),
+        ("Retry-After: 86400\r\n", max),
+        ("Retry-After: 99999999999999999999999999999999999999999999999\r\n", max),
+    ];
+    for (fields, expected) in cases {
+        let (head, _) = response(&format!("HTTP/1.1 503 No\r\n{fields}\r\n")).unwrap().unwrap();
+        assert_eq!(head.retry_after, expected, "{fields}");
+    }
+    let long = format!("HTTP/1.1 503 No\r\nRetry-After: {}\r\n\r\n", "9".repeat(2_000));
+    assert_eq!(response(&long).unwrap().unwrap().0.retry_after, max);
+}
+
 #[test]
 fn a_body_ends_as_its_framing_states() {
     let mut body = BodyReader::new(Framing::Length(4), 10);
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -286,6 +286,7 @@
         reply: Reply,
         out: &mut Vec<Action>,
     ) {
+        self.record_withdrawal(now, key, &reply, out);
         let Some((attempt, is_wanted)) = self.remove_attempt(key) else { return };
         let took = now.saturating_sub(attempt.sent_at);
         let is_success = (200..300).contains(&reply.status) && reply.stamp.is_some();
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -26,6 +26,7 @@
     selection::Selection,
     services::{Distance, RouteLatency, Service},
     weighted_round_robin::WeightedRoundRobin,
+    withdrawals::RemovedReplicas,
 };
 
 /// Time reserved for an answer to reach the client within the latency objective: the network delay
@@ -83,6 +84,7 @@
     pub(super) by_id: HashMap<ReplicaId, ReplicaKey>,
     pub(super) requests: SlotMap<RequestKey, Request>,
     pub(super) attempts: SlotMap<AttemptKey, Attempt>,
+    pub(super) removed_replicas: RemovedReplicas,
     pub(super) crash_detector: CrashDetector,
     pub(super) timers: BinaryHeap<Reverse<(Time, RequestKey)>>,
     /// Latest time for an answer, because the process exits; [`Time::MAX`] before a shutdown.
@@ -106,6 +108,7 @@
             by_id: HashMap::new(),
             requests: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
+            removed_replicas: RemovedReplicas::default(),
             crash_detector: CrashDetector::default(),
             timers: BinaryHeap::new(),
             answer_by: Time::MAX,
@@ -411,7 +414,7 @@
             self.by_id.insert(self.replicas[key].info.id.clone(), key);
         }
         for (_, key) in before {
-            self.remove_replica(key, out);
+            self.remove_replica(now, key, out);
         }
         for service in self.services.values_mut() {
             service.replicas.clear();
@@ -441,7 +444,7 @@
                 replica.info = info;
                 return key;
             }
-            self.remove_replica(key, out);
+            self.remove_replica(now, key, out);
         }
         let distance = if info.data_centre == self.settings.data_centre {
             Distance::Local
@@ -450,10 +453,14 @@
         } else {
             Distance::Far
         };
-        self.replicas.insert(Replica::new(now, info, distance))
+        let withdrawal = self.removed_replicas.find(now, &info).unwrap_or_default();
+        let mut replica = Replica::new(now, info, distance);
+        replica.withdrawal = withdrawal;
+        self.replicas.insert(replica)
     }
 
-    pub(super) fn remove_replica(&mut self, key: ReplicaKey, out: &mut Vec<Action>) {
+    pub(super) fn remove_replica(&mut self, now: Time, key: ReplicaKey, out: &mut Vec<Action>) {
+        self.remember_withdrawal(now, key);
         out.push(Action::RemoveReplica(key));
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.is_listed = false;
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -72,7 +72,7 @@
 }
 
 /// A complete HTTP reply from a replica.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reply {
     /// HTTP status code.
     pub status: u16,
@@ -80,6 +80,10 @@
     pub stamp: Option<CompactString>,
     /// Whether the replica states that it did not execute the request.
     pub is_not_run: bool,
+    /// Whether the replica states that it leaves and wants no further requests.
+    pub is_leaving: bool,
+    /// Time in which the replica wants no further requests, if it states one.
+    pub retry_after: Option<Duration>,
     /// Header field lines to relay to the client.
     pub fields: Vec<u8>,
     /// Reply body.
@@ -155,8 +159,16 @@
     },
     /// A request crashed several replicas and is rejected from now on.
     Quarantine(Fingerprint),
-    /// A replica was removed or restarted; close its idle connections.
+    /// A replica was removed, restarted or leaves: close its idle connections, and fail the attempts whose
+    /// requests have not been sent.
     RemoveReplica(ReplicaKey),
+    /// A replica has asked for no further requests.
+    Withdrawn {
+        /// Id of the replica.
+        id: ReplicaId,
+        /// What it asked for.
+        withdrawal: Withdrawal,
+    },
 }
 
 /// Answer to a client request.
@@ -182,6 +194,15 @@
     },
 }
 
+/// For how long a replica wants no further requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// For the rest of its lifetime.
+    Leaving,
+    /// For this time.
+    For(Duration),
+}
+
 /// An attempt in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptInfo<'a> {
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -23,13 +23,14 @@
 mod services;
 mod wait_queue;
 mod weighted_round_robin;
+mod withdrawals;
 
 pub use directory::Directory;
 pub use forwarder::{Forwarder, Settings};
 pub use gather::TopRecords;
 pub use interface::{
     Action, Answer, AttemptInfo, AttemptKey, AttemptKind, Event, Failure, ReplicaKey, Reply,
-    RequestKey, Resend, Submission,
+    RequestKey, Resend, Submission, Withdrawal,
 };
 pub use membership::Membership;
 pub use retry_after::RetryAfterSchedule;
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -41,6 +41,15 @@
 /// connections within a second, so one may become free at any moment.
 const NOT_ACCEPTED_BACKOFF: Duration = Duration::from_millis(10);
 
+/// What a replica has asked for in its replies.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WithdrawalState {
+    /// Whether it leaves, and wants no further requests.
+    pub(crate) is_leaving: bool,
+    /// Time until which it wants no further requests.
+    pub(crate) until: Time,
+}
+
 /// One lifetime of a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
@@ -53,6 +62,8 @@
     pub(crate) in_flight: Vec<(AttemptKey, Time)>,
     full_until: Time,
     down_until: Time,
+    /// What it has asked for in its replies.
+    pub(crate) withdrawal: WithdrawalState,
     /// Length of the next backoff.
     backoff: Duration,
     /// Latency estimate as of `sampled_at`; 0 before the first sample.
@@ -79,6 +90,7 @@
             in_flight: Vec::new(),
             full_until: Time::ZERO,
             down_until: Time::ZERO,
+            withdrawal: WithdrawalState::default(),
             backoff: INITIAL_BACKOFF,
             latency_us: 0.0,
             failure_rate: 0.0,
@@ -89,9 +101,14 @@
         }
     }
 
-    /// Whether it may receive new requests.
+    /// Whether it may receive new requests, now or after a backoff.
     pub(crate) fn accepts_requests(&self) -> bool {
-        self.is_listed && self.info.state == ReplicaState::Ready
+        self.is_listed && self.info.state == ReplicaState::Ready && !self.withdrawal.is_leaving
+    }
+
+    /// Whether it has asked for no requests for a time that is not over.
+    pub(crate) fn is_withdrawn(&self, now: Time) -> bool {
+        now < self.withdrawal.until
     }
 
     /// Whether it is in backoff after a failed connect.
@@ -106,7 +123,7 @@
 
     /// Returns the end of its backoff.
     pub(crate) fn available_at(&self) -> Time {
-        self.down_until.max(self.full_until)
+        self.down_until.max(self.full_until).max(self.withdrawal.until)
     }
 
     /// Records a new attempt. A replica that was down gets at most one request per backoff until a
--- a/crates/query/src/forward/retry_after.rs
+++ b/crates/query/src/forward/retry_after.rs
@@ -22,6 +22,9 @@
 /// recover earlier than expected.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Period over which clients return at least when the service becomes available later than that.
+const MIN_SPREAD: Duration = Duration::from_millis(400);
+
 /// Schedule of the times at which refused clients of one service return.
 ///
 /// # Examples
@@ -63,7 +66,8 @@
     pub fn next_delay(&mut self, now: Time, rank: u32, available_at: Time) -> Duration {
         self.next_free.retain(|it| it.1 > now);
         let ahead = self.next_free.iter().filter(|it| it.0 <= rank).map(|it| it.1).max();
-        let at = available_at.max(ahead.unwrap_or(Time::ZERO)).max(now).min(now + MAX_RETRY_AFTER);
+        let latest = (now + MAX_RETRY_AFTER).max(available_at + MIN_SPREAD);
+        let at = available_at.max(ahead.unwrap_or(Time::ZERO)).max(now).min(latest);
         let after = at + self.reply_interval.unwrap_or(MAX_REPLY_INTERVAL);
         match self.next_free.iter_mut().find(|it| it.0 == rank) {
             Some(it) => it.1 = after,
--- a/crates/query/src/forward/selection.rs
+++ b/crates/query/src/forward/selection.rs
@@ -82,7 +82,11 @@
         let mut is_busy = false;
         for key in &self.service.replicas {
             let Some(replica) = (self.replica)(*key) else { continue };
-            if !replica.accepts_requests() || replica.is_down(self.now) || tried.contains(key) {
+            if !replica.accepts_requests()
+                || replica.is_down(self.now)
+                || replica.is_withdrawn(self.now)
+                || tried.contains(key)
+            {
                 continue;
             }
             if replica.in_flight.len() >= self.max_connections || replica.is_full(self.now) {
--- a/crates/query/tests/forward_harness/mod.rs
+++ b/crates/query/tests/forward_harness/mod.rs
@@ -8,7 +8,7 @@
 use rosemarybank_query::forward::{
     Action, Answer, AttemptKey, AttemptKind, ClientLimits, Event, Failure, Forwarder, ReplicaInfo,
     ReplicaKey, ReplicaState, Reply, RequestKey, Resend, RetryBudget, Route, RouteTable,
-    ServiceInfo, Settings, Submission, Target,
+    ServiceInfo, Settings, Submission, Target, Withdrawal,
 };
 
 /// Returns a time in milliseconds.
@@ -43,6 +43,8 @@
     pub quarantined: Vec<Fingerprint>,
     /// Replicas to which the forwarder requested a new connection.
     pub reconnects: Vec<ReplicaKey>,
+    /// Replicas that asked for no further requests.
+    pub withdrawn: Vec<(ReplicaId, Withdrawal)>,
 }
 
 /// Returns a replica. The forwarder is in data centre `a`.
@@ -97,9 +99,8 @@
     Reply {
         status,
         stamp: (!stamp.is_empty()).then(|| stamp.into()),
-        is_not_run: false,
-        fields: Vec::new(),
         body: body.to_vec(),
+        ..Reply::default()
     }
 }
 
@@ -122,6 +123,7 @@
             fingerprint: 0,
             quarantined: Vec::new(),
             reconnects: Vec::new(),
+            withdrawn: Vec::new(),
         };
         harness.set_instance_count(1);
         harness.handle(Event::Configure(Box::new(route_table(1, routes))));
@@ -248,6 +250,7 @@
                 Action::Quarantine(it) => self.quarantined.push(it),
                 Action::Reconnect { replica, .. } => self.reconnects.push(replica),
                 Action::RemoveReplica(_) => {}
+                Action::Withdrawn { id, withdrawal } => self.withdrawn.push((id, withdrawal)),
             }
         }
     }
--- a/crates/query/tests/forward_load.rs
+++ b/crates/query/tests/forward_load.rs
@@ -183,13 +183,8 @@
                 }
                 Scheduled::Request => {}
                 Scheduled::Reply(attempt) => {
-                    let reply = Reply {
-                        status: 200,
-                        stamp: Some("stamp".into()),
-                        is_not_run: false,
-                        fields: Vec::new(),
-                        body: Vec::new(),
-                    };
+                    let reply =
+                        Reply { status: 200, stamp: Some("stamp".into()), ..Reply::default() };
                     forwarder.handle(now, Event::Replied(attempt, reply), &mut out);
                 }
                 Scheduled::Close(attempt) => {
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -11,14 +11,15 @@
 use proptest::prelude::*;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
-    Answer, AttemptKind, Event, Failure, ReplicaKey, ReplicaState, Resend, Route, Target,
+    Answer, AttemptKind, Event, Failure, ReplicaInfo, ReplicaKey, ReplicaState, Reply, Resend,
+    Route, Target,
 };
 
 fn at_most_once_route(name: &str, service: &str) -> Route {
     Route { is_idempotent: false, ..plain_route(name, service) }
 }
 
-fn two_replicas(service: &str) -> Vec<rosemarybank_query::forward::ReplicaInfo> {
+fn two_replicas(service: &str) -> Vec<ReplicaInfo> {
     vec![replica("r1", service, "a"), replica("r2", service, "b")]
 }
 
@@ -635,6 +636,6 @@
     }
 }
 
-fn not_run_reply() -> rosemarybank_query::forward::Reply {
+fn not_run_reply() -> Reply {
     rejected_reply()
 }
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -33,6 +33,11 @@
     Normal,
     /// Answers 503 with the field that states that it did not run them.
     Refuse,
+    /// Answers 503 with the field that states that it did not run them, and a `Retry-After` of this many
+    /// milliseconds.
+    RefuseFor(u64),
+    /// Runs them and states in its answers that it leaves. Its registration stays as it is.
+    Leave,
     /// Runs them and closes the connection without a response.
     Break,
     /// Runs them and answers 500 with its server stamp.
@@ -126,6 +131,7 @@
     slot_freed: Condvar,
     draining_since: Mutex<Option<Instant>>,
     runs: Arc<Mutex<Vec<Execution>>>,
+    arrivals: Mutex<Vec<Instant>>,
     cancelled_requests: AtomicU64,
     is_stopped: AtomicBool,
     incarnation: AtomicU64,
@@ -186,6 +192,7 @@
             slot_freed: Condvar::new(),
             draining_since: Mutex::default(),
             runs: runs.clone(),
+            arrivals: Mutex::default(),
             cancelled_requests: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
             incarnation: AtomicU64::new(NEXT_INCARNATION.fetch_add(1, Ordering::Relaxed)),
@@ -247,6 +254,12 @@
         *lock(&self.shared.service_time) = service_time;
     }
 
+    /// Arrival times of the requests that named this replica, including those it refused.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.shared.arrivals).clone()
+    }
+
     /// Number of requests whose client closed the connection during their execution.
     #[must_use]
     pub fn cancelled_requests(&self) -> u64 {
@@ -388,10 +401,19 @@
             return write_reply(stream, 421, &fields, b"").map(|()| true);
         }
         let behaviour = *lock(&self.shared.behaviour);
-        if behaviour == Behaviour::Refuse {
-            let fields =
-                [("x-rosemarybank-not-executed", "1"), ("x-rosemarybank-request-id", &request)];
-            return write_reply(stream, 503, &fields, b"").map(|()| true);
+        lock(&self.shared.arrivals).push(Instant::now());
+        let refusal =
+            [("x-rosemarybank-not-executed", "1"), ("x-rosemarybank-request-id", request.as_str())];
+        match behaviour {
+            Behaviour::Refuse => {
+                return write_reply(stream, 503, &refusal, b"").map(|()| true);
+            }
+            Behaviour::RefuseFor(ms) => {
+                let seconds = format!("{}", Duration::from_millis(ms).as_secs_f64());
+                let fields = [refusal[0], refusal[1], ("retry-after", seconds.as_str())];
+                return write_reply(stream, 503, &fields, b"").map(|()| true);
+            }
+            _ => {}
         }
         self.acquire_slot();
         let is_connected = self.run(call, &request, &id, stream);
@@ -481,14 +503,19 @@
             ("x-rosemarybank-server-stamp", stamp.as_str()),
         ];
         match behaviour {
-            // `handle` answers `Refuse` itself and does not reply to a poisoned request. The late
+            // `handle` sends refusals itself and does not reply to a poisoned request. The late
             // refusal has been sent when the request arrived.
             Behaviour::Normal
             | Behaviour::Refuse
+            | Behaviour::RefuseFor(_)
             | Behaviour::CrashOnPoison
             | Behaviour::LateRefusal => {
                 write_reply(stream, 200, &fields, &body)?;
             }
+            Behaviour::Leave => {
+                let fields = [fields[0], fields[1], ("server-leaving", "1")];
+                write_reply(stream, 200, &fields, &body)?;
+            }
             Behaviour::Fail => write_reply(stream, 500, &fields, b"failed")?,
             Behaviour::Break => return Ok(false),
             Behaviour::Hang => {
