Send no content in answers to HEAD requests

Cause: answers that the instance makes itself were written with their content whatever the method; only the reading of replies knew of HEAD.

Evidence: responses_to_head_requests_have_no_content failed before, for 404 (the first of seven cases).

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -6,7 +6,10 @@
 use mio::{Registry, net::TcpStream};
 use rosemarybank_adapter::{HEADERS, headers::READINESS_PATH};
 use rosemarybank_coordination::hash;
-use rosemarybank_http1::{BodyReader, Framing, MessageError, Progress, RequestHead, response};
+use rosemarybank_http1::{
+    BodyReader, Framing, MessageError, Progress, RequestHead,
+    response::{self, Content},
+};
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{ClientLimits, Event, RequestKey, Submission};
 
@@ -40,6 +43,8 @@
     buf: BytesMut,
     /// Whether more input than the limit may have arrived while a request was in progress.
     has_unread_input: bool,
+    /// Whether the request in progress is a `HEAD` request, whose answer has no content.
+    is_head_request: bool,
     /// Whether the connection is closed after the next answer.
     pub(super) close_after_answer: bool,
 }
@@ -87,6 +92,7 @@
             state_since: now,
             buf: BytesMut::new(),
             has_unread_input: false,
+            is_head_request: false,
             close_after_answer: false,
         })
     }
@@ -220,13 +226,13 @@
         let is_stopping = self.shutdown.has_begun();
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
         client.close_after_answer |= is_stopping && client.listener == ListenerKind::Client;
-        response::render(
-            client.socket.write_buf(),
-            status,
-            fields,
-            body,
-            client.close_after_answer,
-        );
+        let content = match std::mem::take(&mut client.is_head_request) {
+            // A reply to a `HEAD` request has no content whose length could be stated.
+            true => Content::Omitted((!body.is_empty()).then_some(body.len())),
+            false => Content::Sent(body),
+        };
+        let closes = client.close_after_answer;
+        response::render(client.socket.write_buf(), status, fields, content, closes);
         client.state = ClientState::ReadingHead;
         client.state_since = self.now;
         if client.socket.flush() != WriteOutcome::Blocked {
@@ -269,6 +275,7 @@
     fn begin_body(&mut self, index: usize, head: RequestHead, limits: &ClientLimits) -> bool {
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return false };
         client.close_after_answer |= !head.keep_alive;
+        client.is_head_request = head.is_head_request;
         if let Framing::Length(len) = head.framing
             && len > limits.body_bytes as u64
         {
@@ -364,6 +371,7 @@
         };
         if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
             client.close_after_answer = true;
+            client.is_head_request |= client.buf.starts_with(b"HEAD ");
         }
         self.journal.log(
             self.now,
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -601,6 +601,52 @@
     assert!(wait_until(Duration::from_secs(1), is_served), "its time is over");
 }
 
+/// Sends a HEAD and a GET request on one connection and returns the bytes after the head of the first
+/// response.
+fn bytes_after_head_response(addr: std::net::SocketAddr, path: &str) -> (String, String) {
+    let mut stream = std::net::TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    for (method, connection) in [("HEAD", "keep-alive"), ("GET", "close")] {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: h.example\r\nx-rosemarybank-request-id: {method}\r\n\
+             x-rosemarybank-deadline-ms: 1500\r\nconnection: {connection}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+    }
+    let mut all = Vec::new();
+    stream.read_to_end(&mut all).unwrap();
+    let text = String::from_utf8_lossy(&all).into_owned();
+    let (first, rest) = text.split_once("\r\n\r\n").unwrap();
+    (first.to_owned(), rest.to_owned())
+}
+
+/// Guards against content in the response to a HEAD request, which the client takes for the start of the
+/// next response: refusals, merged answers, and those of the other listeners.
+#[test]
+fn responses_to_head_requests_have_no_content() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    let ports = instance.ports();
+    let client = instance.client_addr();
+    let at = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    let check = |addr, path: &str, status: &str| {
+        let (head, rest) = bytes_after_head_response(addr, path);
+        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{path}: {head}");
+        assert!(rest.starts_with("HTTP/1.1 "), "{path}: {head}\n{rest}");
+        head
+    };
+    check(client, "/unknown/x", "404");
+    check(client, "/search/x", "200");
+    let head = check(client, "/read/x", "200");
+    assert!(!head.contains("content-length"), "the length of the content is unknown: {head}");
+    check(at(ports.readiness), "/-/readiness", "200");
+    check(at(ports.readiness), "/other", "404");
+    check(at(ports.metrics), "/metrics", "200");
+    cluster.set_behaviour("orders", Behaviour::Refuse);
+    let head = check(client, "/read/x", "503");
+    assert!(head.contains("content-length: 1"), "the length that GET would have: {head}");
+}
+
 /// Without a configuration the routes are unknown, so the status must not be 404.
 #[test]
 fn an_instance_without_configuration_refuses_requests_until_the_store_recovers() {
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -73,9 +73,35 @@
     }
 }
 
-/// Renders a response. `fields` holds complete header lines.
-pub fn render(out: &mut Vec<u8>, status: u16, fields: &[u8], body: &[u8], closes: bool) {
+/// Content of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content<'a> {
+    /// It is sent.
+    Sent(&'a [u8]),
+    /// It is left out, because the request is a `HEAD` request. Its length is stated if it is known.
+    Omitted(Option<usize>),
+}
+
+/// Renders a response. `fields` holds complete header lines. A status that never has content is sent
+/// without any.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_http1::response::{Content, render};
+///
+/// let mut out = Vec::new();
+/// render(&mut out, 503, b"", Content::Omitted(Some(9)), false);
+/// assert_eq!(out, b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 9\r\n\r\n");
+/// ```
+pub fn render(out: &mut Vec<u8>, status: u16, fields: &[u8], content: Content<'_>, closes: bool) {
     let reason = reason_phrase(status);
+    let has_content = may_have_content(status);
+    let (body, len) = match content {
+        _ if !has_content => (&[][..], None),
+        Content::Sent(body) => (body, Some(body.len())),
+        Content::Omitted(len) => (&[][..], len),
+    };
     out.reserve(fields.len() + body.len() + 96);
     out.extend_from_slice(b"HTTP/1.1 ");
     out.extend_from_slice(status.to_string().as_bytes());
@@ -83,8 +109,8 @@
     out.extend_from_slice(reason.as_bytes());
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(fields);
-    if status != 204 && status != 304 {
-        push_field(out, "content-length", body.len().to_string().as_bytes());
+    if let Some(len) = len {
+        push_field(out, "content-length", len.to_string().as_bytes());
     }
     if closes {
         push_field(out, "connection", b"close");
@@ -125,14 +151,17 @@
         }
     }
     let framing = connection.framing()?.unwrap_or(Framing::UntilClose);
-    let has_body = status >= 200 && status != 204 && status != 304;
-    head.framing = has_body.then_some(framing);
+    head.framing = may_have_content(status).then_some(framing);
     let is_until_close = head.framing == Some(Framing::UntilClose);
     head.closes_connection =
         connection.close || is_until_close || (version == 0 && !connection.keep_alive);
     Ok(head)
 }
 
+fn may_have_content(status: u16) -> bool {
+    status >= 200 && status != 204 && status != 304
+}
+
 fn parse_keep_alive_timeout(value: &[u8]) -> Option<Duration> {
     let text = std::str::from_utf8(value).ok()?;
     let seconds = text.split(',').find_map(|it| it.trim().strip_prefix("timeout="))?;
