Count a read as new only if the configuration could be read

Cause: replicas and configuration are read on two connections, and the cut refused one of them. The age that a source states was that of its read of the replicas alone, so its followers took an old configuration for the current one and asked nobody else.

Fix: while the calls for the configuration fail, a read of the replicas makes the state no newer, so followers leave within a second.

--- a/crates/coordination/src/source.rs
+++ b/crates/coordination/src/source.rs
@@ -103,6 +103,10 @@
     read_at: Option<Time>,
     /// Time of the latest store read of this instance.
     own_read_at: Option<Time>,
+    /// Time of its latest read of the replicas, which counts as a store read while the calls for the
+    /// configuration succeed.
+    replicas_read_at: Option<Time>,
+    is_config_current: bool,
     /// Number of store reads so far, each later than the ones before.
     read_seq: u64,
     /// Age of the platform state at which an instance reads the store itself.
@@ -151,6 +155,8 @@
             excluded_until: HashMap::new(),
             read_at: None,
             own_read_at: None,
+            replicas_read_at: None,
+            is_config_current: true,
             read_seq: 0,
             max_age,
             start_wait: match start {
@@ -278,10 +284,27 @@
         self.excluded_until.insert(member.clone(), now + time);
     }
 
-    /// Records a successful store read of this instance.
+    /// Records that this instance read the replicas from the store.
     pub fn record_own_read(&mut self, read_at: Time) {
-        self.own_read_at = self.own_read_at.max(Some(read_at));
-        self.record_read(read_at);
+        self.replicas_read_at = self.replicas_read_at.max(Some(read_at));
+        self.record_complete_read();
+    }
+
+    /// Sets whether the calls of this instance for the configuration succeed. Configuration and replicas
+    /// are read on separate connections, of which one may fail alone. Without the configuration, the
+    /// state is no newer for a read of the replicas.
+    pub fn set_config_current(&mut self, is_current: bool) {
+        self.is_config_current = is_current;
+        self.record_complete_read();
+    }
+
+    fn record_complete_read(&mut self) {
+        if self.is_config_current
+            && let Some(read_at) = self.replicas_read_at
+        {
+            self.own_read_at = self.own_read_at.max(Some(read_at));
+            self.record_read(read_at);
+        }
     }
 
     /// Records that state arrived that is based on a store read at the given time.
--- a/crates/coordination/tests/source.rs
+++ b/crates/coordination/tests/source.rs
@@ -3,7 +3,10 @@
 use std::{collections::HashMap, time::Duration};
 
 use proptest::prelude::*;
-use rosemarybank_coordination::source::{Member, Source, SourceSelector, Start};
+use rosemarybank_coordination::{
+    feed::{FeedPosition, SourceState},
+    source::{Member, Source, SourceSelector, Start},
+};
 use rosemarybank_protocol::prelude::*;
 
 fn member(number: usize, data_centres: usize) -> Member {
@@ -26,6 +29,26 @@
     selector
 }
 
+/// Guards against a source that counts as current while it can read the replicas and not the configuration.
+#[test]
+fn a_read_without_the_configuration_makes_the_state_no_newer() {
+    let members: Vec<Member> = (0..2).map(|it| member(it, 1)).collect();
+    let own = members.iter().max_by_key(|it| it.millicores).unwrap();
+    let mut selector = selector(own, &members);
+    let position = FeedPosition::default();
+    let ms = Duration::from_millis;
+    selector.record_own_read(ms(0));
+    selector.set_config_current(false);
+    for now in [400, 800, 1_200] {
+        selector.record_own_read(ms(now));
+        assert_eq!(selector.age(ms(now)), Some(ms(now)));
+    }
+    assert_eq!(selector.source_state(ms(1_200), position), SourceState::Stale);
+    selector.set_config_current(true);
+    assert_eq!(selector.age(ms(1_250)), Some(ms(50)));
+    assert_eq!(selector.source_state(ms(1_250), position), SourceState::Current(position));
+}
+
 proptest! {
     /// Instances that know the same members form a tree of depth two without cycles, in which one
     /// instance reads the store.
--- a/crates/daemon/src/platform/store.rs
+++ b/crates/daemon/src/platform/store.rs
@@ -205,8 +205,10 @@
         let was_reachable = poller.is_reachable();
         poller.call_failed(self.now);
         let resource = poller.resource();
-        if resource == Resource::Replicas {
-            self.directory.set_store_unreachable();
+        match resource {
+            Resource::Replicas => self.directory.set_store_unreachable(),
+            Resource::Config => self.source_selector.set_config_current(false),
+            Resource::Instances => {}
         }
         if was_reachable {
             self.journal.log(
@@ -225,16 +227,16 @@
         let updates = poller.handle_reply(now, status, body);
         let (resource, is_reachable) = (poller.resource(), poller.is_reachable());
         let read_at = poller.read_at();
-        if resource == Resource::Replicas {
-            match (is_reachable, read_at) {
-                (false, _) => self.directory.set_store_unreachable(),
-                (true, Some(at)) if read_at != last_read_at => {
-                    self.directory.set_store_reachable(now, at);
-                    self.source_selector.record_own_read(at);
-                }
-                // More pages follow, or the list starts over.
-                (true, _) => {}
+        match (resource, is_reachable, read_at) {
+            (Resource::Replicas, false, _) => self.directory.set_store_unreachable(),
+            (Resource::Replicas, true, Some(at)) if read_at != last_read_at => {
+                self.directory.set_store_reachable(now, at);
+                self.source_selector.record_own_read(at);
             }
+            // More pages follow, or the list starts over.
+            (Resource::Replicas, true, _) => {}
+            (Resource::Config, ..) => self.source_selector.set_config_current(is_reachable),
+            (Resource::Instances, ..) => {}
         }
         if was_reachable != is_reachable {
             let event = if is_reachable { "store_regained" } else { "store_lost" };
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -63,8 +63,12 @@
     }
 
     fn start_instance(&self, name: &str, data_centre: &str) -> Instance {
-        let binary = env!("CARGO_BIN_EXE_rosemarybankd").as_ref();
-        let addr = self.store.addr();
+        self.start_instance_at(&self.store, name, data_centre)
+    }
+
+    /// Starts an instance that calls the store at an address of its own.
+    fn start_instance_at(&self, store: &Store, name: &str, data_centre: &str) -> Instance {
+        let (binary, addr) = (env!("CARGO_BIN_EXE_rosemarybankd").as_ref(), store.addr());
         let mut instance = Instance::new(name, data_centre, self.dir.path(), binary, addr).unwrap();
         instance.start().unwrap();
         instance
@@ -886,6 +890,40 @@
     assert!(wait_until(Duration::from_secs(2), || instances.iter().all(has_new)));
 }
 
+/// Guards against instances that stay on an old configuration: the one that they follow could read the
+/// replicas and not the configuration, and its state counted as new.
+#[test]
+fn a_source_that_cannot_read_the_configuration_is_not_followed() {
+    let cluster = Cluster::new();
+    let stores: Vec<Store> = (0..3).map(|_| cluster.store.open_address().unwrap()).collect();
+    let instances: Vec<Instance> = stores
+        .iter()
+        .enumerate()
+        .map(|(number, store)| cluster.start_instance_at(store, &format!("m{number}"), "a"))
+        .collect();
+    let knows_all_instances = |it: &Instance| {
+        it.metrics().is_ok_and(|it| it.contains("rosemarybank_instances_registered 3\n"))
+    };
+    assert!(wait_until(WAIT, || instances.iter().all(knows_all_instances)));
+    std::thread::sleep(Duration::from_secs(1));
+    for (number, store) in stores.iter().enumerate() {
+        store.block_kind(Some(calls::CONFIG));
+        // The reader has a call in flight, which still returns.
+        std::thread::sleep(Duration::from_secs(3));
+        let version = 10 + number as u64;
+        cluster.configure(version, json!([]));
+        let line = format!("rosemarybank_config_version {version}\n");
+        let has_new = |it: &Instance| it.metrics().is_ok_and(|it| it.contains(&line));
+        let limit = Duration::from_secs(3);
+        assert!(
+            wait_until(limit, || instances.iter().all(has_new)),
+            "m{number} cannot read the configuration: {:?}",
+            instances.iter().map(has_new).collect::<Vec<_>>()
+        );
+        store.block_kind(None);
+    }
+}
+
 /// During an upgrade, an instance of another version asks on the path of its own format. Its message
 /// must not be read as one of this version.
 #[test]
--- a/crates/standins/src/platform_mode/store.rs
+++ b/crates/standins/src/platform_mode/store.rs
@@ -68,6 +68,8 @@
 pub struct Store {
     addr: SocketAddr,
     inner: Arc<Inner>,
+    /// Kind of the objects for which calls at this address are reset.
+    blocked_kind: Arc<Mutex<Option<String>>>,
 }
 
 impl Store {
@@ -78,7 +80,11 @@
     /// Fails when no port can be bound.
     pub fn start() -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store = Store { addr: listener.local_addr()?, inner: Arc::default() };
+        let store = Store {
+            addr: listener.local_addr()?,
+            inner: Arc::default(),
+            blocked_kind: Arc::default(),
+        };
         store.lock().revision = 1;
         let (acceptor, expirer) = (store.clone(), store.clone());
         thread::spawn(move || acceptor.accept(&listener));
@@ -86,6 +92,29 @@
         Ok(store)
     }
 
+    /// Opens another address of the same store, with a blocked kind of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub fn open_address(&self) -> io::Result<Store> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let store = Store {
+            addr: listener.local_addr()?,
+            inner: self.inner.clone(),
+            blocked_kind: Arc::default(),
+        };
+        let acceptor = store.clone();
+        thread::spawn(move || acceptor.accept(&listener));
+        Ok(store)
+    }
+
+    /// Resets all calls at this address for objects of a kind, or none.
+    pub fn block_kind(&self, kind: Option<&str>) {
+        *self.blocked_kind.lock().unwrap_or_else(PoisonError::into_inner) =
+            kind.map(ToOwned::to_owned);
+    }
+
     /// Address of the store.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
@@ -227,6 +256,9 @@
         let mut reader = Reader::new(stream.try_clone()?);
         while let Some(call) = reader.read()? {
             *self.lock().calls.entry(peer).or_default() += 1;
+            if self.is_blocked(&call) {
+                return Ok(());
+            }
             let fault = self.lock().fault;
             match fault {
                 StoreFault::None => {}
@@ -266,6 +298,13 @@
         body
     }
 
+    fn is_blocked(&self, call: &Message) -> bool {
+        let blocked = self.blocked_kind.lock().unwrap_or_else(PoisonError::into_inner);
+        let path = call.method_and_target().1.strip_prefix("/-/objects/").unwrap_or_default();
+        let kind = path.split(['/', '?']).next();
+        blocked.is_some() && blocked.as_deref() == kind
+    }
+
     fn wait_while_silent(&self) {
         let mut state = self.lock();
         while state.fault == StoreFault::Silent && !state.is_stopped {
