Share crashes of replicas between instances

Cause: each instance counts crashes for itself and needs two; only the quarantine was passed on.

Fix: the feed carries the crashes of the last minute, with request, process of the replica and age. Two crashes of its own or three in all make an instance refuse a request; each process counts once, and each attempt must have begun after the crash before it. The path of the feed names a new format. crashes_at_several_instances_quarantine_a_request and the property test over messages in any order fail when received crashes are ignored.

--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -14,7 +14,7 @@
 use rosemarybank_http1::RequestHead;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
-    Event,
+    CrashSign, Event,
     directory::{ListUpdate, UpdateOutcome},
 };
 
@@ -39,7 +39,7 @@
 
 /// Path of feed requests. It names the format of the messages: an instance of another version answers
 /// 404 and is passed over.
-const FEED_PATH: &str = "/feed/3";
+const FEED_PATH: &str = "/feed/4";
 
 /// The follower side of the feed.
 #[derive(Debug, Default)]
@@ -123,7 +123,7 @@
                 return self.write_answer(index, 400, b"", b"");
             }
         };
-        self.apply_quarantine(&request.quarantined);
+        self.apply_quarantine(&request.quarantined, &request.crash_signs);
         if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
             client.state = ClientState::AwaitingFeed(request);
             client.state_since = self.now;
@@ -190,6 +190,7 @@
             replicas,
             config,
             quarantined: self.forwarder.quarantined(self.now).collect(),
+            crash_signs: self.forwarder.crash_signs(self.now).collect(),
             members_age: self.source_selector.members_age(self.now),
             members: known
                 .lacks_members(&position)
@@ -225,7 +226,8 @@
         }
         let position = FeedPosition { config_version: version, ..self.feed_client.received.1 };
         let quarantined = self.forwarder.quarantined(self.now).collect();
-        let request = FeedRequest { position, quarantined };
+        let crash_signs = self.forwarder.crash_signs(self.now).collect();
+        let request = FeedRequest { position, quarantined, crash_signs };
         let body = match feed_codec::encode(&request) {
             Ok(body) => body,
             Err(err) => return self.drop_feed_source(index, &member, &err.to_string()),
@@ -246,7 +248,7 @@
         if let Some(text) = feed.config.take() {
             self.apply_compressed_config(text, &member.id);
         }
-        self.apply_quarantine(&feed.quarantined);
+        self.apply_quarantine(&feed.quarantined, &feed.crash_signs);
         self.apply_received_members(&mut feed);
         let received = &mut self.feed_client.received.1;
         received.quarantine_seq = feed.position.quarantine_seq;
@@ -290,7 +292,11 @@
         self.feed_client.received.1.members_seq = 0;
     }
 
-    fn apply_quarantine(&mut self, quarantined: &[Quarantined]) {
+    /// Applies what another instance knows of requests that crash replicas.
+    fn apply_quarantine(&mut self, quarantined: &[Quarantined], crash_signs: &[CrashSign]) {
+        for it in crash_signs {
+            self.forwarder.handle(self.now, Event::PeerCrash(*it), &mut self.actions);
+        }
         for (fingerprint, remaining) in quarantined {
             let event = Event::PeerQuarantined(*fingerprint, *remaining);
             self.forwarder.handle(self.now, event, &mut self.actions);
--- a/crates/daemon/src/platform/feed_codec.rs
+++ b/crates/daemon/src/platform/feed_codec.rs
@@ -8,7 +8,7 @@
 };
 use rosemarybank_coordination::{feed::FeedPosition, source::Member};
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::directory::ListUpdate;
+use rosemarybank_query::forward::{CrashSign, directory::ListUpdate};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Maximum size of a message in bytes, which also limits allocations during decoding. A list of
@@ -28,6 +28,8 @@
     pub position: FeedPosition,
     /// Requests in the quarantine of the sender.
     pub quarantined: Vec<Quarantined>,
+    /// Crashes that the sender knows of.
+    pub crash_signs: Vec<CrashSign>,
 }
 
 /// Response of a source, with what the follower lacks.
@@ -43,6 +45,8 @@
     pub config: Option<Vec<u8>>,
     /// Requests in the quarantine of the sender.
     pub quarantined: Vec<Quarantined>,
+    /// Crashes that the sender knows of.
+    pub crash_signs: Vec<CrashSign>,
     /// Time since the list of the instances was requested from the store; `None` if there is none yet.
     pub members_age: Option<Duration>,
     /// The list of the instances, if it is another one than the follower's.
--- a/crates/daemon/tests/malformed_input.rs
+++ b/crates/daemon/tests/malformed_input.rs
@@ -15,7 +15,7 @@
     poller::{Poller, Resource},
 };
 use rosemarybank_query::forward::{
-    Event, Forwarder, ReplicaInfo, ReplicaState, RetryBudget, Settings, Submission,
+    CrashSign, Event, Forwarder, ReplicaInfo, ReplicaState, RetryBudget, Settings, Submission,
     directory::{Change, Directory, ListUpdate},
 };
 
@@ -40,11 +40,16 @@
         replicas: ListUpdate::Changes(changes),
         config: Some(b"{}".to_vec()),
         quarantined: vec![(5, Duration::from_secs(6))],
+        crash_signs: vec![crash_sign(Duration::from_secs(1)), crash_sign(Duration::from_secs(2))],
         members_age: Some(Duration::from_secs(1)),
         members: Some(vec![member("m"), member("n")]),
     }
 }
 
+fn crash_sign(ago: Duration) -> CrashSign {
+    CrashSign { fingerprint: 8, lifetime: ago.as_secs(), sent_ago: ago, broken_ago: ago }
+}
+
 fn member(id: &str) -> Member {
     Member {
         id: id.into(),
@@ -66,6 +71,10 @@
     directory.apply_update(now, feed.age, feed.replicas);
     directory.tick(now);
     let mut forwarder = forwarder();
+    for sign in feed.crash_signs {
+        forwarder.handle(now, Event::PeerCrash(sign), &mut out);
+    }
+    assert!(forwarder.crash_signs(now).all(|it| it.broken_ago <= now));
     for (fingerprint, left) in feed.quarantined {
         forwarder.handle(now, Event::PeerQuarantined(fingerprint, left), &mut out);
         let submission = Submission {
@@ -99,15 +108,27 @@
     prefix.extend((1_u64 << 60).to_le_bytes());
     assert!(feed_codec::decode::<String>(&prefix).is_err());
     assert!(feed_codec::decode::<Vec<u8>>(&prefix).is_err());
-    // The lengths of the list of replicas, of the configuration and of the list of instances.
+    // The lengths of the list of replicas, of the configuration, of the crashes and of the list of
+    // instances.
     let (position, variant) = (FeedPosition::default(), 0_u32);
     let no_replicas = ListUpdate::Changes(Vec::new());
     let (age, no_config) = (None::<Duration>, None::<Vec<u8>>);
     let quarantined = Vec::<feed_codec::Quarantined>::new();
+    let no_crashes = Vec::<CrashSign>::new();
     let heads = [
         feed_codec::encode(&(position, age, variant)),
         feed_codec::encode(&(position, age, &no_replicas, 1_u8)),
-        feed_codec::encode(&(position, age, &no_replicas, no_config, quarantined, age, 1_u8)),
+        feed_codec::encode(&(position, age, &no_replicas, &no_config, &quarantined)),
+        feed_codec::encode(&(
+            position,
+            age,
+            &no_replicas,
+            no_config,
+            quarantined,
+            no_crashes,
+            age,
+            1_u8,
+        )),
     ];
     for head in heads {
         let bytes = [&head.unwrap()[..], &prefix].concat();
@@ -124,6 +145,10 @@
     let feed = FeedResponse {
         age: Some(Duration::ZERO),
         quarantined: vec![(5, Duration::MAX)],
+        crash_signs: vec![
+            crash_sign(Duration::MAX),
+            CrashSign { broken_ago: Duration::ZERO, ..crash_sign(Duration::MAX) },
+        ],
         replicas: ListUpdate::All(vec![ReplicaInfo { cold: Duration::MAX, ..replica() }]),
         ..feed_response()
     };
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -344,6 +344,33 @@
     }
 }
 
+/// Guards against an order that crashes one replica after the other because each of many instances sees only
+/// some of the crashes. The fleet refuses it after the third crash.
+#[test]
+fn an_order_that_crashes_replicas_is_refused_by_the_fleet() {
+    let mut cluster = Cluster::new();
+    for number in 3..=14 {
+        cluster.add_replica(&format!("orders-{number}"), "orders", "a");
+    }
+    cluster.set_behaviour("orders", Behaviour::CrashOnPoison);
+    let instances: Vec<Instance> =
+        (0..6).map(|it| cluster.start_instance(&format!("m{it}"), "a")).collect();
+    assert!(instances.iter().all(|it| it.wait_ready(WAIT)));
+    // The instances find each other.
+    std::thread::sleep(Duration::from_secs(3));
+    let path = format!("/order/{POISON}");
+    for (number, instance) in instances.iter().chain(&instances).enumerate() {
+        assert_ne!(call(instance, "POST", &path, &format!("p{number}")).status(), 200);
+        std::thread::sleep(Duration::from_millis(1_500));
+    }
+    let crashes =
+        cluster.runs.lock().unwrap().iter().filter(|it| it.request_line.contains(POISON)).count();
+    assert!((2..=4).contains(&crashes), "{crashes} replicas crashed");
+    for instance in &instances {
+        assert_relayed(&call(instance, "GET", "/read/x", "sound"), "sound");
+    }
+}
+
 /// A replica may clean up before its process ends, so it can be reached for a moment after the
 /// connection of the request broke. No other requests show that it has crashed.
 #[test]
@@ -553,6 +580,8 @@
     cluster.replica("orders-1").leave();
     cluster.replicas.retain(|it| it.id() != "orders-1");
     cluster.add_replica("orders-1", "orders", "a");
+    // With the other replica in use, its open connections could make up for the distance.
+    cluster.replica("orders-2").leave();
     let is_used = || {
         keep_asking(&instance, Duration::from_millis(50));
         count(&cluster, "orders-1") > 0
@@ -946,6 +975,7 @@
         replicas: ListUpdate::All(Vec::new()),
         config: Some(ConfigText::plain(text).compressed().unwrap().to_vec()),
         quarantined: Vec::new(),
+        crash_signs: Vec::new(),
         members_age: None,
         members: None,
     };
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -349,7 +349,10 @@
         match failure {
             Failure::Broken if attempt.is_sent => {
                 let Attempt { replica, fingerprint, sent_at, .. } = attempt;
-                self.crash_detector.record_broken(now, replica, fingerprint, sent_at);
+                if let Some(it) = self.replicas.get(replica) {
+                    let replica = (replica, &it.info);
+                    self.crash_detector.record_broken(now, replica, fingerprint, sent_at);
+                }
                 self.reconnect(replica, out);
             }
             Failure::Unreachable => self.record_unreachable(now, attempt.replica, out),
--- a/crates/query/src/forward/crash_detector.rs
+++ b/crates/query/src/forward/crash_detector.rs
@@ -4,16 +4,23 @@
 //! again through any instance. A broken connection alone is not evidence of a crash, because lost
 //! replies and link failures are far more frequent. It counts only if the replica is unreachable
 //! soon afterwards. A crashing process can still be reached while it cleans up, so a connection that
-//! it accepts and then closes unused is replaced as well. Quarantined requests are shared with the
-//! other instances, since each instance sees only some of the crashes.
+//! it accepts and then closes unused is replaced as well. Crashes and quarantined requests are shared
+//! with the other instances, since each instance sees only some of the crashes.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 
 use rosemarybank_protocol::prelude::*;
 
 use crate::{
     crash_tracker::{CrashTracker, Verdict},
-    forward::interface::ReplicaKey,
+    forward::{
+        interface::{CrashSign, ReplicaKey},
+        routes::ReplicaInfo,
+    },
 };
 
 /// Time after a broken connection within which the replica must be found unreachable. A crashed
@@ -28,6 +35,19 @@
 /// crashes.
 const MAX_TRACKED: usize = 4_096;
 
+/// How long a crash is passed on to other instances. It reaches all of them within a few seconds.
+const SHARING_PERIOD: Duration = Duration::from_secs(60);
+
+/// Maximum number of crashes that are kept to be passed on, and to recognize those received again.
+const MAX_SHARED: usize = 256;
+
+/// Maximum number of crashes in one message.
+const MAX_SIGNS_PER_MESSAGE: usize = 64;
+
+/// Upper bound of the time that a message takes. The times of another instance's crash are known only
+/// as ages, which do not contain it.
+const MAX_TRANSIT: Duration = Duration::from_millis(100);
+
 /// Maximum quarantine duration.
 const MAX_QUARANTINE: Duration = Duration::from_secs(600);
 
@@ -40,9 +60,13 @@
 /// Maximum quarantine that another instance can set. No instance uses a longer one.
 const MAX_PEER_QUARANTINE: Duration = Duration::from_secs(600);
 
+/// Hash of the id and start time of a replica process, the same at all instances.
+type Lifetime = u64;
+
 #[derive(Clone, Copy, Debug)]
 struct BrokenConnection {
     replica: ReplicaKey,
+    lifetime: Lifetime,
     fingerprint: Fingerprint,
     sent_at: Time,
     broken_at: Time,
@@ -50,16 +74,34 @@
     reconnects: u32,
 }
 
+/// A crash of a replica that ran a request.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    fingerprint: Fingerprint,
+    lifetime: Lifetime,
+    sent_at: Time,
+    broken_at: Time,
+    seen_by: Observer,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Observer {
+    ThisInstance,
+    AnotherInstance,
+}
+
 /// Crash evidence and quarantined requests.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashDetector {
-    crashes: CrashTracker<ReplicaKey>,
+    crashes: CrashTracker<Lifetime>,
     /// Broken connections that are not confirmed as crashes.
     unconfirmed: Vec<BrokenConnection>,
-    /// Broken connections whose replica was unreachable afterwards, by request.
-    confirmed: HashMap<Fingerprint, Vec<BrokenConnection>>,
-    /// Number of times that a request was quarantined here or by another instance. The end of a
-    /// quarantine does not count.
+    /// Crashes since the last success, by request.
+    confirmed: HashMap<Fingerprint, Vec<Crash>>,
+    /// Recent crashes, oldest first.
+    shared: VecDeque<Crash>,
+    /// Number of crashes and of quarantines, here or at another instance. The end of a quarantine does
+    /// not count.
     seq: u64,
 }
 
@@ -77,8 +119,8 @@
         self.crashes.quarantined(now).map(move |((_, it), until)| (it, until - now))
     }
 
-    /// Returns a counter that increases with every request that is quarantined, but not at the end
-    /// of a quarantine.
+    /// Returns a counter that increases with every crash and every request that is quarantined, but not
+    /// at the end of a quarantine.
     pub(crate) fn seq(&self) -> u64 {
         self.seq
     }
@@ -97,11 +139,62 @@
         }
     }
 
+    /// Returns the newest crashes, for other instances.
+    pub(crate) fn crash_signs(&self, now: Time) -> impl Iterator<Item = CrashSign> + '_ {
+        let recent = self.shared.iter().rev().filter(move |it| it.broken_at + SHARING_PERIOD > now);
+        recent.take(MAX_SIGNS_PER_MESSAGE).map(move |it| CrashSign {
+            fingerprint: it.fingerprint,
+            lifetime: it.lifetime,
+            sent_ago: now.saturating_sub(it.sent_at),
+            broken_ago: now.saturating_sub(it.broken_at),
+        })
+    }
+
+    /// Adds a crash that another instance has seen. Returns whether its request is quarantined as a result.
+    pub(crate) fn add_peer_crash(&mut self, now: Time, sign: &CrashSign) -> bool {
+        let crash = Crash {
+            fingerprint: sign.fingerprint,
+            lifetime: sign.lifetime,
+            sent_at: now.saturating_sub(sign.sent_ago.saturating_add(MAX_TRANSIT)),
+            broken_at: now.saturating_sub(sign.broken_ago),
+            seen_by: Observer::AnotherInstance,
+        };
+        if sign.broken_ago >= SHARING_PERIOD || !self.share(crash) {
+            return false;
+        }
+        self.quarantined_until(now, crash.fingerprint).is_none() && self.add_crash(now, crash)
+    }
+
+    /// Keeps a crash to pass it on. Returns whether it is a new one.
+    fn share(&mut self, crash: Crash) -> bool {
+        let key = (crash.fingerprint, crash.lifetime);
+        if self.shared.iter().any(|it| (it.fingerprint, it.lifetime) == key) {
+            return false;
+        }
+        if self.shared.len() == MAX_SHARED {
+            self.shared.pop_front();
+        }
+        self.shared.push_back(crash);
+        self.seq += 1;
+        true
+    }
+
+    /// Adds a crash to those of its request. Returns whether the request is quarantined as a result.
+    fn add_crash(&mut self, now: Time, crash: Crash) -> bool {
+        if self.confirmed.len() >= MAX_TRACKED {
+            self.confirmed.clear();
+        }
+        self.confirmed.entry(crash.fingerprint).or_default().push(crash);
+        let is_quarantined = self.evaluate(now, crash.fingerprint);
+        self.seq += u64::from(is_quarantined);
+        is_quarantined
+    }
+
     /// Records a connection that broke while the replica was processing a request.
     pub(crate) fn record_broken(
         &mut self,
         now: Time,
-        replica: ReplicaKey,
+        (replica, info): (ReplicaKey, &ReplicaInfo),
         fingerprint: Fingerprint,
         sent_at: Time,
     ) {
@@ -109,6 +202,7 @@
         if self.unconfirmed.len() < MAX_TRACKED {
             self.unconfirmed.push(BrokenConnection {
                 replica,
+                lifetime: lifetime(info),
                 fingerprint,
                 sent_at,
                 broken_at: now,
@@ -150,19 +244,21 @@
         let (confirmed, unconfirmed) =
             self.unconfirmed.drain(..).partition::<Vec<_>, _>(is_confirmed);
         self.unconfirmed = unconfirmed;
-        let mut fingerprints: Vec<Fingerprint> = Vec::new();
+        let mut quarantined = Vec::new();
         for it in confirmed {
-            if self.confirmed.len() >= MAX_TRACKED {
-                self.confirmed.clear();
+            let crash = Crash {
+                fingerprint: it.fingerprint,
+                lifetime: it.lifetime,
+                sent_at: it.sent_at,
+                broken_at: it.broken_at,
+                seen_by: Observer::ThisInstance,
+            };
+            self.share(crash);
+            if self.add_crash(now, crash) {
+                quarantined.push(it.fingerprint);
             }
-            self.confirmed.entry(it.fingerprint).or_default().push(it);
-            fingerprints.push(it.fingerprint);
         }
-        fingerprints.sort_unstable();
-        fingerprints.dedup();
-        fingerprints.retain(|it| self.evaluate(now, *it));
-        self.seq += fingerprints.len() as u64;
-        fingerprints
+        quarantined
     }
 
     /// Evaluates the confirmed crashes of a request in the order in which the connections broke,
@@ -170,14 +266,21 @@
     /// is quarantined as a result.
     fn evaluate(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         let suspect = (SERVICE, fingerprint);
-        let Some(connections) = self.confirmed.get_mut(&fingerprint) else { return false };
-        connections.sort_by_key(|it| it.broken_at);
+        let Some(crashes) = self.confirmed.get_mut(&fingerprint) else { return false };
+        crashes.sort_by_key(|it| it.broken_at);
         self.crashes.forget_signs(suspect);
+        // The request may have succeeded at the other instance since, so one more crash is needed.
+        let may_succeed = crashes.iter().any(|it| it.seen_by == Observer::AnotherInstance);
         let mut is_quarantined = false;
-        for it in connections.iter() {
-            let sign = (it.replica, ALL_KEYS, it.sent_at);
-            let verdict =
-                self.crashes.record_crash_sign(suspect, sign, false, MAX_QUARANTINE, it.broken_at);
+        for it in crashes.iter() {
+            let sign = (it.lifetime, ALL_KEYS, it.sent_at);
+            let verdict = self.crashes.record_crash_sign(
+                suspect,
+                sign,
+                may_succeed,
+                MAX_QUARANTINE,
+                it.broken_at,
+            );
             is_quarantined |= matches!(verdict, Verdict::Quarantined { .. });
         }
         if is_quarantined {
@@ -194,3 +297,10 @@
         }
     }
 }
+
+fn lifetime(info: &ReplicaInfo) -> Lifetime {
+    // The default keys are the same in all processes.
+    let mut hasher = DefaultHasher::new();
+    (info.id.as_str(), info.born_ms).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -15,8 +15,8 @@
 use crate::forward::{
     crash_detector::CrashDetector,
     interface::{
-        Action, Answer, AttemptInfo, AttemptKey, AttemptKind, Event, ReplicaKey, RequestKey,
-        Submission,
+        Action, Answer, AttemptInfo, AttemptKey, AttemptKind, CrashSign, Event, ReplicaKey,
+        RequestKey, Submission,
     },
     membership::Membership,
     replicas::Replica,
@@ -156,8 +156,13 @@
         self.crash_detector.quarantined(now)
     }
 
-    /// Returns a counter that increases with every request that is quarantined, but not at the end
-    /// of a quarantine.
+    /// Returns the newest crashes that this instance knows of, for other instances.
+    pub fn crash_signs(&self, now: Time) -> impl Iterator<Item = CrashSign> + '_ {
+        self.crash_detector.crash_signs(now)
+    }
+
+    /// Returns a counter that increases with every crash and every request that is quarantined, but not
+    /// at the end of a quarantine.
     #[must_use]
     pub fn quarantine_seq(&self) -> u64 {
         self.crash_detector.seq()
@@ -263,6 +268,11 @@
             Event::PeerQuarantined(fingerprint, left) => {
                 self.crash_detector.add_peer_quarantine(now, fingerprint, left)
             }
+            Event::PeerCrash(sign) => {
+                if self.crash_detector.add_peer_crash(now, &sign) {
+                    out.push(Action::Quarantine(sign.fingerprint));
+                }
+            }
             Event::Instances { requested_at, count, is_listed } => {
                 self.instance_count = count.max(1);
                 self.membership.record_list(requested_at, count, is_listed);
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use rosemarybank_protocol::prelude::*;
+use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
 use crate::forward::routes::{ReplicaInfo, RouteTable};
@@ -39,6 +40,8 @@
     Replicas(Vec<ReplicaInfo>),
     /// Another instance quarantined a request for the given remaining time.
     PeerQuarantined(Fingerprint, Duration),
+    /// Another instance has seen that a request crashed a replica.
+    PeerCrash(CrashSign),
     /// A list of the entry instances that share retry budgets and connections to replicas.
     Instances {
         /// When the list was requested.
@@ -194,6 +197,20 @@
     },
 }
 
+/// A crash of a replica that ran a request, as one instance tells others. Times are ages, because the
+/// clocks of instances differ.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashSign {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Identifies the process of the replica.
+    pub lifetime: u64,
+    /// Time since the request was sent to the replica.
+    pub sent_ago: Duration,
+    /// Time since the connection to the replica broke.
+    pub broken_ago: Duration,
+}
+
 /// For how long a replica wants no further requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withdrawal {
--- a/crates/query/src/forward/mod.rs
+++ b/crates/query/src/forward/mod.rs
@@ -29,8 +29,8 @@
 pub use forwarder::{Forwarder, Settings};
 pub use gather::TopRecords;
 pub use interface::{
-    Action, Answer, AttemptInfo, AttemptKey, AttemptKind, Event, Failure, ReplicaKey, Reply,
-    RequestKey, Resend, Submission, Withdrawal,
+    Action, Answer, AttemptInfo, AttemptKey, AttemptKind, CrashSign, Event, Failure, ReplicaKey,
+    Reply, RequestKey, Resend, Submission, Withdrawal,
 };
 pub use membership::Membership;
 pub use retry_after::RetryAfterSchedule;
--- a/crates/query/tests/forward_crash_detector.rs
+++ b/crates/query/tests/forward_crash_detector.rs
@@ -3,8 +3,9 @@
 mod forward_harness;
 
 use forward_harness::{Harness, ms, plain_route, replica, reply};
+use proptest::prelude::*;
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{Answer, Event, Failure};
+use rosemarybank_query::forward::{Answer, CrashSign, Event, Failure, ReplicaInfo, Route};
 
 const FINGERPRINT: Fingerprint = 7;
 
@@ -114,3 +115,125 @@
     harness.now += ms(30_001);
     assert!(harness.forwarder.submit(harness.now, &submission, &mut Vec::new()).is_ok());
 }
+
+fn signs(harness: &Harness) -> Vec<CrashSign> {
+    harness.forwarder.crash_signs(harness.now).collect()
+}
+
+/// Passes the crashes that one instance knows of to another one.
+fn tell(from: usize, to: usize, fleet: &mut [Harness]) {
+    for sign in signs(&fleet[from]) {
+        fleet[to].handle(Event::PeerCrash(sign));
+    }
+}
+
+/// Runs a request that crashes its replica at one instance; the others lose the replica from their list.
+fn crash_at(index: usize, replicas: &mut Vec<ReplicaInfo>, fleet: &mut [Harness]) {
+    let harness = &mut fleet[index];
+    let first = harness.sent.len();
+    if harness.try_submit("once").is_err() {
+        return;
+    }
+    let crashed = harness.sent[first].replica_id.clone();
+    harness.mark_sent(first);
+    harness.advance(ms(5));
+    harness.fail(first, Failure::Broken);
+    report_unreachable(harness);
+    let restarted = replicas.iter_mut().find(|it| it.id == crashed).unwrap();
+    restarted.born_ms += 1;
+    for harness in fleet {
+        harness.handle(Event::Replicas(replicas.clone()));
+    }
+}
+
+fn fleet(count: usize) -> (Vec<ReplicaInfo>, Vec<Harness>) {
+    let replicas: Vec<ReplicaInfo> =
+        (0..6).map(|it| replica(&format!("r{it}"), "s", "a")).collect();
+    let route = Route { is_idempotent: false, ..plain_route("once", "s") };
+    let mut harness = Harness::new(vec![route], replicas.clone());
+    harness.fingerprint = FINGERPRINT;
+    (replicas, vec![harness; count])
+}
+
+/// Three crashes at three instances quarantine a request at all of them once they know of each other's.
+#[test]
+fn crashes_at_several_instances_quarantine_a_request() {
+    let (mut replicas, mut fleet) = fleet(4);
+    for index in 0..3 {
+        crash_at(index, &mut replicas, &mut fleet);
+        for harness in &mut fleet {
+            harness.advance(ms(1_000));
+        }
+        for (from, to) in (0..4).flat_map(|from| (0..4).map(move |to| (from, to))) {
+            tell(from, to, &mut fleet);
+        }
+        let refusing = fleet.iter_mut().filter_map(|it| it.try_submit("once").err()).count();
+        assert_eq!(refusing, if index == 2 { 4 } else { 0 }, "after {} crashes", index + 1);
+    }
+    // A first quarantine is short, and crashes that are received again do not prolong it.
+    let old = signs(&fleet[0]);
+    for harness in &mut fleet {
+        harness.advance(ms(30_000));
+        for sign in &old {
+            harness.handle(Event::PeerCrash(*sign));
+        }
+        assert!(harness.try_submit("once").is_ok());
+    }
+}
+
+/// Crashes of replicas that many instances were using at the same moment do not count together.
+#[test]
+fn crashes_of_one_moment_do_not_quarantine_a_request() {
+    let (mut replicas, mut fleet) = fleet(4);
+    for index in 0..4 {
+        crash_at(index, &mut replicas, &mut fleet);
+    }
+    for (from, to) in (0..4).flat_map(|from| (0..4).map(move |to| (from, to))) {
+        tell(from, to, &mut fleet);
+    }
+    assert!(fleet.iter_mut().all(|it| it.try_submit("once").is_ok()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Instances tell each other of crashes in any order, late and repeatedly. No request is quarantined
+    /// with fewer than two crashes at one instance or three in all, and all refuse it after three crashes
+    /// that lie apart once they know of them.
+    #[test]
+    fn the_fleet_stops_a_request_after_the_third_crash(
+        steps in prop::collection::vec((0_usize..4, 0_usize..4, 0_u64..1_500, any::<bool>()), 1..60),
+    ) {
+        let (mut replicas, mut fleet) = fleet(4);
+        let mut crashes: Vec<(usize, Time)> = Vec::new();
+        for (from, to, time, is_crash) in steps {
+            let before = fleet[from].sent.len();
+            match is_crash {
+                true => crash_at(from, &mut replicas, &mut fleet),
+                false => tell(from, to, &mut fleet),
+            }
+            if fleet[from].sent.len() > before {
+                crashes.push((from, fleet[from].now));
+            }
+            let is_quarantined = fleet.iter().any(|it| it.quarantine_left().is_some());
+            let most = (0..4).map(|it| crashes.iter().filter(|at| at.0 == it).count()).max();
+            prop_assert!(!is_quarantined || crashes.len() >= 3 || most >= Some(2));
+            for harness in &mut fleet {
+                harness.advance(ms(time));
+            }
+        }
+        for (from, to) in (0..4).flat_map(|from| (0..4).map(move |to| (from, to))) {
+            tell(from, to, &mut fleet);
+        }
+        let recent = crashes.iter().filter(|it| it.1 + ms(20_000) > fleet[0].now);
+        let mut apart: Vec<Time> = Vec::new();
+        for (_, at) in recent {
+            if apart.last().is_none_or(|it| *it + ms(200) < *at) {
+                apart.push(*at);
+            }
+        }
+        if apart.len() >= 3 {
+            prop_assert!(fleet.iter().all(|it| it.quarantine_left().is_some()), "{:?}", crashes);
+        }
+    }
+}
