Find out crashes of processes that still accept a connection

Callers saw: a request that crashes replicas went on to further ones.

Cause: the connection that replaces a broken one, and so shows a crash, is often accepted by the ending process and closed at once. That looks like a replica at its connection limit, so it was not opened again, and the crash stayed unconfirmed. A reset before the connection was open counted as a crash, although a replica at its limit does the same.

Fix: a connection that closes or is reset at once is opened again after 0.1 s, at most three times for a broken one, as others are.

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -127,6 +127,8 @@
     /// Client connections with a request that arrived before the first configuration and replica
     /// list.
     pub(super) startup_queue: Vec<usize>,
+    /// Replicas that closed a new connection at once, with the time to try again.
+    pub(super) delayed_reopens: Vec<(Time, ReplicaKey)>,
     /// Upstream connections that have just opened, with the time to send their first request.
     pub(super) delayed_sends: BinaryHeap<Reverse<(Time, usize)>>,
     pub(super) read_buf: Vec<u8>,
@@ -183,6 +185,7 @@
             unprocessed_clients: Vec::new(),
             unread_conns: Vec::new(),
             startup_queue: Vec::new(),
+            delayed_reopens: Vec::new(),
             delayed_sends: BinaryHeap::new(),
             read_buf: vec![0; READ_BUF_LEN],
             journal,
--- a/crates/daemon/src/platform/sweep.rs
+++ b/crates/daemon/src/platform/sweep.rs
@@ -17,6 +17,7 @@
         self.publish_replicas();
         self.poll_store();
         self.poll_feed();
+        self.report_delayed_reopens();
         let phase = self.phase();
         if phase == ShutdownPhase::Draining {
             self.close_client_listener();
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -32,6 +32,10 @@
 /// replica, which all instances share.
 const SURPLUS_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after which a connection that replaces a broken one is opened again if the replica closed it at
+/// once: a process that has crashed has ended by then.
+const REOPEN_DELAY: Duration = Duration::from_millis(100);
+
 /// Number of idle connections per replica that stay open until the replica closes them.
 const MIN_IDLE_CONNS: usize = 1;
 
@@ -478,6 +482,14 @@
                             pool.idle.push(index);
                         }
                     }
+                    // A reset shows that the replica runs, or that its process is ending.
+                    Err(err) if connect::classify_error(&err) == Failure::NotAccepted => {
+                        self.close_conn(index);
+                        if let Some(pool) = self.pools.get_mut(replica) {
+                            pool.is_reopening = false;
+                        }
+                        self.delayed_reopens.push((now + REOPEN_DELAY, replica));
+                    }
                     Err(_) => self.reopen_failed(index, replica),
                 }
             }
@@ -516,7 +528,7 @@
     }
 
     /// Handles the end of an idle connection by the replica. One that was opened to replace a broken one
-    /// and closes soon was beyond the limit of the replica, which is therefore running.
+    /// and closes at once was beyond the limit of the replica, or its process is ending.
     fn idle_closed(&mut self, index: usize) {
         let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
         let open_for = self.now.saturating_sub(conn.state_since);
@@ -524,8 +536,20 @@
             open_for >= connect::first_request_delay(Resend::NotIdempotent, conn.connect_time);
         let (replica, is_unused) = (conn.replica, conn.requests == 0);
         self.close_idle(index);
-        if is_unused && was_accepted {
-            self.forwarder.handle(self.now, Event::ClosedUnused(replica), &mut self.actions);
+        match (is_unused, was_accepted) {
+            (true, true) => {
+                self.forwarder.handle(self.now, Event::ClosedUnused(replica), &mut self.actions);
+            }
+            (true, false) => self.delayed_reopens.push((self.now + REOPEN_DELAY, replica)),
+            (false, _) => {}
+        }
+    }
+
+    /// Reports the connections that closed at once, some time after they did.
+    pub(super) fn report_delayed_reopens(&mut self) {
+        let now = self.now;
+        for (_, replica) in self.delayed_reopens.extract_if(.., |it| it.0 <= now) {
+            self.forwarder.handle(now, Event::ClosedUnused(replica), &mut self.actions);
         }
     }
 
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -298,6 +298,28 @@
     assert_eq!(cluster.runs("none").len(), 0);
 }
 
+/// Guards against crashes that are never found out: a connection that a process accepts as it ends closes so
+/// soon that the replica might as well be at its connection limit, and nothing tried again.
+#[test]
+fn a_crash_is_found_out_although_the_process_still_accepts_a_connection() {
+    let mut cluster = Cluster::new();
+    for number in 3..=8 {
+        cluster.add_replica(&format!("orders-{number}"), "orders", "a");
+    }
+    for it in &cluster.replicas {
+        it.set_exit_delay(Duration::from_millis(5));
+    }
+    cluster.set_behaviour("orders", Behaviour::CrashOnPoison);
+    let instance = cluster.start_ready_instance();
+    let path = format!("/order/{POISON}");
+    for number in 0..6 {
+        assert_ne!(call(&instance, "POST", &path, &format!("p{number}")).status(), 200);
+        std::thread::sleep(Duration::from_millis(700));
+    }
+    assert_eq!(cluster.runs.lock().unwrap().len(), 2, "replicas crashed");
+    assert_eq!(call(&instance, "POST", &path, "last").status(), 503);
+}
+
 /// Guards against an order that is sent on a connection which a busy replica is about to close
 /// unread. Its outcome was reported as unknown although no replica had read it.
 #[test]
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -31,8 +31,8 @@
     Failed(AttemptKey, Failure),
     /// A connection requested by [`Action::Reconnect`] could not be opened.
     Unreachable(ReplicaKey),
-    /// A connection opened by [`Action::Reconnect`] closed before a request was sent on it, and not so
-    /// soon that the replica was at its connection limit.
+    /// A connection opened by [`Action::Reconnect`] closed before a request was sent on it. If it closed so
+    /// soon that the replica may be at its connection limit, some time has passed since.
     ClosedUnused(ReplicaKey),
     /// A new configuration. Ignored unless its version is newer than the current one.
     Configure(Box<RouteTable>),
