Forward host, id and stamp although the connection field lists them

Cause: every field that Connection lists was removed. RFC 9110, 7.6.1: a sender must not list a field that all recipients need.

Fix: host, id and stamp are forwarded in any case. fields_that_all_recipients_need_are_forwarded failed before.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -82,7 +82,8 @@
         HOP_BY_HOP.iter().any(|it| name.eq_ignore_ascii_case(it))
     }
 
-    /// Whether the `Connection` field lists this field.
+    /// Whether the `Connection` field lists this field. A sender must not list one that all recipients need;
+    /// such fields are forwarded all the same.
     pub(crate) fn is_listed(&self, name: &str) -> bool {
         self.listed.iter().any(|it| name.eq_ignore_ascii_case(it))
     }
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -129,8 +129,10 @@
             head.expects_continue = value.eq_ignore_ascii_case(b"100-continue");
             continue;
         }
+        let is_end_to_end =
+            ["host", names.request_id].iter().any(|it| name.eq_ignore_ascii_case(it));
         if is_hop_by_hop
-            || connection.is_listed(name)
+            || (connection.is_listed(name) && !is_end_to_end)
             || name.eq_ignore_ascii_case(names.expect_replica)
         {
             continue;
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -146,7 +146,9 @@
         } else if name.eq_ignore_ascii_case("keep-alive") {
             head.idle_timeout = parse_keep_alive_timeout(value);
         }
-        if !is_hop_by_hop && !connection.is_listed(name) {
+        let end_to_end = [names.request_id, names.stamp];
+        let is_end_to_end = end_to_end.iter().any(|it| name.eq_ignore_ascii_case(it));
+        if !is_hop_by_hop && (is_end_to_end || !connection.is_listed(name)) {
             push_field(&mut head.forwarded_fields, name, value);
         }
     }
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -1,24 +1,16 @@
 //! Parsing of heads and bodies, in particular of messages that parsers could frame differently.
 
+mod common;
+
 use std::time::Duration;
 
+use common::NAMES;
 use proptest::prelude::*;
 use rosemarybank_http1::{
-    BodyReader, Framing, HeaderNames, MessageError, Progress, RequestHead, ResponseHead,
+    BodyReader, Framing, MessageError, Progress, RequestHead, ResponseHead,
     response::MAX_RETRY_AFTER,
 };
 
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "x-id",
-    deadline_ms: "x-deadline",
-    stamp: "x-stamp",
-    expect_replica: "x-expect",
-    not_executed: "x-not-run",
-    leaving: "x-leaving",
-    part_stamps: "x-parts",
-    missing_parts: "x-missing",
-};
-
 fn request(text: &str) -> Result<Option<(RequestHead, usize)>, MessageError> {
     RequestHead::parse(text.as_bytes(), 4096, &NAMES)
 }
@@ -41,6 +33,24 @@
     assert_eq!(String::from_utf8(out).unwrap(), expected);
 }
 
+/// Guards against a peer that has fields removed which the next recipient needs, by listing them as fields
+/// of the connection: the host and the id of a request, the id and the stamp of a reply.
+#[test]
+fn fields_that_all_recipients_need_are_forwarded() {
+    let text =
+        "GET / HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nConnection: host, x-id, X-Hop\r\nX-Hop: 1\r\n\r\n";
+    let (head, _) = request(text).unwrap().unwrap();
+    let mut out = Vec::new();
+    head.render(&mut out, &NAMES, "r1", Duration::from_millis(850), b"");
+    let expected =
+        "GET / HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nx-deadline: 850\r\nx-expect: r1\r\n\r\n";
+    assert_eq!(String::from_utf8(out).unwrap(), expected);
+    let text = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Stamp: s\r\nConnection: x-stamp, x-id, x-hop\r\n\
+                X-Hop: 1\r\n\r\n";
+    let (head, _) = response(text).unwrap().unwrap();
+    assert_eq!(String::from_utf8(head.forwarded_fields).unwrap(), "X-Id: 7\r\nX-Stamp: s\r\n");
+}
+
 #[test]
 fn requests_with_ambiguous_framing_are_rejected() {
     let cases = [
--- a/crates/http1/tests/wire_fuzz.rs
+++ b/crates/http1/tests/wire_fuzz.rs
@@ -1,25 +1,17 @@
 //! Arbitrary bytes and mutated messages, in segments of any size. `PROPTEST_CASES` and `PROPTEST_RNG_SEED`
 //! set the length and the seed of a longer run.
 
+mod common;
+
 use std::time::Duration;
 
+use common::NAMES;
 use proptest::{prelude::*, sample::Index, test_runner::RngSeed};
 use rosemarybank_http1::{
-    BodyReader, Framing, HeaderNames, MessageError, Progress, RequestHead, ResponseHead,
+    BodyReader, Framing, MessageError, Progress, RequestHead, ResponseHead,
     response::MAX_RETRY_AFTER,
 };
 
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "x-id",
-    deadline_ms: "x-deadline",
-    stamp: "x-stamp",
-    expect_replica: "x-expect",
-    not_executed: "x-not-run",
-    leaving: "x-leaving",
-    part_stamps: "x-parts",
-    missing_parts: "x-missing",
-};
-
 const MAX_HEAD_LEN: usize = 400;
 
 const MAX_BODY_LEN: usize = 300;
