--- a/crates/query/tests/forward_crash_detector.rs
+++ b/crates/query/tests/forward_crash_detector.rs
@@ -128,7 +128,7 @@
 }
 
 /// Runs a request that crashes its replica at one instance; the others lose the replica from their list.
-fn crash_at(index: usize, replicas: &mut Vec<ReplicaInfo>, fleet: &mut [Harness]) {
+fn crash_at(index: usize, replicas: &mut [ReplicaInfo], fleet: &mut [Harness]) {
     let harness = &mut fleet[index];
     let first = harness.sent.len();
     if harness.try_submit("once").is_err() {
@@ -142,7 +142,7 @@
     let restarted = replicas.iter_mut().find(|it| it.id == crashed).unwrap();
     restarted.born_ms += 1;
     for harness in fleet {
-        harness.handle(Event::Replicas(replicas.clone()));
+        harness.handle(Event::Replicas(replicas.to_vec()));
     }
 }
 
