Count the time of a request from its first byte

Cause: both times began elsewhere, the limit of a head at the last answer on the connection, the time of the client at the end of its body.

Fix: the first byte of a request starts the limit of its head and body, and the time of an upload is taken off the time of the client; a request without any left is refused and not sent. the_time_for_a_head_begins_with_its_first_byte (closed connection) and the_time_of_an_upload_counts (1,800 ms left after an upload of 1 s) failed before.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -38,7 +38,8 @@
     pub(super) socket: Socket,
     pub(super) listener: ListenerKind,
     pub(super) state: ClientState,
-    /// Time at which the connection entered its state.
+    /// Time at which the connection entered its state, or at which the first byte of the request arrived
+    /// that is being read.
     pub(super) state_since: Time,
     buf: BytesMut,
     /// Whether more input than the limit may have arrived while a request was in progress.
@@ -56,6 +57,8 @@
     pub(super) body: Vec<u8>,
     /// Time at which the request was complete.
     pub(super) arrived_at: Time,
+    /// How long the client took to send it.
+    pub(super) upload_time: Duration,
     /// Number of attempts sent to replicas.
     pub(super) sends: u32,
 }
@@ -134,7 +137,11 @@
             true => MAX_PIPELINED_LEN,
             false => limits.head_bytes + limits.body_bytes + MAX_PIPELINED_LEN,
         };
+        let was_idle = client.is_idle();
         let end = client.socket.read(&mut client.buf, &mut self.read_buf, limit);
+        if was_idle && !client.is_idle() {
+            client.state_since = self.now;
+        }
         if matches!(client.state, ClientState::Lingering) {
             client.buf.clear();
         }
@@ -183,9 +190,10 @@
                     Ok(Progress::Complete(len)) => {
                         client.buf.advance(len);
                         let state = std::mem::replace(&mut client.state, ClientState::ReadingHead);
+                        let upload_time = now.saturating_sub(client.state_since);
                         client.state_since = now;
                         if let ClientState::ReadingBody(head, reader) = state {
-                            self.begin_request(index, *head, reader.into_bytes());
+                            self.begin_request(index, *head, reader.into_bytes(), upload_time);
                         }
                     }
                     Err(err) => return self.reject(index, err),
@@ -297,17 +305,24 @@
             else {
                 return false;
             };
-            self.begin_request(index, *head, Vec::new());
+            self.begin_request(index, *head, Vec::new(), Duration::ZERO);
         }
         true
     }
 
-    fn begin_request(&mut self, index: usize, head: RequestHead, body: Vec<u8>) {
+    fn begin_request(
+        &mut self,
+        index: usize,
+        head: RequestHead,
+        body: Vec<u8>,
+        upload_time: Duration,
+    ) {
         let Some(Conn::Client(client)) = self.conns.get(index) else { return };
         match client.listener {
             ListenerKind::Client => {
                 self.metrics.requests += 1;
-                let pending = PendingRequest { head, body, arrived_at: self.now, sends: 0 };
+                let arrived_at = self.now;
+                let pending = PendingRequest { head, body, arrived_at, upload_time, sends: 0 };
                 match self.is_starting() {
                     true => self.queue_until_started(index, pending),
                     false => self.submit(index, pending),
@@ -343,7 +358,7 @@
         let submission = Submission {
             host: pending.head.host.clone(),
             path: pending.head.path.clone(),
-            client_timeout: pending.head.deadline,
+            client_timeout: pending.head.deadline.map(|it| it.saturating_sub(pending.upload_time)),
             fingerprint: hash::bytes(pending.head.content_hash(hash::bytes), &pending.body),
         };
         match self.forwarder.submit(now, &submission, &mut self.actions) {
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -900,6 +900,52 @@
     assert!(instance.wait_exit(WAIT).is_some_and(|it| it.success()));
 }
 
+/// Sends an order in pieces after a pause, on a connection that has had an answer.
+fn send_slowly(addr: std::net::SocketAddr, pause: Duration, pieces: &[(&str, u64)]) -> Response {
+    let mut caller = Caller::connect(addr).unwrap();
+    assert_eq!(caller.call("GET", "/read/x", "before", 1_500).unwrap().status(), 200);
+    std::thread::sleep(pause);
+    for (piece, ms) in pieces {
+        caller.send_raw(piece.as_bytes()).unwrap();
+        std::thread::sleep(Duration::from_millis(*ms));
+    }
+    caller.receive().unwrap()
+}
+
+/// Guards against requests that are cut off between two pieces of their head: the time limit of a head
+/// began with the last answer on the connection, not with the first byte of the request.
+#[test]
+fn the_time_for_a_head_begins_with_its_first_byte() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    // The limit for heads is 3 s.
+    let pieces = [
+        ("POST /order/x HTTP/1.1\r\nhost: h.example\r\nx-rosemarybank-request-id: slow\r\n", 400),
+        ("x-rosemarybank-deadline-ms: 1500\r\ncontent-length: 5\r\n\r\nord", 400),
+        ("er", 0),
+    ];
+    let answer = send_slowly(instance.client_addr(), Duration::from_millis(3_500), &pieces);
+    assert_relayed(&answer, "slow");
+}
+
+/// Guards against replicas that get more time than the client has left after a slow upload.
+#[test]
+fn the_time_of_an_upload_counts() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    let pieces = [
+        (
+            "POST /order/x HTTP/1.1\r\nhost: h.example\r\nx-rosemarybank-request-id: long\r\n\
+          x-rosemarybank-deadline-ms: 1800\r\ncontent-length: 5\r\n\r\nord",
+            1_000,
+        ),
+        ("er", 0),
+    ];
+    assert_relayed(&send_slowly(instance.client_addr(), Duration::ZERO, &pieces), "long");
+    let given = cluster.runs("long")[0].deadline_ms;
+    assert!((300..=800).contains(&given), "{given} ms are left");
+}
+
 /// A replica must not continue work for a client that has disconnected, so its connection is closed.
 #[test]
 fn a_client_disconnect_cancels_the_attempt() {
--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -200,6 +200,9 @@
         if self.exits_too_soon(now, route) {
             return Err(refused(ErrorKind::NotReady, Some(Duration::ZERO)));
         }
+        if submission.client_timeout.is_some_and(|it| it.is_zero()) {
+            return Err(refused(ErrorKind::DeadlineUnreachable, None));
+        }
         let Some(services) = self.target_services(route) else {
             return Err(refused(ErrorKind::NoReplica, Some(RETRY_AFTER_NO_REPLICA)));
         };
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -12,7 +12,7 @@
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{
     Answer, AttemptKind, Event, Failure, ReplicaInfo, ReplicaKey, ReplicaState, Reply, Resend,
-    Route, Target,
+    Route, Submission, Target,
 };
 
 fn at_most_once_route(name: &str, service: &str) -> Route {
@@ -163,6 +163,18 @@
     Answer::Refused { kind: ErrorKind::NotReady, retry_after: Some(Duration::ZERO) }
 }
 
+/// A request whose time has passed, for example during a slow upload, is not sent any more.
+#[test]
+fn a_request_without_time_is_refused() {
+    let mut harness = Harness::new(vec![plain_route("p", "s")], two_replicas("s"));
+    let submission = Submission { client_timeout: Some(Duration::ZERO), ..harness.submission("p") };
+    let mut out = Vec::new();
+    let answer = harness.forwarder.submit(harness.now, &submission, &mut out).unwrap_err();
+    let kind = ErrorKind::DeadlineUnreachable;
+    assert_eq!(answer, Answer::Refused { kind, retry_after: None });
+    assert!(out.is_empty(), "{out:?}");
+}
+
 /// A request that must not be executed twice is retried only if it was certainly not executed.
 #[test]
 fn an_at_most_once_request_is_retried_only_if_it_was_not_executed() {
--- a/crates/standins/src/platform_mode/caller.rs
+++ b/crates/standins/src/platform_mode/caller.rs
@@ -47,6 +47,15 @@
         self.stream.write_all(head.as_bytes())
     }
 
+    /// Sends bytes as they are.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is broken.
+    pub fn send_raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
     /// Reads the next response.
     ///
     /// # Errors
