Pass quarantines on in the messages of the property test

Traced: an instance that had quarantined the request by itself for 30 s got the three crashes of others within that time, which changes nothing, and its quarantine ended before theirs. In the running system each message of the feed also carries the quarantines, so it takes over theirs with the next one; the messages of the test carried crashes alone. They carry both now, like build_feed_response. The property and its bounds are as before.

The product is unchanged.

--- a/crates/query/tests/forward_crash_detector.rs
+++ b/crates/query/tests/forward_crash_detector.rs
@@ -120,11 +120,15 @@
     harness.forwarder.crash_signs(harness.now).collect()
 }
 
-/// Passes the crashes that one instance knows of to another one.
+/// Passes what one instance knows of crashes and quarantines to another one, as a message of the feed does.
 fn tell(from: usize, to: usize, fleet: &mut [Harness]) {
+    let quarantined: Vec<_> = fleet[from].forwarder.quarantined(fleet[from].now).collect();
     for sign in signs(&fleet[from]) {
         fleet[to].handle(Event::PeerCrash(sign));
     }
+    for (fingerprint, left) in quarantined {
+        fleet[to].handle(Event::PeerQuarantined(fingerprint, left));
+    }
 }
 
 /// Runs a request that crashes its replica at one instance; the others lose the replica from their list.
