--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -454,6 +454,11 @@
         });
     }
 
+    /// Writes the entry no more.
+    pub fn silence(&self) {
+        self.is_silent.store(true, Ordering::Relaxed);
+    }
+
     /// Removes the entry.
     pub fn leave(&self, store: &Store) {
         self.is_silent.store(true, Ordering::Relaxed);
