--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -41,6 +41,9 @@
 /// Time for which a crashed replica is down, as in the list of troubles of the site.
 const DOWN_TIME: Duration = Duration::from_millis(4_500);
 
+/// The entry of a silent replica is removed after three intervals of its liveness reports.
+const LEASE: Duration = Duration::from_millis(3_600);
+
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
 }
@@ -70,6 +73,15 @@
             while let Some(head) = reader.head()? {
                 let request = head.request_id().to_owned();
                 let len = head.field("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+                if head.field("x-rosemarybank-expect-instance") != Some(&id) {
+                    let fields = [
+                        ("x-rosemarybank-request-id", request.as_str()),
+                        ("x-rosemarybank-not-executed", "1"),
+                    ];
+                    reader.exact(len)?;
+                    write_response(&mut out, "421 Misdirected Request", &fields, b"")?;
+                    continue;
+                }
                 println!("runs {request}");
                 let answer = answer_of(&request);
                 let (first, second) = answer.split_at(answer.len() / 2);
@@ -171,6 +183,7 @@
             record.line(format!("replica {running} is killed"));
             replica.child.kill()?;
             replica.child.wait()?;
+            replica.registration.silence();
         }
         match client.join().map_err(|_| io::Error::other("the client failed"))? {
             Ok(answer) => {
@@ -196,11 +209,16 @@
             }
         }
         if !is_calm() {
-            thread::sleep(DOWN_TIME);
+            thread::sleep(LEASE);
             for it in &mut replicas {
                 if it.child.try_wait()?.is_some() {
-                    // A new lifetime, under a new id.
                     it.registration.leave(&store);
+                }
+            }
+            thread::sleep(DOWN_TIME - LEASE);
+            for it in &mut replicas {
+                if it.child.try_wait()?.is_some() {
+                    // A new lifetime, under a new id.
                     *it = start_replica(&format!("{}n", it.id), it.port, &store, record)?;
                 }
             }
