Send the signals of the cases without a program of the system

Cause: the kill program need not be there on a clean machine.

Change: the kit calls kill of the C library; the cases are otherwise as they were.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -512,6 +512,24 @@
 // ---------------------------------------------------------------------------------------------------
 // Instances
 
+/// Signals that the cases send, with the numbers that they have on Linux.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Hup = 1,
+    Kill = 9,
+    Term = 15,
+}
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+/// Sends a signal to a process that the case has started and not yet waited for.
+pub fn send_signal(pid: u32, signal: Signal) {
+    // SAFETY: the call has no memory arguments.
+    unsafe { kill(pid as i32, signal as i32) };
+}
+
 /// An instance of the tier, run with the command of the deploy file.
 pub struct Instance {
     pub name: String,
@@ -583,10 +601,11 @@
         self.child.as_ref().map_or(0, Child::id)
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let args = ["-s", name, &self.pid().to_string()];
-        let _ = Command::new("kill").args(args).status();
+    /// Sends a signal to the process while it runs.
+    pub fn signal(&mut self, signal: Signal) {
+        if self.ended().is_none() {
+            send_signal(self.pid(), signal);
+        }
     }
 
     /// Returns how the process has ended; `None` while it runs.
