Show with crowds of clients that the processes exceed their memory and descriptors

The tests start the real process with lowered limits (platform form: 32 MB and 300 descriptors; own interface: 256 MB) and check that it lives, stays within them and answers an ordinary client.

The cluster of tests/platform.rs moves to tests/common.

--- a/crates/daemon/tests/common/process.rs
+++ b/crates/daemon/tests/common/process.rs
@@ -111,6 +111,11 @@
         self.start_request("/v1/services/stock/search", "", &body)
     }
 
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks the process to stop with `SIGTERM`.
     pub fn terminate(&self) {
         self.send_signal("-TERM");
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -1,11 +1,16 @@
 //! End-to-end tests of `rosemarybankd --platform`, with stand-ins for the store and the replicas.
 
+#[path = "common/cluster.rs"]
+mod cluster;
+
 use std::{
     io::{Read as _, Write as _},
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+use cluster::{Cluster, WAIT, assert_relayed, call};
+
 use rosemarybank_adapter::{calls, instances};
 use rosemarybank_coordination::{feed::FeedPosition, source::Member};
 use rosemarybank_daemon::platform::{
@@ -23,115 +28,6 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-/// Timeout of any condition that a test waits for.
-const WAIT: Duration = Duration::from_secs(10);
-
-/// A store and replicas, and the directory of the instances under test.
-struct Cluster {
-    dir: TempDir,
-    store: Store,
-    runs: Arc<Mutex<Vec<Execution>>>,
-    replicas: Vec<Replica>,
-}
-
-impl Cluster {
-    /// Starts services `orders` and `s1` to `s4` with two replicas each, and a first configuration.
-    fn new() -> Cluster {
-        let store = Store::start().unwrap();
-        let runs = Arc::default();
-        let mut cluster =
-            Cluster { dir: TempDir::new().unwrap(), store, runs, replicas: Vec::new() };
-        for service in ["orders", "s1", "s2", "s3", "s4"] {
-            for (number, data_centre) in [(1, "a"), (2, "b")] {
-                cluster.add_replica(&format!("{service}-{number}"), service, data_centre);
-            }
-        }
-        cluster.configure(1, json!([]));
-        cluster
-    }
-
-    fn add_replica(&mut self, id: &str, service: &str, data_centre: &str) {
-        let replica = Replica::start(id, service, data_centre, &self.store, &self.runs).unwrap();
-        self.replicas.push(replica);
-    }
-
-    /// Writes a configuration with routes for searches, reads and orders, and further routes.
-    fn configure(&self, version: u64, further: Value) {
-        let further = further.as_array().unwrap().clone();
-        let spec = config::spec(version, &["s1", "s2", "s3", "s4"], "orders", further);
-        self.store.put("config", "main", spec);
-    }
-
-    fn start_instance(&self, name: &str, data_centre: &str) -> Instance {
-        self.start_instance_at(&self.store, name, data_centre)
-    }
-
-    /// Starts an instance that calls the store at an address of its own.
-    fn start_instance_at(&self, store: &Store, name: &str, data_centre: &str) -> Instance {
-        let (binary, addr) = (env!("CARGO_BIN_EXE_rosemarybankd").as_ref(), store.addr());
-        let mut instance = Instance::new(name, data_centre, self.dir.path(), binary, addr).unwrap();
-        instance.start().unwrap();
-        instance
-    }
-
-    fn start_ready_instance(&self) -> Instance {
-        let instance = self.start_instance("m1", "a");
-        assert!(instance.wait_ready(WAIT));
-        instance
-    }
-
-    fn replica(&self, id: &str) -> &Replica {
-        self.replicas.iter().find(|it| it.id() == id).unwrap()
-    }
-
-    fn set_behaviour(&self, service: &str, behaviour: Behaviour) {
-        for it in self.replicas.iter().filter(|it| it.service() == service) {
-            it.set_behaviour(behaviour);
-        }
-    }
-
-    fn set_service_time(&self, service: &str, service_time: Duration) {
-        for it in self.replicas.iter().filter(|it| it.service() == service) {
-            it.set_service_time(service_time);
-        }
-    }
-
-    /// Returns the executions of a request.
-    fn runs(&self, request: &str) -> Vec<Execution> {
-        let runs = self.runs.lock().unwrap();
-        runs.iter().filter(|it| it.request_id == request).cloned().collect()
-    }
-}
-
-/// Prints the logs of the instances when a test fails.
-impl Drop for Cluster {
-    fn drop(&mut self) {
-        if !std::thread::panicking() {
-            return;
-        }
-        let files = std::fs::read_dir(self.dir.path()).into_iter().flatten().flatten();
-        for path in
-            files.map(|it| it.path()).filter(|it| it.extension().is_some_and(|it| it == "log"))
-        {
-            let log = std::fs::read_to_string(&path);
-            eprintln!("{}:\n{}", path.display(), log.unwrap_or_else(|err| err.to_string()));
-        }
-    }
-}
-
-fn call(instance: &Instance, method: &str, path: &str, id: &str) -> Response {
-    Caller::connect(instance.client_addr()).unwrap().call(method, path, id, 1_500).unwrap()
-}
-
-/// Asserts that a response is the complete response of a replica to this request.
-fn assert_relayed(answer: &Response, id: &str) {
-    assert_eq!(answer.status(), 200, "{answer:?}");
-    let stamp = answer.field("x-rosemarybank-server-stamp").unwrap();
-    let (replica, request) = stamp.split_once('.').unwrap();
-    assert_eq!(request, id);
-    assert_eq!(answer.body, records(replica, id));
-}
-
 #[test]
 fn a_search_merges_the_parts_and_counts_missing_ones() {
     let cluster = Cluster::new();
--- a/crates/standins/src/platform_mode/instance.rs
+++ b/crates/standins/src/platform_mode/instance.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::platform_mode::caller::Caller;
 
@@ -169,6 +169,32 @@
         self.dir.join(format!("{}.json", self.name))
     }
 
+    /// Changes the limits of the machine in the settings file, for the next start.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read or written.
+    pub fn set_limits(&self, memory_mb: u64, fd_limit: u64) -> io::Result<()> {
+        let path = self.settings_path();
+        let mut settings: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
+        settings["limits"]["memory_mb"] = json!(memory_mb);
+        settings["limits"]["fd_limit"] = json!(fd_limit);
+        std::fs::write(path, settings.to_string())
+    }
+
+    /// Number of open sockets of the process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is not running.
+    pub fn open_sockets(&self) -> io::Result<usize> {
+        let pid = self.pid().ok_or_else(|| io::Error::other("the process is not running"))?;
+        let files = std::fs::read_dir(format!("/proc/{pid}/fd"))?;
+        // A file may be closed while the directory is read.
+        let targets = files.flatten().filter_map(|it| std::fs::read_link(it.path()).ok());
+        Ok(targets.filter(|it| it.to_string_lossy().starts_with("socket:")).count())
+    }
+
     /// Whether the readiness check succeeds.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -202,10 +228,7 @@
     /// Fails when the process is not running or its status has no peak.
     pub fn peak_memory_kb(&self) -> io::Result<u64> {
         let pid = self.pid().ok_or_else(|| io::Error::other("the process is not running"))?;
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
-        peak.and_then(|it| it.trim().trim_end_matches(" kB").parse().ok())
-            .ok_or_else(|| io::Error::other("no peak memory in the status"))
+        peak_memory_kb(pid)
     }
 
     /// Sends a signal to the process, given as an option of `kill` such as `-TERM`.
@@ -247,6 +270,36 @@
     }
 }
 
+/// Peak of the memory of a process in kB.
+///
+/// # Errors
+///
+/// Fails when the process is not running or its status has no peak.
+pub fn peak_memory_kb(pid: u32) -> io::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+    peak.and_then(|it| it.trim().trim_end_matches(" kB").parse().ok())
+        .ok_or_else(|| io::Error::other("no peak memory in the status"))
+}
+
+/// Waits until the memory of a process has not reached a new peak for a second.
+///
+/// # Errors
+///
+/// Fails when the process is not running, or its memory still grows after `timeout`.
+pub fn wait_memory_steady(pid: u32, timeout: Duration) -> io::Result<()> {
+    const STEADY_TIME: Duration = Duration::from_secs(1);
+    let mut peak = (peak_memory_kb(pid)?, Instant::now());
+    let is_steady = wait_until(timeout, || {
+        let now_kb = peak_memory_kb(pid).unwrap_or(peak.0);
+        if now_kb > peak.0 {
+            peak = (now_kb, Instant::now());
+        }
+        peak.1.elapsed() >= STEADY_TIME
+    });
+    is_steady.then_some(()).ok_or_else(|| io::Error::other("the memory of the process grows"))
+}
+
 /// Waits until a condition holds. Returns whether it did within `timeout`.
 pub fn wait_until(timeout: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + timeout;
--- a/crates/standins/src/platform_mode/mod.rs
+++ b/crates/standins/src/platform_mode/mod.rs
@@ -6,12 +6,14 @@
 
 pub mod caller;
 pub mod config;
+pub mod crowd;
 pub mod instance;
 pub mod message;
 pub mod replica;
 pub mod store;
 
 pub use caller::{Caller, Response};
+pub use crowd::Crowd;
 pub use instance::{Instance, Ports};
 pub use replica::{Behaviour, BodyCoding, Execution, Replica};
 pub use store::{Store, StoreFault};
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -127,6 +127,8 @@
     store: Store,
     behaviour: Mutex<Behaviour>,
     service_time: Mutex<Duration>,
+    /// Minimum number of records in a response.
+    min_records: AtomicU64,
     free_slots: Mutex<u32>,
     slot_freed: Condvar,
     draining_since: Mutex<Option<Instant>>,
@@ -188,6 +190,7 @@
             store: store.clone(),
             behaviour: Mutex::default(),
             service_time: Mutex::new(Duration::from_millis(3)),
+            min_records: AtomicU64::new(0),
             free_slots: Mutex::new(SLOTS),
             slot_freed: Condvar::new(),
             draining_since: Mutex::default(),
@@ -254,6 +257,11 @@
         *lock(&self.shared.service_time) = service_time;
     }
 
+    /// Lets the responses repeat their records until there are at least this many.
+    pub fn set_min_records(&self, count: u64) {
+        self.shared.min_records.store(count, Ordering::Relaxed);
+    }
+
     /// Arrival times of the requests that named this replica, including those it refused.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -498,6 +506,8 @@
     ) -> io::Result<bool> {
         let stamp = format!("{id}.{request}");
         let body = records(id, request);
+        let copies = self.shared.min_records.load(Ordering::Relaxed).div_ceil(2).max(1);
+        let body = body.repeat(usize::try_from(copies).unwrap_or(1));
         let fields = [
             ("x-rosemarybank-request-id", request),
             ("x-rosemarybank-server-stamp", stamp.as_str()),
--- a/crates/standins/src/upstream/service.rs
+++ b/crates/standins/src/upstream/service.rs
@@ -21,7 +21,7 @@
 };
 
 /// Maximum length of a request body in bytes.
-const MAX_BODY_LEN: usize = 64 << 10;
+const MAX_BODY_LEN: usize = 2 << 20;
 
 /// Serves the upstream protocol for one [`Replica`].
 #[derive(Clone)]
