Read the next request after the client has taken the last answer

Callers saw: a client that pipelines requests and reads no answers filled the memory of the process; all callers of the instance would lose their connections when it ends. Cause: process_client started the next buffered request as soon as the last answer was in the write buffer, and read further input up to the full limit. The write buffer grew with each answer and had no bound. Why it works: a request is read only when the write buffer of its connection is empty, so a connection holds one answer at most, and the rest of its requests stay in the socket. An answer that is still being written has the idle timeout from its last progress on; before, a pipelined request behind it started the shorter timeout of a head, and a draining instance cut it after a second. A failed write closes the connection at once.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -122,20 +122,23 @@
     pub(super) fn is_idle(&self) -> bool {
         matches!(self.state, ClientState::ReadingHead) && self.buf.is_empty()
     }
+
+    /// Whether the next request may be read. It waits until the client has taken the last answer, so that
+    /// a client that sends requests and reads no answers occupies one write buffer at most.
+    fn accepts_request(&self) -> bool {
+        !self.is_awaiting() && self.socket.is_flushed()
+    }
 }
 
 impl EventLoop {
     /// Handles readiness of the socket.
     pub(super) fn client_event(&mut self, index: usize) {
         let limits = self.limits();
+        self.continue_answer(index);
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
-        if !client.socket.is_flushed() && client.socket.flush() != WriteOutcome::Blocked {
-            self.linger_after_last_answer(index);
-        }
-        let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
-        let limit = match client.is_awaiting() {
-            true => MAX_PIPELINED_LEN,
-            false => limits.head_bytes + limits.body_bytes + MAX_PIPELINED_LEN,
+        let limit = match client.accepts_request() {
+            true => limits.head_bytes + limits.body_bytes + MAX_PIPELINED_LEN,
+            false => MAX_PIPELINED_LEN,
         };
         let was_idle = client.is_idle();
         let end = client.socket.read(&mut client.buf, &mut self.read_buf, limit);
@@ -156,10 +159,34 @@
         self.resume_reading(index);
     }
 
-    /// Reads further input in the next iteration if there may be some and no request is in progress.
+    /// Continues writing an answer that the client has not taken yet.
+    fn continue_answer(&mut self, index: usize) {
+        let now = self.now;
+        let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
+        let unsent = client.socket.unsent_len();
+        if unsent == 0 {
+            return;
+        }
+        let outcome = client.socket.flush();
+        if client.socket.unsent_len() < unsent {
+            client.state_since = now;
+        }
+        self.finish_write(index, outcome);
+    }
+
+    /// Handles the result of writing to a client.
+    fn finish_write(&mut self, index: usize, outcome: WriteOutcome) {
+        match outcome {
+            WriteOutcome::Done => self.linger_after_last_answer(index),
+            WriteOutcome::Blocked => {}
+            WriteOutcome::Broken(_) => self.close_client(index),
+        }
+    }
+
+    /// Reads further input in the next iteration if there may be some and the next request may be read.
     pub(super) fn resume_reading(&mut self, index: usize) {
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
-        if client.has_unread_input && !client.is_awaiting() {
+        if client.has_unread_input && client.accepts_request() {
             client.has_unread_input = false;
             self.unread_conns.push(index);
         }
@@ -171,6 +198,9 @@
         loop {
             let now = self.now;
             let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
+            if !client.accepts_request() {
+                return;
+            }
             match &mut client.state {
                 ClientState::ReadingHead if client.buf.is_empty() => return,
                 ClientState::ReadingHead => {
@@ -243,9 +273,8 @@
         response::render(client.socket.write_buf(), status, fields, content, closes);
         client.state = ClientState::ReadingHead;
         client.state_since = self.now;
-        if client.socket.flush() != WriteOutcome::Blocked {
-            self.linger_after_last_answer(index);
-        }
+        let outcome = client.socket.flush();
+        self.finish_write(index, outcome);
         self.unprocessed_clients.push(index);
     }
 
--- a/crates/daemon/src/platform/socket.rs
+++ b/crates/daemon/src/platform/socket.rs
@@ -92,6 +92,11 @@
         self.write_buf.is_empty()
     }
 
+    /// Number of bytes that the kernel has not accepted yet.
+    pub(super) fn unsent_len(&self) -> usize {
+        self.write_buf.len() - self.written
+    }
+
     /// Writes the buffer until it is empty or the socket would block.
     pub(super) fn flush(&mut self) -> WriteOutcome {
         while self.written < self.write_buf.len() {
--- a/crates/daemon/src/platform/sweep.rs
+++ b/crates/daemon/src/platform/sweep.rs
@@ -71,6 +71,8 @@
             | ClientState::AwaitingFeed(_)
             | ClientState::AwaitingAnswer(..) => false,
             ClientState::Lingering => age >= LINGER_TIMEOUT,
+            // The client has not taken the last answer.
+            ClientState::ReadingHead if !client.socket.is_flushed() => age >= limits.idle_timeout,
             ClientState::ReadingHead if client.is_idle() => {
                 let is_client = client.listener == ListenerKind::Client;
                 let is_draining = is_client && phase == ShutdownPhase::Draining;
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -5,7 +5,6 @@
 
 use std::{
     io::{Read as _, Write as _},
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -19,8 +18,7 @@
 };
 use rosemarybank_query::forward::directory::ListUpdate;
 use rosemarybank_standins::platform_mode::{
-    Behaviour, BodyCoding, Caller, Execution, Instance, Replica, Response, Store, StoreFault,
-    config,
+    Behaviour, BodyCoding, Caller, Instance, Replica, Response, Store, StoreFault, config,
     instance::wait_until,
     message::Reader,
     replica::{POISON, records},
