Send one copy of a request's body to all replicas

Callers saw: a few large searches took several times the memory of their bodies, and on a deployment with 90 shards one search took 90 copies of its body. Cause: each attempt rendered head and body into the write buffer of its connection, which also kept its capacity while the connection lived. Why it works: the body is a reference-counted buffer that the client's request and all its attempts share. Bodies under 4 kB are still copied behind the head, so that they take one write.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -2,7 +2,7 @@
 
 use std::{io, time::Duration};
 
-use bytes::{Buf as _, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use mio::{Registry, net::TcpStream};
 use rosemarybank_adapter::{HEADERS, headers::READINESS_PATH};
 use rosemarybank_coordination::hash;
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub(super) struct PendingRequest {
     pub(super) head: RequestHead,
-    pub(super) body: Vec<u8>,
+    pub(super) body: Bytes,
     /// Time at which the request was complete.
     pub(super) arrived_at: Time,
     /// How long the client took to send it.
@@ -223,7 +223,12 @@
                         let upload_time = now.saturating_sub(client.state_since);
                         client.state_since = now;
                         if let ClientState::ReadingBody(head, reader) = state {
-                            self.begin_request(index, *head, reader.into_bytes(), upload_time);
+                            self.begin_request(
+                                index,
+                                *head,
+                                reader.into_bytes().into(),
+                                upload_time,
+                            );
                         }
                     }
                     Err(err) => return self.reject(index, err),
@@ -334,7 +339,7 @@
             else {
                 return false;
             };
-            self.begin_request(index, *head, Vec::new(), Duration::ZERO);
+            self.begin_request(index, *head, Bytes::new(), Duration::ZERO);
         }
         true
     }
@@ -343,7 +348,7 @@
         &mut self,
         index: usize,
         head: RequestHead,
-        body: Vec<u8>,
+        body: Bytes,
         upload_time: Duration,
     ) {
         let Some(Conn::Client(client)) = self.conns.get(index) else { return };
--- a/crates/daemon/src/platform/socket.rs
+++ b/crates/daemon/src/platform/socket.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
 };
 
-use bytes::BytesMut;
+use bytes::{Buf as _, Bytes, BytesMut};
 use mio::{Interest, Registry, Token, net::TcpStream};
 
 /// Result of reading from a socket.
@@ -39,6 +39,10 @@
     Broken(bool),
 }
 
+/// Minimum length of a body that is shared with other messages instead of copied. A shared body takes a
+/// write of its own.
+const MIN_SHARED_LEN: usize = 4 << 10;
+
 /// A stream registered with the poll, and its write buffer.
 #[derive(Debug)]
 pub(super) struct Socket {
@@ -46,7 +50,10 @@
     /// Whether the peer has closed its sending side; bytes sent before may still be unread.
     is_read_closed: bool,
     write_buf: Vec<u8>,
+    /// Number of bytes of `write_buf` that the kernel has accepted.
     written: usize,
+    /// Rest of a shared body, sent after `write_buf`.
+    shared_body: Bytes,
 }
 
 impl Socket {
@@ -58,7 +65,13 @@
     ) -> io::Result<Socket> {
         stream.set_nodelay(true)?;
         registry.register(&mut stream, Token(token), Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Socket { stream, is_read_closed: false, write_buf: Vec::new(), written: 0 })
+        Ok(Socket {
+            stream,
+            is_read_closed: false,
+            write_buf: Vec::new(),
+            written: 0,
+            shared_body: Bytes::new(),
+        })
     }
 
     /// Starts a non-blocking connect.
@@ -87,22 +100,36 @@
         &mut self.write_buf
     }
 
+    /// Appends a message to the write buffer. Its body is not copied if it is long; nothing may be
+    /// appended after it before it is flushed.
+    pub(super) fn push_message(&mut self, head: &[u8], body: &Bytes) {
+        self.write_buf.extend_from_slice(head);
+        match body.len() < MIN_SHARED_LEN {
+            true => self.write_buf.extend_from_slice(body),
+            false => self.shared_body = body.clone(),
+        }
+    }
+
     /// Whether the write buffer is empty.
     pub(super) fn is_flushed(&self) -> bool {
-        self.write_buf.is_empty()
+        self.write_buf.is_empty() && self.shared_body.is_empty()
     }
 
     /// Number of bytes that the kernel has not accepted yet.
     pub(super) fn unsent_len(&self) -> usize {
-        self.write_buf.len() - self.written
+        self.write_buf.len() - self.written + self.shared_body.len()
     }
 
     /// Writes the buffer until it is empty or the socket would block.
     pub(super) fn flush(&mut self) -> WriteOutcome {
-        while self.written < self.write_buf.len() {
-            match self.stream.write(&self.write_buf[self.written..]) {
+        while self.unsent_len() > 0 {
+            let is_in_buf = self.written < self.write_buf.len();
+            let unsent =
+                if is_in_buf { &self.write_buf[self.written..] } else { &self.shared_body };
+            match self.stream.write(unsent) {
                 Ok(0) => return WriteOutcome::Broken(self.written == 0),
-                Ok(len) => self.written += len,
+                Ok(len) if is_in_buf => self.written += len,
+                Ok(len) => self.shared_body.advance(len),
                 Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
                     return WriteOutcome::Blocked;
@@ -110,6 +137,8 @@
                 Err(_) => return WriteOutcome::Broken(self.written == 0),
             }
         }
+        // An empty `Bytes` may still own its memory.
+        self.shared_body = Bytes::new();
         self.write_buf.clear();
         self.written = 0;
         WriteOutcome::Done
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use rosemarybank_adapter::HEADERS;
 use rosemarybank_http1::{BodyReader, ResponseHead};
@@ -96,6 +96,13 @@
     pub(super) close_at: Option<Time>,
 }
 
+/// A request as it is sent to a replica. All attempts share the body.
+#[derive(Debug, Default)]
+struct Message {
+    head: Vec<u8>,
+    body: Bytes,
+}
+
 /// State of a connection to a replica.
 #[derive(Debug)]
 pub(super) enum UpstreamState {
@@ -140,8 +147,8 @@
         };
         pending.sends += 1;
         let left = deadline.saturating_sub(now);
-        let mut message = Vec::new();
-        pending.head.render(&mut message, &HEADERS, &id, left, &pending.body);
+        let mut message = Message { head: Vec::new(), body: pending.body.clone() };
+        pending.head.render(&mut message.head, &HEADERS, &id, left, message.body.len());
         let exchange = Exchange {
             attempt,
             request_id: pending.head.request_id.clone(),
@@ -334,7 +341,8 @@
             return;
         }
         pool.is_reopening = true;
-        if self.start_connect(replica, addr, UpstreamState::Reopening, &[]).is_err() {
+        if self.start_connect(replica, addr, UpstreamState::Reopening, &Message::default()).is_err()
+        {
             self.report_reopen_failure(replica);
         }
     }
@@ -388,10 +396,10 @@
         }
     }
 
-    fn send_on_idle(&mut self, index: usize, exchange: Exchange, message: &[u8]) {
+    fn send_on_idle(&mut self, index: usize, exchange: Exchange, message: &Message) {
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
         self.attempt_conns.insert(exchange.attempt, index);
-        conn.socket.write_buf().extend_from_slice(message);
+        conn.socket.push_message(&message.head, &message.body);
         conn.state = UpstreamState::Busy(exchange);
         conn.state_since = self.now;
         self.start_write(index);
@@ -402,7 +410,7 @@
         replica: ReplicaKey,
         addr: std::net::SocketAddr,
         exchange: Exchange,
-        message: &[u8],
+        message: &Message,
     ) {
         let attempt = exchange.attempt;
         match self.start_connect(replica, addr, UpstreamState::Connecting(exchange), message) {
@@ -421,13 +429,13 @@
         replica: ReplicaKey,
         addr: std::net::SocketAddr,
         state: UpstreamState,
-        message: &[u8],
+        message: &Message,
     ) -> std::io::Result<usize> {
         self.metrics.connects += 1;
         let entry = self.conns.vacant_entry();
         let index = entry.key();
         let mut socket = Socket::connect(addr, self.poll.registry(), index)?;
-        socket.write_buf().extend_from_slice(message);
+        socket.push_message(&message.head, &message.body);
         entry.insert(Conn::Upstream(UpstreamConn {
             socket,
             replica,
--- a/crates/daemon/tests/platform_crowds.rs
+++ b/crates/daemon/tests/platform_crowds.rs
@@ -172,6 +172,21 @@
     }
 }
 
+/// A search sends its body to each shard. This crowd fits into the memory if that takes no copies.
+#[test]
+fn the_parts_of_a_search_share_its_body() {
+    const REQUESTS: usize = 25;
+    let env = Env::start(4_100);
+    for service in ["s1", "s2", "s3", "s4"] {
+        env.cluster.set_behaviour(service, Behaviour::Hang);
+    }
+    let crowd = Crowd::send(env.instance.client_addr(), REQUESTS, usize::MAX, |number| {
+        order("/search/x", &format!("crowd-{number}"), MAX_BODY_LEN, Coding::Length)
+    });
+    env.check("/order/y");
+    drop(crowd);
+}
+
 /// Answers that clients do not read are kept as well, also those to pipelined requests.
 #[test]
 fn unread_answers_stay_within_the_memory() {
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -66,25 +66,25 @@
         hash(hash(0, self.host.as_bytes()), line)
     }
 
-    /// Renders the request for one replica, with the time that remains for its response.
+    /// Renders the head of the request for one replica, with the time that remains for its response. The
+    /// body of `body_len` bytes is to be sent after it.
     pub fn render(
         &self,
         out: &mut Vec<u8>,
         names: &HeaderNames,
         replica: &str,
         time_left: Duration,
-        body: &[u8],
+        body_len: usize,
     ) {
-        out.reserve(self.forwarded.len() + body.len() + 160);
+        out.reserve(self.forwarded.len() + 160);
         out.extend_from_slice(&self.forwarded);
         let ms = time_left.as_millis().max(1).to_string();
         push_field(out, names.deadline_ms, ms.as_bytes());
         push_field(out, names.expect_replica, replica.as_bytes());
-        if self.framing != Framing::Length(0) || !body.is_empty() {
-            push_field(out, "content-length", body.len().to_string().as_bytes());
+        if self.framing != Framing::Length(0) || body_len > 0 {
+            push_field(out, "content-length", body_len.to_string().as_bytes());
         }
         out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(body);
     }
 }
 
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -27,7 +27,7 @@
     assert_eq!((head.host.as_str(), head.path.as_str(), len), ("h.example", "/a/b", text.len()));
     assert_eq!((head.deadline, head.keep_alive), (Some(Duration::from_millis(900)), false));
     let mut out = Vec::new();
-    head.render(&mut out, &NAMES, "r1", Duration::from_millis(850), b"");
+    head.render(&mut out, &NAMES, "r1", Duration::from_millis(850), 0);
     let expected = "GET /a/b?q=1 HTTP/1.1\r\nHost: H.example:80\r\nX-Id: 7\r\nX-Kept: 2\r\n\
                     x-deadline: 850\r\nx-expect: r1\r\n\r\n";
     assert_eq!(String::from_utf8(out).unwrap(), expected);
@@ -41,7 +41,7 @@
         "GET / HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nConnection: host, x-id, X-Hop\r\nX-Hop: 1\r\n\r\n";
     let (head, _) = request(text).unwrap().unwrap();
     let mut out = Vec::new();
-    head.render(&mut out, &NAMES, "r1", Duration::from_millis(850), b"");
+    head.render(&mut out, &NAMES, "r1", Duration::from_millis(850), 0);
     let expected =
         "GET / HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nx-deadline: 850\r\nx-expect: r1\r\n\r\n";
     assert_eq!(String::from_utf8(out).unwrap(), expected);
--- a/crates/http1/tests/wire_fuzz.rs
+++ b/crates/http1/tests/wire_fuzz.rs
@@ -155,7 +155,7 @@
                 prop_assert!(len <= bytes.len() && len <= MAX_HEAD_LEN);
                 let render = |head: &RequestHead| {
                     let mut out = Vec::new();
-                    head.render(&mut out, &NAMES, "r", Duration::from_millis(5), b"");
+                    head.render(&mut out, &NAMES, "r", Duration::from_millis(5), 0);
                     out
                 };
                 let out = render(&head);
