Limit the memory that the buffers of clients occupy on the platform

Callers saw: clients that send many large bodies of legal size, whole or chunked, and stay open just short of their end, ended the process; all its callers lost their connections. Cause: the limits on heads and bodies hold for one request. Nothing limited their sum over connections, each of which also read up to 336 kB ahead, kept the capacity of its input and write buffers, and doubled its body beyond its size. Why it works: query::buffer_budget counts the memory of each connection. Beyond an eighth of the machine's memory the largest buffer that waits for its client is released: an incomplete request is refused as not run, with Retry-After, and an answer that is not read is dropped with its connection. Requests in progress are never released; a new one may use half of what they leave free, so that small requests pass while large ones are refused at their head.

--- a/crates/daemon/src/platform/answers.rs
+++ b/crates/daemon/src/platform/answers.rs
@@ -1,5 +1,7 @@
 //! Answers to clients: rendering and logging.
 
+use std::time::Duration;
+
 use rosemarybank_adapter::HEADERS;
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::forward::{Answer, RequestKey};
@@ -42,10 +44,7 @@
                 self.write_answer(index, 200, fields.as_bytes(), &body);
             }
             Answer::Refused { kind, retry_after } => {
-                let mut fields = String::from("content-type: application/json\r\n");
-                if let Some(wait) = retry_after {
-                    fields.push_str(&format!("retry-after: {:.3}\r\n", wait.as_secs_f32()));
-                }
+                let fields = error_fields(retry_after);
                 let body = error_body(kind, &error_name(kind));
                 self.write_answer(index, status_of(kind), fields.as_bytes(), &body);
             }
@@ -98,6 +97,15 @@
     }
 }
 
+/// Header fields of an error response.
+pub(super) fn error_fields(retry_after: Option<Duration>) -> String {
+    let mut fields = String::from("content-type: application/json\r\n");
+    if let Some(wait) = retry_after {
+        fields.push_str(&format!("retry-after: {:.3}\r\n", wait.as_secs_f32()));
+    }
+    fields
+}
+
 /// JSON body of an error response.
 pub(super) fn error_body(kind: ErrorKind, message: &str) -> Vec<u8> {
     let body = ErrorBody::new(kind, message);
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -11,10 +11,13 @@
     response::{self, Content},
 };
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{ClientLimits, Event, RequestKey, Submission};
+use rosemarybank_query::{
+    buffer_budget::{BufferKey, BufferUse},
+    forward::{Answer, ClientLimits, Event, RequestKey, Submission},
+};
 
 use crate::platform::{
-    answers::error_body,
+    answers::{error_body, error_fields},
     event_loop::{Conn, EventLoop, ListenerKind},
     feed_codec::FeedRequest,
     journal::LineKind,
@@ -29,9 +32,24 @@
 /// takes about 100 ms when the store is available.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(200);
 
+/// Maximum number of bytes read from a connection in one iteration of the event loop.
+const READ_LEN: usize = 32 << 10;
+
+/// Part of the memory of the machine that the buffers of clients may occupy. The rest is for replies of
+/// replicas, the configuration and lists, and for what the allocator cannot use.
+const CLIENT_MEMORY_DIVISOR: u64 = 8;
+
+/// Time after which a client that was refused for lack of memory may come back at the earliest.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Maximum number of bytes of pipelined requests buffered while a request is in progress.
 const MAX_PIPELINED_LEN: usize = 64 << 10;
 
+/// Number of bytes that the buffers of clients may occupy on a machine.
+pub(super) fn client_memory(memory_mb: u64) -> usize {
+    usize::try_from((memory_mb << 20) / CLIENT_MEMORY_DIVISOR).unwrap_or(usize::MAX)
+}
+
 /// An accepted connection.
 #[derive(Debug)]
 pub(super) struct ClientConn {
@@ -42,6 +60,10 @@
     /// that is being read.
     pub(super) state_since: Time,
     buf: BytesMut,
+    /// Number of bytes of the allocation of `buf` that were consumed and are still allocated.
+    consumed: usize,
+    /// Memory of this connection in the budget.
+    pub(super) buffer: BufferKey,
     /// Whether more input than the limit may have arrived while a request was in progress.
     has_unread_input: bool,
     /// Whether the request in progress is a `HEAD` request, whose answer has no content.
@@ -63,6 +85,13 @@
     pub(super) sends: u32,
 }
 
+impl PendingRequest {
+    /// Number of bytes of memory that the request occupies.
+    fn len(&self) -> usize {
+        self.head.capacity() + self.body.len()
+    }
+}
+
 /// State of an accepted connection.
 #[derive(Debug)]
 pub(super) enum ClientState {
@@ -87,6 +116,7 @@
         now: Time,
         registry: &Registry,
         index: usize,
+        buffer: BufferKey,
     ) -> io::Result<ClientConn> {
         Ok(ClientConn {
             socket: Socket::new(stream, registry, index)?,
@@ -94,6 +124,8 @@
             state: ClientState::ReadingHead,
             state_since: now,
             buf: BytesMut::new(),
+            consumed: 0,
+            buffer,
             has_unread_input: false,
             is_head_request: false,
             close_after_answer: false,
@@ -123,6 +155,33 @@
         matches!(self.state, ClientState::ReadingHead) && self.buf.is_empty()
     }
 
+    /// Consumes bytes of the input.
+    fn consume(&mut self, len: usize) {
+        self.buf.advance(len);
+        self.consumed += len;
+    }
+
+    /// Frees the memory of consumed input.
+    fn trim_input(&mut self) {
+        if self.consumed > 0 {
+            self.buf = BytesMut::from(&self.buf[..]);
+            self.consumed = 0;
+        }
+    }
+
+    /// Use of the memory of this connection, and its length.
+    fn buffer_use(&self) -> (BufferUse, usize) {
+        let (usage, len) = match &self.state {
+            ClientState::ReadingBody(_, reader) => (BufferUse::AwaitsClient, reader.capacity()),
+            ClientState::AwaitingStart(it) | ClientState::AwaitingAnswer(_, it) => {
+                (BufferUse::InProgress, it.len())
+            }
+            ClientState::AwaitingFeed(_) => (BufferUse::InProgress, 0),
+            ClientState::ReadingHead | ClientState::Lingering => (BufferUse::AwaitsClient, 0),
+        };
+        (usage, len + self.buf.capacity() + self.consumed + self.socket.write_capacity())
+    }
+
     /// Whether the next request may be read. It waits until the client has taken the last answer, so that
     /// a client that sends requests and reads no answers occupies one write buffer at most.
     fn accepts_request(&self) -> bool {
@@ -133,11 +192,10 @@
 impl EventLoop {
     /// Handles readiness of the socket.
     pub(super) fn client_event(&mut self, index: usize) {
-        let limits = self.limits();
         self.continue_answer(index);
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
         let limit = match client.accepts_request() {
-            true => limits.head_bytes + limits.body_bytes + MAX_PIPELINED_LEN,
+            true => client.buf.len() + READ_LEN,
             false => MAX_PIPELINED_LEN,
         };
         let was_idle = client.is_idle();
@@ -146,7 +204,7 @@
             client.state_since = self.now;
         }
         if matches!(client.state, ClientState::Lingering) {
-            client.buf.clear();
+            client.consume(client.buf.len());
         }
         if end.is_end() {
             self.close_client(index);
@@ -157,6 +215,7 @@
         }
         self.process_client(index);
         self.resume_reading(index);
+        self.release_buffers();
     }
 
     /// Continues writing an answer that the client has not taken yet.
@@ -194,6 +253,14 @@
 
     /// Parses and starts the buffered requests, until more input or an answer is needed.
     pub(super) fn process_client(&mut self, index: usize) {
+        self.parse_requests(index);
+        if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
+            client.trim_input();
+        }
+        self.record_buffer(index);
+    }
+
+    fn parse_requests(&mut self, index: usize) {
         let limits = self.limits();
         loop {
             let now = self.now;
@@ -207,7 +274,7 @@
                     match RequestHead::parse(&client.buf, limits.head_bytes, &HEADERS) {
                         Ok(None) => return,
                         Ok(Some((head, len))) => {
-                            client.buf.advance(len);
+                            client.consume(len);
                             if !self.begin_body(index, head, &limits) {
                                 return;
                             }
@@ -216,9 +283,9 @@
                     }
                 }
                 ClientState::ReadingBody(_, reader) => match reader.read(&client.buf) {
-                    Ok(Progress::NeedsMore) => return client.buf.clear(),
+                    Ok(Progress::NeedsMore) => return client.consume(client.buf.len()),
                     Ok(Progress::Complete(len)) => {
-                        client.buf.advance(len);
+                        client.consume(len);
                         let state = std::mem::replace(&mut client.state, ClientState::ReadingHead);
                         let upload_time = now.saturating_sub(client.state_since);
                         client.state_since = now;
@@ -280,6 +347,7 @@
         client.state_since = self.now;
         let outcome = client.socket.flush();
         self.finish_write(index, outcome);
+        self.record_buffer(index);
         self.unprocessed_clients.push(index);
     }
 
@@ -309,7 +377,8 @@
             client.socket.shutdown_write();
             client.state = ClientState::Lingering;
             client.state_since = now;
-            client.buf.clear();
+            client.consume(client.buf.len());
+            client.trim_input();
         }
     }
 
@@ -324,6 +393,13 @@
             self.reject(index, MessageError::BodyTooLarge);
             return false;
         }
+        if let Framing::Length(len) = head.framing
+            && !self.buffers.admits(head.capacity() + usize::try_from(len).unwrap_or(usize::MAX))
+        {
+            self.refuse_upload(index);
+            return false;
+        }
+        let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return false };
         if head.expects_continue && client.buf.is_empty() && head.framing != Framing::Length(0) {
             client.socket.write_buf().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             client.socket.flush();
@@ -357,9 +433,13 @@
                 self.metrics.requests += 1;
                 let arrived_at = self.now;
                 let pending = PendingRequest { head, body, arrived_at, upload_time, sends: 0 };
-                match self.is_starting() {
-                    true => self.queue_until_started(index, pending),
-                    false => self.submit(index, pending),
+                if !self.buffers.admits(pending.len()) {
+                    let answer = self.memory_refusal();
+                    self.send_answer(index, &pending, answer);
+                } else if self.is_starting() {
+                    self.queue_until_started(index, pending);
+                } else {
+                    self.submit(index, pending);
                 }
             }
             ListenerKind::Readiness => {
@@ -418,6 +498,26 @@
             | MessageError::MalformedHost
             | MessageError::MalformedChunk => (400, ErrorKind::InvalidArgument),
         };
+        self.reject_with(index, status, kind, &err.to_string(), None);
+    }
+
+    /// Refuses a request that is not complete because the memory for clients is used up. It has not run.
+    fn refuse_upload(&mut self, index: usize) {
+        let kind = ErrorKind::Overloaded;
+        let retry_after = self.next_memory_return();
+        let reason = "the memory for requests is used up";
+        self.reject_with(index, kind.spec().status, kind, reason, Some(retry_after));
+    }
+
+    /// Answers a request that was not read whole, and closes the connection after the answer.
+    fn reject_with(
+        &mut self,
+        index: usize,
+        status: u16,
+        kind: ErrorKind,
+        reason: &str,
+        retry_after: Option<Duration>,
+    ) {
         if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
             client.close_after_answer = true;
             client.is_head_request |= client.buf.starts_with(b"HEAD ");
@@ -426,9 +526,59 @@
             self.now,
             LineKind::Failure,
             "rejected",
-            format_args!(r#""status":{status},"reason":"{err}""#),
+            format_args!(r#""status":{status},"reason":"{reason}""#),
         );
-        let body = error_body(kind, &err.to_string());
-        self.write_answer(index, status, b"content-type: application/json\r\n", &body);
+        let fields = error_fields(retry_after);
+        self.write_answer(index, status, fields.as_bytes(), &error_body(kind, reason));
+    }
+
+    /// Time after which the next client that was refused for lack of memory may come back.
+    fn next_memory_return(&mut self) -> Duration {
+        self.memory_returns.next_delay(self.now, 0, self.now + MEMORY_RETRY_AFTER)
+    }
+
+    fn memory_refusal(&mut self) -> Answer {
+        let retry_after = Some(self.next_memory_return());
+        Answer::Refused { kind: ErrorKind::Overloaded, retry_after }
+    }
+
+    /// Records the memory that a connection occupies.
+    pub(super) fn record_buffer(&mut self, index: usize) {
+        if let Some(Conn::Client(client)) = self.conns.get(index) {
+            let (usage, len) = client.buffer_use();
+            self.buffers.update(client.buffer, self.now, usage, len);
+        }
+    }
+
+    /// Releases the memory of clients while their budget is exceeded.
+    pub(super) fn release_buffers(&mut self) {
+        while let Some(key) = self.buffers.next_release() {
+            let Some(index) = self.buffer_conns.get(key).copied() else {
+                self.buffers.remove(key);
+                continue;
+            };
+            let Some(Conn::Client(client)) = self.conns.get(index) else { return };
+            self.metrics.buffers_released += 1;
+            let is_reading = match client.state {
+                ClientState::ReadingBody(..) => true,
+                ClientState::ReadingHead => !client.buf.is_empty(),
+                _ => false,
+            };
+            if is_reading && client.socket.is_flushed() {
+                self.refuse_upload(index);
+                self.record_buffer(index);
+            } else {
+                // The client does not read its answer, or the connection is of no use any more.
+                let reason = if client.socket.is_flushed() { "idle" } else { "answer not read" };
+                let unsent = client.socket.unsent_len();
+                self.journal.log(
+                    self.now,
+                    LineKind::Failure,
+                    "closed_for_memory",
+                    format_args!(r#""reason":"{reason}","unsent":{unsent}"#),
+                );
+                self.close_client(index);
+            }
+        }
     }
 }
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -15,14 +15,18 @@
 use rosemarybank_adapter::NodeSettings;
 use rosemarybank_coordination::source::{Member, SourceSelector, Start};
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{
-    Action, AttemptKey, Directory, Event, Failure, Forwarder, ReplicaKey, RequestKey, Withdrawal,
+use rosemarybank_query::{
+    buffer_budget::{BufferBudget, BufferKey},
+    forward::{
+        Action, AttemptKey, Directory, Event, Failure, Forwarder, ReplicaKey, RequestKey,
+        RetryAfterSchedule, Withdrawal,
+    },
 };
 use slab::Slab;
 use slotmap::{SecondaryMap, SparseSecondaryMap};
 
 use crate::platform::{
-    client::ClientConn,
+    client::{ClientConn, client_memory},
     config_text::ConfigText,
     feed::FeedClient,
     journal::{Journal, LineKind},
@@ -131,6 +135,12 @@
     pub(super) delayed_reopens: Vec<(Time, ReplicaKey)>,
     /// Upstream connections that have just opened, with the time to send their first request.
     pub(super) delayed_sends: BinaryHeap<Reverse<(Time, usize)>>,
+    /// Memory that the buffers of accepted connections occupy.
+    pub(super) buffers: BufferBudget,
+    /// Connection of each buffer.
+    pub(super) buffer_conns: SecondaryMap<BufferKey, usize>,
+    /// Returns of clients that were refused for lack of memory.
+    pub(super) memory_returns: RetryAfterSchedule,
     pub(super) read_buf: Vec<u8>,
     pub(super) journal: Journal,
     pub(super) metrics: Metrics,
@@ -165,6 +175,9 @@
         let poller = |it| StorePoller::new(Poller::new(it, own.clone(), start));
         let mut event_loop = EventLoop {
             pollers: resources.into_iter().map(poller).collect(),
+            buffers: BufferBudget::new(client_memory(settings.memory_mb)),
+            buffer_conns: SecondaryMap::new(),
+            memory_returns: RetryAfterSchedule::default(),
             settings,
             settings_text,
             poll,
@@ -307,8 +320,11 @@
 
     /// Closes a connection.
     pub(super) fn close_conn(&mut self, index: usize) {
-        if let Some(mut conn) = self.conns.try_remove(index) {
-            conn.socket_mut().deregister(self.poll.registry());
+        let Some(mut conn) = self.conns.try_remove(index) else { return };
+        conn.socket_mut().deregister(self.poll.registry());
+        if let Conn::Client(client) = conn {
+            self.buffers.remove(client.buffer);
+            self.buffer_conns.remove(client.buffer);
         }
     }
 
@@ -336,6 +352,7 @@
                 self.resume_reading(index);
             }
         }
+        self.release_buffers();
     }
 
     /// Reports a failed attempt to the forwarder, and logs the reason.
@@ -439,18 +456,23 @@
     fn add_client(&mut self, stream: TcpStream, listener: ListenerKind) {
         let entry = self.conns.vacant_entry();
         let index = entry.key();
-        match ClientConn::new(stream, listener, self.now, self.poll.registry(), index) {
+        let buffer = self.buffers.insert(self.now);
+        match ClientConn::new(stream, listener, self.now, self.poll.registry(), index, buffer) {
             Ok(client) => {
                 entry.insert(Conn::Client(client));
+                self.buffer_conns.insert(buffer, index);
                 // The first request has often arrived by the time the connection is accepted.
                 self.client_event(index);
             }
-            Err(err) => self.journal.log(
-                self.now,
-                LineKind::Lifecycle,
-                "accept_failed",
-                format_args!(r#""error":"{err}""#),
-            ),
+            Err(err) => {
+                self.buffers.remove(buffer);
+                self.journal.log(
+                    self.now,
+                    LineKind::Lifecycle,
+                    "accept_failed",
+                    format_args!(r#""error":"{err}""#),
+                );
+            }
         }
     }
 
--- a/crates/daemon/src/platform/metrics.rs
+++ b/crates/daemon/src/platform/metrics.rs
@@ -17,6 +17,8 @@
     pub(super) requests: u64,
     pub(super) rejected: u64,
     pub(super) clients_gone: u64,
+    /// Buffers that were released because the memory for clients was used up.
+    pub(super) buffers_released: u64,
     /// Attempts sent, by [`AttemptKind`](rosemarybank_query::forward::AttemptKind).
     pub(super) sends: [u64; 3],
     /// Attempts without a usable reply, by [`Failure`](rosemarybank_query::forward::Failure).
@@ -71,6 +73,8 @@
         put("requests_total", metrics.requests);
         put("requests_rejected_total", metrics.rejected);
         put("clients_gone_total", metrics.clients_gone);
+        put("client_memory_bytes", self.buffers.used() as u64);
+        put("client_buffers_released_total", metrics.buffers_released);
         for (kind, count) in ["first", "retry", "hedge"].iter().zip(metrics.sends) {
             put(&format!("sends_total{{kind=\"{kind}\"}}"), count);
         }
--- a/crates/daemon/src/platform/socket.rs
+++ b/crates/daemon/src/platform/socket.rs
@@ -43,6 +43,9 @@
 /// write of its own.
 const MIN_SHARED_LEN: usize = 4 << 10;
 
+/// Maximum capacity of an empty write buffer that is kept for the next message.
+const MAX_IDLE_CAPACITY: usize = 4 << 10;
+
 /// A stream registered with the poll, and its write buffer.
 #[derive(Debug)]
 pub(super) struct Socket {
@@ -120,6 +123,11 @@
         self.write_buf.len() - self.written + self.shared_body.len()
     }
 
+    /// Number of bytes of memory that the write buffer occupies.
+    pub(super) fn write_capacity(&self) -> usize {
+        self.write_buf.capacity() + self.shared_body.len()
+    }
+
     /// Writes the buffer until it is empty or the socket would block.
     pub(super) fn flush(&mut self) -> WriteOutcome {
         while self.unsent_len() > 0 {
@@ -139,7 +147,10 @@
         }
         // An empty `Bytes` may still own its memory.
         self.shared_body = Bytes::new();
-        self.write_buf.clear();
+        match self.write_buf.capacity() <= MAX_IDLE_CAPACITY {
+            true => self.write_buf.clear(),
+            false => self.write_buf = Vec::new(),
+        }
         self.written = 0;
         WriteOutcome::Done
     }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -86,6 +86,12 @@
         matches!(self.state, State::UntilClose)
     }
 
+    /// Number of bytes of memory that the decoded bytes occupy.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns the bytes decoded so far.
     #[must_use]
     pub fn into_bytes(self) -> Vec<u8> {
@@ -151,10 +157,26 @@
         }
     }
 
+    /// Reserves memory for `len` bytes, to which at most `expected` more will be added. The memory doubles,
+    /// as that of a vector does, but not beyond the whole body.
+    fn reserve(&mut self, len: usize, expected: usize) {
+        let needed = self.bytes.len() + len;
+        if needed > self.bytes.capacity() {
+            let whole = needed.saturating_add(expected).min(self.max_len);
+            let capacity = (self.bytes.capacity() * 2).min(whole).max(needed);
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+    }
+
     fn append(&mut self, buf: &[u8]) -> Result<(), MessageError> {
         if self.bytes.len() + buf.len() > self.max_len {
             return Err(MessageError::BodyTooLarge);
         }
+        let expected = match self.state {
+            State::FixedLength { remaining } => usize::try_from(remaining).unwrap_or(usize::MAX),
+            _ => usize::MAX,
+        };
+        self.reserve(buf.len(), expected);
         self.bytes.extend_from_slice(buf);
         Ok(())
     }
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -59,6 +59,12 @@
         Ok(Some((head, len)))
     }
 
+    /// Number of bytes of memory that the forwarded part of the head occupies.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.forwarded.capacity()
+    }
+
     /// Hashes the method, target and host, so that a repeated request has the same hash. `hash`
     /// takes the hash so far and the next bytes.
     pub fn content_hash(&self, hash: impl Fn(u64, &[u8]) -> u64) -> u64 {
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -4,6 +4,7 @@
 //! performs no I/O and reads no clock, so the daemon, property tests and simulations run the same
 //! code.
 
+pub mod buffer_budget;
 pub mod engine;
 pub mod forward;
 pub mod interface;
