Limit the connections of clients on the platform to half of the sockets

Callers saw: clients that open connections and send nothing, or part of a request, took all descriptors of the process; it could call no replica, and the readiness probe of the platform was not accepted. Cause: nothing limited accepted connections. After a failed accept, connections that waited in the queue were also left there until another one arrived, because the listener is edge-triggered. The repeated accept is from reading the code; no test exhausts the descriptors of the process. If all have a request in progress, the new connection is closed unread.

--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -54,6 +54,10 @@
 /// within which a change must take effect. The rest is for the read and its retries.
 const MAX_STATE_AGE_FRACTION: f64 = 0.5;
 
+/// Part of the sockets that connections of clients may take. The others are for replicas, the store, other
+/// instances and probes.
+const CLIENT_SOCKETS_DIVISOR: usize = 2;
+
 /// Maximum number of bytes per read; larger than nearly all messages.
 const READ_BUF_LEN: usize = 32 << 10;
 
@@ -104,7 +108,11 @@
     pub(super) settings_text: Vec<u8>,
     pub(super) poll: Poll,
     listeners: Vec<(Token, ListenerKind, TcpListener)>,
+    /// Listeners that may have further connections after an accept failed.
+    unaccepted: Vec<Token>,
     pub(super) conns: Slab<Conn>,
+    /// Number of connections of clients.
+    client_conns: usize,
     pub(super) forwarder: Forwarder,
     pub(super) directory: Directory,
     pub(super) has_replica_list: bool,
@@ -182,7 +190,9 @@
             settings_text,
             poll,
             listeners: Vec::new(),
+            unaccepted: Vec::new(),
             conns: Slab::new(),
+            client_conns: 0,
             forwarder,
             directory: Directory::new(source_selector.max_source_age()),
             has_replica_list: false,
@@ -325,6 +335,7 @@
         if let Conn::Client(client) = conn {
             self.buffers.remove(client.buffer);
             self.buffer_conns.remove(client.buffer);
+            self.client_conns -= usize::from(client.listener == ListenerKind::Client);
         }
     }
 
@@ -447,13 +458,43 @@
                         "accept_failed",
                         format_args!(r#""error":"{err}""#),
                     );
+                    self.unaccepted.push(token);
                     return;
                 }
             }
         }
     }
 
+    /// Tries again to accept connections after a failure, which no further event reports.
+    pub(super) fn retry_accept(&mut self) {
+        for token in std::mem::take(&mut self.unaccepted) {
+            self.accept(token);
+        }
+    }
+
+    /// Whether a further connection of a client is within the limit. If not, one without a request in
+    /// progress is closed to make room.
+    fn admit_client(&mut self) -> bool {
+        let max = self.settings.max_sockets / CLIENT_SOCKETS_DIVISOR;
+        if self.client_conns < max.max(1) {
+            return true;
+        }
+        self.metrics.clients_crowded_out += 1;
+        let is_room = self.close_oldest_client();
+        self.journal.log(
+            self.now,
+            LineKind::Failure,
+            "connection_limit",
+            format_args!(r#""limit":{max},"closed":"{}""#, if is_room { "oldest" } else { "new" }),
+        );
+        is_room
+    }
+
     fn add_client(&mut self, stream: TcpStream, listener: ListenerKind) {
+        // Without a descriptor left, no replica, store or other instance could be called.
+        if listener == ListenerKind::Client && !self.admit_client() {
+            return;
+        }
         let entry = self.conns.vacant_entry();
         let index = entry.key();
         let buffer = self.buffers.insert(self.now);
@@ -461,6 +502,7 @@
             Ok(client) => {
                 entry.insert(Conn::Client(client));
                 self.buffer_conns.insert(buffer, index);
+                self.client_conns += usize::from(listener == ListenerKind::Client);
                 // The first request has often arrived by the time the connection is accepted.
                 self.client_event(index);
             }
--- a/crates/daemon/src/platform/sweep.rs
+++ b/crates/daemon/src/platform/sweep.rs
@@ -1,5 +1,7 @@
 //! Periodic work: connection timeouts, calls to the store and the progress of a shutdown.
 
+use std::time::Duration;
+
 use rosemarybank_protocol::prelude::*;
 
 use crate::platform::{
@@ -14,6 +16,7 @@
         if !self.shutdown.start_sweep_if_due(self.now) {
             return;
         }
+        self.retry_accept();
         self.publish_replicas();
         self.poll_store();
         self.poll_feed();
@@ -64,23 +67,48 @@
     }
 
     fn has_timed_out(&self, client: &ClientConn, phase: ShutdownPhase) -> bool {
-        let limits = self.limits();
         let age = self.now.saturating_sub(client.state_since);
-        match client.state {
+        self.client_timeout(client, phase).is_some_and(|it| age >= it)
+    }
+
+    /// Timeout of the state of a connection; `None` while its request is in progress.
+    fn client_timeout(&self, client: &ClientConn, phase: ShutdownPhase) -> Option<Duration> {
+        let limits = self.limits();
+        Some(match client.state {
             ClientState::AwaitingStart(_)
             | ClientState::AwaitingFeed(_)
-            | ClientState::AwaitingAnswer(..) => false,
-            ClientState::Lingering => age >= LINGER_TIMEOUT,
+            | ClientState::AwaitingAnswer(..) => return None,
+            ClientState::Lingering => LINGER_TIMEOUT,
             // The client has not taken the last answer.
-            ClientState::ReadingHead if !client.socket.is_flushed() => age >= limits.idle_timeout,
+            ClientState::ReadingHead if !client.socket.is_flushed() => limits.idle_timeout,
             ClientState::ReadingHead if client.is_idle() => {
                 let is_client = client.listener == ListenerKind::Client;
-                let is_draining = is_client && phase == ShutdownPhase::Draining;
-                age >= limits.idle_timeout || (is_draining && age >= NEW_CONNECTION_GRACE)
+                match is_client && phase == ShutdownPhase::Draining {
+                    true => limits.idle_timeout.min(NEW_CONNECTION_GRACE),
+                    false => limits.idle_timeout,
+                }
             }
-            ClientState::ReadingHead => age >= limits.head_timeout,
-            ClientState::ReadingBody(..) => age >= body_timeout(limits.head_timeout),
-        }
+            ClientState::ReadingHead => limits.head_timeout,
+            ClientState::ReadingBody(..) => body_timeout(limits.head_timeout),
+        })
+    }
+
+    /// Closes a connection of a client to make room for another one: the one that has used up most of its
+    /// timeout. Returns whether there was one without a request in progress.
+    pub(super) fn close_oldest_client(&mut self) -> bool {
+        let phase = self.phase();
+        let elapsed = |client: &ClientConn| {
+            let timeout = self.client_timeout(client, phase)?;
+            let age = self.now.saturating_sub(client.state_since);
+            Some(age.div_duration_f64(timeout.max(Duration::from_millis(1))))
+        };
+        let clients = self.conns.iter().filter_map(|(index, conn)| match conn {
+            Conn::Client(it) if it.listener == ListenerKind::Client => Some((index, elapsed(it)?)),
+            _ => None,
+        });
+        let Some((index, _)) = clients.max_by(|a, b| a.1.total_cmp(&b.1)) else { return false };
+        self.close_client(index);
+        true
     }
 }
 
