Limit the input of clients that one iteration of the event loop parses

Callers saw: beside a crowd that sends small chunks, probes and replies waited until all of its input was parsed; an ordinary request was retried because the connect to its replica had timed out meanwhile (seen in the first runs of the crowd tests). Cause: an iteration read every readable connection, and up to the limit of a whole body from each. Why it works: after 256 kB an iteration reads no further client connections. They are read in their order at the start of the next one, before connections with new events, so that none is passed over; connections that wait to be read do not time out. Listeners for probes, instances and metrics are not limited.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -35,6 +35,10 @@
 /// Maximum number of bytes read from a connection in one iteration of the event loop.
 const READ_LEN: usize = 32 << 10;
 
+/// Number of bytes of clients after which an iteration reads no further client connections. Parsing small
+/// chunks takes long, and probes, timers and replies wait for the end of the iteration.
+const MAX_TURN_INPUT: usize = 256 << 10;
+
 /// Part of the memory of the machine that the buffers of clients may occupy. The rest is for replies of
 /// replicas, the configuration and lists, and for what the allocator cannot use.
 const CLIENT_MEMORY_DIVISOR: u64 = 8;
@@ -66,6 +70,8 @@
     pub(super) buffer: BufferKey,
     /// Whether more input than the limit may have arrived while a request was in progress.
     has_unread_input: bool,
+    /// Whether it is read in the next iteration.
+    pub(super) is_deferred: bool,
     /// Whether the request in progress is a `HEAD` request, whose answer has no content.
     is_head_request: bool,
     /// Whether the connection is closed after the next answer.
@@ -127,6 +133,7 @@
             consumed: 0,
             buffer,
             has_unread_input: false,
+            is_deferred: false,
             is_head_request: false,
             close_after_answer: false,
         })
@@ -198,8 +205,15 @@
             true => client.buf.len() + READ_LEN,
             false => MAX_PIPELINED_LEN,
         };
+        if client.listener == ListenerKind::Client && self.client_input >= MAX_TURN_INPUT {
+            return self.read_later(index);
+        }
         let was_idle = client.is_idle();
+        let len = client.buf.len();
         let end = client.socket.read(&mut client.buf, &mut self.read_buf, limit);
+        self.client_input += client.buf.len() - len;
+        self.metrics.client_input_turn_max =
+            self.metrics.client_input_turn_max.max(self.client_input);
         if was_idle && !client.is_idle() {
             client.state_since = self.now;
         }
@@ -247,6 +261,15 @@
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
         if client.has_unread_input && client.accepts_request() {
             client.has_unread_input = false;
+            self.read_later(index);
+        }
+    }
+
+    /// Reads from a connection in the next iteration.
+    fn read_later(&mut self, index: usize) {
+        if let Some(Conn::Client(client)) = self.conns.get_mut(index)
+            && !std::mem::replace(&mut client.is_deferred, true)
+        {
             self.unread_conns.push(index);
         }
     }
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -149,6 +149,8 @@
     pub(super) buffer_conns: SecondaryMap<BufferKey, usize>,
     /// Returns of clients that were refused for lack of memory.
     pub(super) memory_returns: RetryAfterSchedule,
+    /// Number of bytes of clients that were read in this iteration.
+    pub(super) client_input: usize,
     pub(super) read_buf: Vec<u8>,
     pub(super) journal: Journal,
     pub(super) metrics: Metrics,
@@ -210,6 +212,7 @@
             startup_queue: Vec::new(),
             delayed_reopens: Vec::new(),
             delayed_sends: BinaryHeap::new(),
+            client_input: 0,
             read_buf: vec![0; READ_BUF_LEN],
             journal,
             metrics: Metrics::default(),
@@ -247,6 +250,15 @@
         }
         self.now = self.elapsed();
         self.turn_started_at = self.now;
+        self.client_input = 0;
+        // These have waited for longer than the connections with new events.
+        for index in unread_conns {
+            if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
+                client.is_deferred = false;
+            }
+            self.conn_event(index, false);
+            self.perform_actions();
+        }
         for event in events.iter() {
             match event.token() {
                 token @ (CLIENT_TOKEN | READINESS_TOKEN | METRICS_TOKEN | PEER_TOKEN) => {
@@ -263,10 +275,6 @@
             }
             self.perform_actions();
         }
-        for index in unread_conns {
-            self.conn_event(index, false);
-            self.perform_actions();
-        }
         self.now = self.elapsed();
         self.send_delayed_requests();
         self.perform_actions();
--- a/crates/daemon/src/platform/metrics.rs
+++ b/crates/daemon/src/platform/metrics.rs
@@ -17,6 +17,8 @@
     pub(super) requests: u64,
     pub(super) rejected: u64,
     pub(super) clients_gone: u64,
+    /// Most bytes of clients that were read in one iteration.
+    pub(super) client_input_turn_max: usize,
     /// Connections of clients beyond the limit.
     pub(super) clients_crowded_out: u64,
     /// Buffers that were released because the memory for clients was used up.
@@ -76,6 +78,7 @@
         put("requests_rejected_total", metrics.rejected);
         put("clients_gone_total", metrics.clients_gone);
         put("clients_crowded_out_total", metrics.clients_crowded_out);
+        put("client_input_turn_max_bytes", metrics.client_input_turn_max as u64);
         put("client_memory_bytes", self.buffers.used() as u64);
         put("client_buffers_released_total", metrics.buffers_released);
         for (kind, count) in ["first", "retry", "hedge"].iter().zip(metrics.sends) {
--- a/crates/daemon/src/platform/sweep.rs
+++ b/crates/daemon/src/platform/sweep.rs
@@ -71,8 +71,12 @@
         self.client_timeout(client, phase).is_some_and(|it| age >= it)
     }
 
-    /// Timeout of the state of a connection; `None` while its request is in progress.
+    /// Timeout of the state of a connection; `None` while its request is in progress or its input waits to be
+    /// read.
     fn client_timeout(&self, client: &ClientConn, phase: ShutdownPhase) -> Option<Duration> {
+        if client.is_deferred {
+            return None;
+        }
         let limits = self.limits();
         Some(match client.state {
             ClientState::AwaitingStart(_)
--- a/crates/daemon/tests/platform_crowds.rs
+++ b/crates/daemon/tests/platform_crowds.rs
@@ -233,6 +233,21 @@
     drop(crowd);
 }
 
+/// Guards against an iteration of the event loop in which probes, timers and other clients wait until the
+/// input of a whole crowd is parsed.
+#[test]
+fn the_input_of_one_iteration_is_limited() {
+    const MAX_TURN_INPUT: u64 = 512 << 10;
+    let env = Env::start(4_100);
+    let crowd = env.send_orders(MAX_BODY_LEN / 4, Coding::Chunked(1), usize::MAX);
+    env.check("/order/y");
+    let metrics = env.instance.metrics().unwrap();
+    let name = "rosemarybank_client_input_turn_max_bytes ";
+    let max = metrics.lines().find_map(|it| it.strip_prefix(name)).unwrap().parse::<u64>().unwrap();
+    assert!(max <= MAX_TURN_INPUT, "{max} bytes");
+    drop(crowd);
+}
+
 #[test]
 fn single_bodies_of_every_legal_size_are_served() {
     let env = Env::start(4_100);
