Send one copy of a search query to all upstreams

Callers saw: a search with a long query took its size several times for each shard of the service while upstreams were silent; with 220 shards and the default limit of 64 kB that is 28 MB a search. Cause: each attempt cloned the query into its message and encoded it into a body of its own; the request's bytes and text also stayed until the answer. The new test queries_of_any_length_arrive_whole guards the encoding (passes). Why it works: the query is encoded once, and the attempts share it. Queries over 4 kB are sent as a frame of their own between the other fields.

--- a/crates/daemon/src/engine/driver.rs
+++ b/crates/daemon/src/engine/driver.rs
@@ -1,9 +1,10 @@
-use rosemarybank_protocol::{id::Time, upstream::ShardRequest};
+use rosemarybank_protocol::id::Time;
 use rosemarybank_query::{
     engine::Engine,
     interface::{Action, Event, Send, SendAction},
     settings::Settings,
 };
+use rosemarybank_transport::upstream::ShardCall;
 
 use super::payloads::{Payloads, PendingAction, PendingSearch, result_label};
 use crate::{
@@ -121,7 +122,7 @@
     /// Builds the message that sends a search attempt; `None` when the search has ended.
     fn search_message(&self, send: Send) -> Option<EngineToUpstreams> {
         let PendingSearch { payload, trace, .. } = self.payloads.searches.get(&send.query)?;
-        let request = ShardRequest {
+        let request = ShardCall {
             service: payload.service.clone(),
             snapshot: send.snapshot,
             range: send.range,
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -3,6 +3,7 @@
 use gotham::state::State;
 use rosemarybank_protocol::{prelude::*, search::MAX_HIT_LIMIT};
 use rosemarybank_query::interface::{QueryId, Submission};
+use rosemarybank_transport::upstream::QueryText;
 use tokio::time::{Instant, timeout_at};
 
 use super::{
@@ -27,6 +28,7 @@
     let body_deadline = shared.clock.instant_at(arrived_at + shared.settings.body_timeout);
     let bytes = body::read(&headers, body, config.limits.body_bytes, body_deadline.into()).await?;
     let request: SearchRequest = body::parse(&bytes)?;
+    drop(bytes);
     check_limit(request.limit)?;
     let deadline = request_deadline(&shared, arrived_at, request.timeout_ms, service)?;
 
@@ -41,12 +43,12 @@
         limit: request.limit,
         deadline,
     };
-    let payload = Arc::new(SearchPayload {
-        service: service.name.clone(),
-        query: request.query.into(),
-        limit: request.limit,
-        trace,
-    });
+    let (query_text, limit) = (QueryText::new(&request.query), request.limit);
+    // The query may be long, and its encoded form is kept until the answer.
+    drop(request);
+    let service_name = service.name.clone();
+    let payload =
+        Arc::new(SearchPayload { service: service_name, query: query_text, limit, trace });
     if shared.engine.try_send(FrontToEngine::Submit { submission, payload }).is_err() {
         shared.searches.remove(query);
         return Err(shared.ring_full_error());
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -3,14 +3,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use rosemarybank_coordination::claim;
-use rosemarybank_protocol::{
-    prelude::*,
-    upstream::{ShardRequest, UpstreamAction},
-};
+use rosemarybank_protocol::{prelude::*, upstream::UpstreamAction};
 use rosemarybank_query::interface::{
     AttemptId, Dispatch, DispatchId, Event, QueryId, Refusal, SearchResult, Submission,
 };
-use rosemarybank_transport::upstream::Target;
+use rosemarybank_transport::upstream::{QueryText, ShardCall, Target};
 
 use crate::trace::TraceContext;
 
@@ -40,7 +37,7 @@
     /// Service to search.
     pub service: ServiceId,
     /// Text to search for.
-    pub query: CompactText,
+    pub query: QueryText,
     /// Maximum number of hits.
     pub limit: u32,
     /// Span of the request in `front`.
@@ -71,7 +68,7 @@
         /// Address of the replica.
         addr: std::net::SocketAddr,
         /// Request to send.
-        request: ShardRequest,
+        request: ShardCall,
         /// Time after which the reply is of no use.
         deadline: Time,
         /// Span of the attempt.
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -11,11 +11,13 @@
 use compact_str::format_compact;
 use rosemarybank_protocol::{
     prelude::*,
-    upstream::{ShardRequest, UpstreamAction, UpstreamError},
+    upstream::{UpstreamAction, UpstreamError},
 };
 use rosemarybank_query::interface::{AttemptId, AttemptOutcome, Event};
 use rosemarybank_ring::{Receiver, Sender};
-use rosemarybank_transport::upstream::{CallOptions, CallOutcome, Pool, PoolSettings, Target};
+use rosemarybank_transport::upstream::{
+    CallOptions, CallOutcome, Pool, PoolSettings, ShardCall, Target,
+};
 use tokio::{
     sync::mpsc,
     task::{AbortHandle, spawn_local},
@@ -135,7 +137,7 @@
         self.running.borrow_mut().insert(attempt, task);
     }
 
-    async fn search(self, attempt: Attempt, request: ShardRequest) {
+    async fn search(self, attempt: Attempt, request: ShardCall) {
         let mut span = self.span(&attempt);
         let outcome =
             self.pool.search(&attempt.target, &request, &self.call_options(&attempt)).await;
--- a/crates/transport/src/upstream/call.rs
+++ b/crates/transport/src/upstream/call.rs
@@ -2,7 +2,7 @@
 use h2::{Reason, RecvStream};
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use rosemarybank_protocol::upstream::{DEADLINE_HEADER, UpstreamError, UpstreamErrorKind};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 use tokio::time::{self, Instant};
 
 use super::{connection::Connection, replica::Replica};
@@ -33,17 +33,17 @@
     TimedOut,
 }
 
-/// Sends a JSON body in a POST request and reads a JSON reply.
+/// Sends a body in a POST request, piece by piece, and reads a JSON reply.
 pub(super) async fn post<T: DeserializeOwned>(
     replica: &Replica,
     path: &str,
-    body: &impl Serialize,
+    body: serde_json::Result<Vec<Bytes>>,
     options: &CallOptions,
     max_reply_bytes: usize,
 ) -> CallOutcome<T> {
-    match serde_json::to_vec(body) {
+    match body {
         Ok(body) => {
-            let request = (Method::POST, path, body.into());
+            let request = (Method::POST, path, body);
             exchange(replica, request, options, max_reply_bytes, None).await
         }
         Err(_) => CallOutcome::NotSent,
@@ -58,13 +58,13 @@
     max_reply_bytes: usize,
     counter: &ByteCounter,
 ) -> CallOutcome<T> {
-    let request = (Method::GET, path, Bytes::new());
+    let request = (Method::GET, path, Vec::new());
     exchange(replica, request, options, max_reply_bytes, Some(counter)).await
 }
 
 async fn exchange<T: DeserializeOwned>(
     replica: &Replica,
-    (method, path, body): (Method, &str, Bytes),
+    (method, path, body): (Method, &str, Vec<Bytes>),
     options: &CallOptions,
     max_reply_bytes: usize,
     counter: Option<&ByteCounter>,
@@ -77,16 +77,18 @@
     let Some(req) = build_request(replica, method, path, options) else {
         return CallOutcome::NotSent;
     };
-    let sent_bytes = path.len() + header_bytes(req.headers()) + body.len();
+    let body_len = body.iter().map(Bytes::len).sum::<usize>();
+    let sent_bytes = path.len() + header_bytes(req.headers()) + body_len;
     let bytes_read_before = conn.frames.bytes_read();
     let Ok((response, mut stream)) = conn.sender.send_request(req, body.is_empty()) else {
         return CallOutcome::NotSent;
     };
     count(sent_bytes);
     let stream_id = stream.stream_id().as_u32();
-    if !body.is_empty() {
+    let last = body.len().saturating_sub(1);
+    for (number, piece) in body.into_iter().enumerate() {
         // An error here is an error of the stream, which `response` reports.
-        let _ = stream.send_data(body, true);
+        let _ = stream.send_data(piece, number == last);
     }
     let reading = async {
         let (head, body) = response.await?.into_parts();
--- a/crates/transport/src/upstream/mod.rs
+++ b/crates/transport/src/upstream/mod.rs
@@ -8,6 +8,8 @@
 mod frames;
 mod pool;
 mod replica;
+mod shard_call;
 
 pub use call::{CallOptions, CallOutcome};
 pub use pool::{GoingAway, Pool, PoolSettings, Target};
+pub use shard_call::{QueryText, ShardCall};
--- a/crates/transport/src/upstream/pool.rs
+++ b/crates/transport/src/upstream/pool.rs
@@ -8,13 +8,14 @@
 use bon::Builder;
 use rosemarybank_protocol::{
     id::ReplicaId,
-    upstream::{ReplicaStatus, ShardReply, ShardRequest, UpstreamAction, UpstreamActionReply},
+    upstream::{ReplicaStatus, ShardReply, UpstreamAction, UpstreamActionReply},
 };
 use tokio::{sync::mpsc, task::AbortHandle};
 
 use super::{
     call::{self, CallOptions, CallOutcome},
     replica::Replica,
+    shard_call::ShardCall,
 };
 use crate::traffic::ByteCounter;
 
@@ -107,11 +108,12 @@
     pub async fn search(
         &self,
         target: &Target,
-        req: &ShardRequest,
+        req: &ShardCall,
         options: &CallOptions,
     ) -> CallOutcome<ShardReply> {
         let replica = self.replica(target);
-        call::post(&replica, "/search", req, options, self.inner.settings.max_reply_bytes).await
+        let max_reply_bytes = self.inner.settings.max_reply_bytes;
+        call::post(&replica, "/search", req.encode(), options, max_reply_bytes).await
     }
 
     /// Asks a replica to execute an action, which must not be executed twice.
@@ -125,7 +127,8 @@
         options: &CallOptions,
     ) -> CallOutcome<UpstreamActionReply> {
         let replica = self.replica(target);
-        call::post(&replica, "/actions", action, options, self.inner.settings.max_reply_bytes).await
+        let body = serde_json::to_vec(action).map(|it| vec![it.into()]);
+        call::post(&replica, "/actions", body, options, self.inner.settings.max_reply_bytes).await
     }
 
     /// Reads the status of a replica.
--- a/crates/transport/tests/upstream.rs
+++ b/crates/transport/tests/upstream.rs
@@ -5,11 +5,14 @@
 use bytes::Bytes;
 use h2::{Reason, RecvStream, server::SendResponse};
 use http::{HeaderValue, Request, Response};
-use rosemarybank_protocol::upstream::{
-    DEADLINE_HEADER, UpstreamAction, UpstreamActionReply, UpstreamErrorKind,
+use rosemarybank_protocol::{
+    key_range::KeyRange,
+    upstream::{
+        DEADLINE_HEADER, ShardRequest, UpstreamAction, UpstreamActionReply, UpstreamErrorKind,
+    },
 };
 use rosemarybank_transport::upstream::{
-    CallOptions, CallOutcome, GoingAway, Pool, PoolSettings, Target,
+    CallOptions, CallOutcome, GoingAway, Pool, PoolSettings, QueryText, ShardCall, Target,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -272,3 +275,48 @@
     let (outcome, ()) = tokio::join!(run_action(&pool, &target, 2_000), serving);
     assert!(matches!(outcome, CallOutcome::Reply(_)), "{outcome:?}");
 }
+
+/// Guards against a body whose pieces do not make up the request.
+#[tokio::test]
+async fn queries_of_any_length_arrive_whole() {
+    let upstream = Upstream::bind().await;
+    let (pool, _notices) = pool();
+    let target = upstream.target();
+    let (tx, mut bodies) = mpsc::unbounded_channel();
+    let server = async {
+        let mut server = upstream.accept().await;
+        while let Some(Ok((req, mut respond))) = server.accept().await {
+            let tx = tx.clone();
+            tokio::spawn(async move {
+                let mut stream = req.into_body();
+                let mut body = Vec::new();
+                while let Some(Ok(data)) = stream.data().await {
+                    stream.flow_control().release_capacity(data.len()).unwrap();
+                    body.extend_from_slice(&data);
+                }
+                tx.send(body).unwrap();
+                let response = Response::builder().status(500).body(()).unwrap();
+                let _ = respond.send_response(response, true);
+            });
+        }
+    };
+    let client = async {
+        for len in [0, 1, 4_000, 5_000, 300_000] {
+            let query = "dry \"cherry\"\n".chars().cycle().take(len).collect::<String>();
+            let call = ShardCall {
+                service: "stock".into(),
+                snapshot: 7,
+                range: KeyRange::ALL,
+                limit: 20,
+                query: QueryText::new(&query),
+            };
+            let _ = pool.search(&target, &call, &options_with_timeout(5_000)).await;
+            let received: ShardRequest =
+                serde_json::from_slice(&bodies.recv().await.unwrap()).unwrap();
+            assert_eq!((received.snapshot, received.limit), (7, 20));
+            assert_eq!(received.range, KeyRange::ALL);
+            assert!(received.query == query, "{len} bytes");
+        }
+    };
+    tokio::select! { () = server => {}, () = client => {} }
+}
