Keep room for a single request of any size that the configuration permits

Cause: a request may take half of the memory for clients, an eighth of the machine's, whatever the configuration. Why it works: the memory for clients has room for two of the largest requests, up to half of the machine's memory; it changes with the configuration.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -12,7 +12,7 @@
 };
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::{
-    buffer_budget::{BufferKey, BufferUse},
+    buffer_budget::{BufferKey, BufferUse, MIN_LARGEST_BODIES},
     forward::{Answer, ClientLimits, Event, RequestKey, Submission},
 };
 
@@ -41,7 +41,10 @@
 
 /// Part of the memory of the machine that the buffers of clients may occupy. The rest is for replies of
 /// replicas, the configuration and lists, and for what the allocator cannot use.
-const CLIENT_MEMORY_DIVISOR: u64 = 8;
+const CLIENT_MEMORY_DIVISOR: usize = 8;
+
+/// The same, if the configuration permits requests that would not fit into that part.
+const MAX_CLIENT_MEMORY_DIVISOR: usize = 2;
 
 /// Time after which a client that was refused for lack of memory may come back at the earliest.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -49,9 +52,13 @@
 /// Maximum number of bytes of pipelined requests buffered while a request is in progress.
 const MAX_PIPELINED_LEN: usize = 64 << 10;
 
-/// Number of bytes that the buffers of clients may occupy on a machine.
-pub(super) fn client_memory(memory_mb: u64) -> usize {
-    usize::try_from((memory_mb << 20) / CLIENT_MEMORY_DIVISOR).unwrap_or(usize::MAX)
+/// Number of bytes that the buffers of clients may occupy on a machine. There is room for a single request
+/// of any permitted size, unless that takes a large part of the memory.
+pub(super) fn client_memory(memory_mb: u64, limits: &ClientLimits) -> usize {
+    let memory = usize::try_from(memory_mb << 20).unwrap_or(usize::MAX);
+    let largest = limits.head_bytes.saturating_add(limits.body_bytes);
+    let needed = largest.saturating_mul(MIN_LARGEST_BODIES);
+    needed.clamp(memory / CLIENT_MEMORY_DIVISOR, memory / MAX_CLIENT_MEMORY_DIVISOR)
 }
 
 /// An accepted connection.
@@ -565,6 +572,11 @@
         Answer::Refused { kind: ErrorKind::Overloaded, retry_after }
     }
 
+    /// Sets the memory for clients by the settings and the configuration.
+    pub(super) fn set_client_memory(&mut self) {
+        self.buffers.set_limit(client_memory(self.settings.memory_mb, &self.limits()));
+    }
+
     /// Records the memory that a connection occupies.
     pub(super) fn record_buffer(&mut self, index: usize) {
         if let Some(Conn::Client(client)) = self.conns.get(index) {
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -18,8 +18,8 @@
 use rosemarybank_query::{
     buffer_budget::{BufferBudget, BufferKey},
     forward::{
-        Action, AttemptKey, Directory, Event, Failure, Forwarder, ReplicaKey, RequestKey,
-        RetryAfterSchedule, Withdrawal,
+        Action, AttemptKey, ClientLimits, Directory, Event, Failure, Forwarder, ReplicaKey,
+        RequestKey, RetryAfterSchedule, Withdrawal,
     },
 };
 use slab::Slab;
@@ -185,7 +185,7 @@
         let poller = |it| StorePoller::new(Poller::new(it, own.clone(), start));
         let mut event_loop = EventLoop {
             pollers: resources.into_iter().map(poller).collect(),
-            buffers: BufferBudget::new(client_memory(settings.memory_mb)),
+            buffers: BufferBudget::new(client_memory(settings.memory_mb, &ClientLimits::default())),
             buffer_conns: SecondaryMap::new(),
             memory_returns: RetryAfterSchedule::default(),
             settings,
--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -336,6 +336,7 @@
             ),
         );
         self.forwarder.handle(self.now, Event::Configure(table), &mut self.actions);
+        self.set_client_memory();
     }
 
     fn drop_feed_source(&mut self, index: usize, member: &Member, reason: &str) {
--- a/crates/daemon/src/platform/run.rs
+++ b/crates/daemon/src/platform/run.rs
@@ -16,7 +16,6 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::platform::{
-    client::client_memory,
     event_loop::EventLoop,
     journal::{Journal, LineKind},
     shutdown::ShutdownPhase,
@@ -133,8 +132,8 @@
         Ok((_, text)) if text == event_loop.settings_text => {}
         Ok((settings, text)) => {
             event_loop.forwarder.set_budget(settings.budget);
-            event_loop.buffers.set_limit(client_memory(settings.memory_mb));
             event_loop.settings = settings;
+            event_loop.set_client_memory();
             event_loop.settings_text = text;
             event_loop.journal.log(
                 now,
--- a/crates/daemon/tests/platform_crowds.rs
+++ b/crates/daemon/tests/platform_crowds.rs
@@ -76,13 +76,17 @@
 
 impl Env {
     fn start(fd_limit: u64) -> Env {
+        Env::start_with(fd_limit, MAX_BODY_LEN)
+    }
+
+    fn start_with(fd_limit: u64, max_body_len: usize) -> Env {
         static TURN: Mutex<()> = Mutex::new(());
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let cluster = Cluster::new();
         // The replicas of `other` behave well while those of `orders` are silent.
         let other = config::route("other", "idempotent", "s1");
         let mut spec = config::spec(2, &["s1", "s2", "s3", "s4"], "orders", vec![other]);
-        spec["limits"]["max_body_bytes"] = json!(MAX_BODY_LEN);
+        spec["limits"]["max_body_bytes"] = json!(max_body_len);
         for route in spec["routes"].as_array_mut().unwrap() {
             route["timeout_ms"] = json!(TIMEOUT_MS);
         }
@@ -270,3 +274,16 @@
     }
     env.check("/order/y");
 }
+
+/// Guards against a limit that a single client meets when the configuration permits larger bodies than usual.
+#[test]
+fn a_single_body_is_served_where_large_ones_are_permitted() {
+    const LEN: usize = 3 << 20;
+    let env = Env::start_with(4_100, LEN);
+    let message = order("/order/x", "single", LEN, Coding::Length);
+    let mut crowd = Crowd::send(env.instance.client_addr(), 1, 64 << 10, |_| message.clone());
+    let served =
+        wait_until(WAIT, || crowd.received().iter().any(|it| it.starts_with("HTTP/1.1 200 ")));
+    assert!(served, "{:?}", crowd.received());
+    env.check("/order/y");
+}
--- a/crates/query/src/buffer_budget.rs
+++ b/crates/query/src/buffer_budget.rs
@@ -9,6 +9,10 @@
 use rosemarybank_protocol::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
+/// Number of requests of the largest permitted size for which a budget must have room, so that one of them
+/// is admitted while no other request is in progress.
+pub const MIN_LARGEST_BODIES: usize = 2;
+
 new_key_type! {
     /// Identifies a buffer.
     pub struct BufferKey;
@@ -110,7 +114,7 @@
     /// Whether a request of `len` bytes may start.
     #[must_use]
     pub fn admits(&self, len: usize) -> bool {
-        len <= self.limit.saturating_sub(self.in_progress) / 2
+        len <= self.limit.saturating_sub(self.in_progress) / MIN_LARGEST_BODIES
     }
 
     /// Returns the buffer to release next: while the limit is exceeded, the largest one that waits for its
