Limit the memory for request bodies on the callers' port

Callers saw: callers that send many large bodies, over HTTP/1.1 or HTTP/2, and stop just short of their end ended the process; so did whole requests while upstreams were silent. Cause: the limit on a body holds for one request; the default limits permit 1,024 connections of 128 streams each. Why it works: the same budget as on the platform, 64 MB by the new setting callers.body_memory_mb.

--- a/crates/daemon/src/front/action.rs
+++ b/crates/daemon/src/front/action.rs
@@ -27,8 +27,11 @@
     let service = auth::authorize(&path.service, ServiceKind::Ledger, caller, &config)?;
     let key = idempotency_key(&headers)?;
     let body_deadline = shared.clock.instant_at(arrived_at + shared.settings.body_timeout);
-    let bytes = body::read(&headers, body, config.limits.body_bytes, body_deadline.into()).await?;
+    let buffer = shared.body_memory.start();
+    let body_limit = config.limits.body_bytes;
+    let bytes = body::read(&headers, body, body_limit, body_deadline.into(), &buffer).await?;
     let request: ActionRequest = body::parse(&bytes)?;
+    drop(bytes);
     let deadline = search::request_deadline(&shared, arrived_at, request.timeout_ms, service)?;
 
     if shared.actions.len() >= shared.settings.actions as usize {
@@ -37,7 +40,7 @@
             RequestError::new(ErrorKind::Overloaded, message).retry_after(ACTION_LIMIT_RETRY_AFTER)
         );
     }
-    let (id, reply) = shared.actions.register();
+    let (id, reply) = shared.actions.register(Some(buffer));
     let fingerprint = fingerprint::for_action(&service.name, &request.body);
     let action =
         UpstreamAction { service: service.name.clone(), key: key.clone(), body: request.body };
@@ -75,7 +78,7 @@
     }
     let deadline = search::request_deadline(&shared, arrived_at, None, service)?;
 
-    let (id, reply) = shared.lookups.register();
+    let (id, reply) = shared.lookups.register(None);
     let caller = caller.name.clone();
     let request = LookupRequest { id, caller, key: key.clone(), deadline };
     if shared.control.try_send(FrontToControl::Lookup(request)).is_err() {
--- a/crates/daemon/src/front/body.rs
+++ b/crates/daemon/src/front/body.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use http::{HeaderMap, header};
@@ -6,19 +8,23 @@
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, timeout_at};
 
-use super::request_error::RequestError;
+use super::{body_memory::BodyBuffer, request_error::RequestError};
 
 /// Number of bytes above the size limit that are read and discarded before the error response is
 /// sent. Closing a connection with unread data resets it, and the caller may then never receive the
 /// response.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
-/// Reads a body of at most `limit` bytes until `deadline`.
+/// Time after which a caller may retry when the memory for bodies was used up.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Reads a body of at most `limit` bytes until `deadline`, and counts its memory in `buffer`.
 pub(super) async fn read(
     headers: &HeaderMap,
     mut body: Body,
     limit: u32,
     deadline: Instant,
+    buffer: &BodyBuffer,
 ) -> Result<Bytes, RequestError> {
     let limit = limit as usize;
     let too_large = || {
@@ -29,6 +35,9 @@
     if content_length > limit + MAX_DISCARDED_BYTES {
         return Err(too_large());
     }
+    if !buffer.admits(content_length.min(limit)) {
+        return Err(memory_used_up());
+    }
     let reading = async {
         let mut bytes = BytesMut::new();
         let mut discarded = 0;
@@ -39,6 +48,7 @@
                 discarded += data.len();
             } else {
                 bytes.extend_from_slice(&data);
+                buffer.set_received(bytes.capacity());
             }
             if discarded > MAX_DISCARDED_BYTES {
                 break;
@@ -46,10 +56,17 @@
         }
         Ok((bytes.freeze(), discarded > 0))
     };
+    let reading = async {
+        tokio::select! {
+            result = reading => Some(result),
+            () = buffer.released() => None,
+        }
+    };
     match timeout_at(deadline, reading).await {
-        Ok(Ok((bytes, false))) => Ok(bytes),
-        Ok(Ok((_, true))) => Err(too_large()),
-        Ok(Err(message)) => Err(RequestError::new(ErrorKind::MalformedBody, message)),
+        Ok(Some(Ok((bytes, false)))) if buffer.try_begin(bytes.len()) => Ok(bytes),
+        Ok(Some(Ok((_, false))) | None) => Err(memory_used_up()),
+        Ok(Some(Ok((_, true)))) => Err(too_large()),
+        Ok(Some(Err(message))) => Err(RequestError::new(ErrorKind::MalformedBody, message)),
         Err(_) => Err(RequestError::new(
             ErrorKind::DeadlineUnreachable,
             "the body did not arrive in time",
@@ -57,6 +74,11 @@
     }
 }
 
+fn memory_used_up() -> RequestError {
+    RequestError::new(ErrorKind::Overloaded, "the memory for requests is used up")
+        .retry_after(MEMORY_RETRY_AFTER)
+}
+
 /// Deserializes a JSON body.
 pub(super) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, RequestError> {
     serde_json::from_slice(body)
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod action;
 mod auth;
 mod body;
+mod body_memory;
 mod fingerprint;
 mod pending;
 mod request_error;
--- a/crates/daemon/src/front/pending.rs
+++ b/crates/daemon/src/front/pending.rs
@@ -5,6 +5,8 @@
 
 use tokio::sync::oneshot;
 
+use super::body_memory::BodyBuffer;
+
 /// Requests that wait for a reply from another thread, by id. Clones share the requests.
 pub(super) struct PendingRequests<T> {
     inner: Arc<Mutex<Inner<T>>>,
@@ -12,7 +14,13 @@
 
 struct Inner<T> {
     next_id: u64,
-    reply_senders: HashMap<u64, oneshot::Sender<T>>,
+    requests: HashMap<u64, Pending<T>>,
+}
+
+struct Pending<T> {
+    reply: oneshot::Sender<T>,
+    /// Memory of the body; an action keeps it after its caller has disconnected.
+    _buffer: Option<BodyBuffer>,
 }
 
 impl<T> Clone for PendingRequests<T> {
@@ -23,38 +31,40 @@
 
 impl<T> Default for PendingRequests<T> {
     fn default() -> PendingRequests<T> {
-        let inner = Inner { next_id: 1, reply_senders: HashMap::new() };
+        let inner = Inner { next_id: 1, requests: HashMap::new() };
         PendingRequests { inner: Arc::new(Mutex::new(inner)) }
     }
 }
 
 impl<T> PendingRequests<T> {
-    /// Adds a request. Returns its id, which is never reused, and the receiver of its reply.
-    pub(super) fn register(&self) -> (u64, oneshot::Receiver<T>) {
+    /// Adds a request that keeps `buffer` until its reply. Returns its id, which is never reused, and the
+    /// receiver of its reply.
+    pub(super) fn register(&self, buffer: Option<BodyBuffer>) -> (u64, oneshot::Receiver<T>) {
         let (tx, rx) = oneshot::channel();
         let mut inner = self.lock();
         let id = inner.next_id;
         inner.next_id += 1;
-        inner.reply_senders.insert(id, tx);
+        inner.requests.insert(id, Pending { reply: tx, _buffer: buffer });
         (id, rx)
     }
 
     /// Sends a reply to the request `id`, if it is still pending.
     pub(super) fn resolve(&self, id: u64, reply: T) {
-        if let Some(tx) = self.lock().reply_senders.remove(&id) {
+        let pending = self.lock().requests.remove(&id);
+        if let Some(pending) = pending {
             // The receiver may have been dropped because the caller disconnected.
-            let _ = tx.send(reply);
+            let _ = pending.reply.send(reply);
         }
     }
 
     /// Removes a request. Returns `true` if it was still pending.
     pub(super) fn remove(&self, id: u64) -> bool {
-        self.lock().reply_senders.remove(&id).is_some()
+        self.lock().requests.remove(&id).is_some()
     }
 
     /// Number of pending requests.
     pub(super) fn len(&self) -> usize {
-        self.lock().reply_senders.len()
+        self.lock().requests.len()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner<T>> {
--- a/crates/daemon/src/front/search.rs
+++ b/crates/daemon/src/front/search.rs
@@ -26,13 +26,15 @@
     let caller = auth::authenticate(&headers, &config)?;
     let service = auth::authorize(&path.service, ServiceKind::Search, caller, &config)?;
     let body_deadline = shared.clock.instant_at(arrived_at + shared.settings.body_timeout);
-    let bytes = body::read(&headers, body, config.limits.body_bytes, body_deadline.into()).await?;
+    let buffer = shared.body_memory.start();
+    let body_limit = config.limits.body_bytes;
+    let bytes = body::read(&headers, body, body_limit, body_deadline.into(), &buffer).await?;
     let request: SearchRequest = body::parse(&bytes)?;
     drop(bytes);
     check_limit(request.limit)?;
     let deadline = request_deadline(&shared, arrived_at, request.timeout_ms, service)?;
 
-    let (query, reply) = shared.searches.register();
+    let (query, reply) = shared.searches.register(Some(buffer));
     let guard = CancelOnDrop { shared: &shared, query };
     let submission = Submission {
         query,
--- a/crates/daemon/src/front/shared.rs
+++ b/crates/daemon/src/front/shared.rs
@@ -6,7 +6,7 @@
 use rosemarybank_query::interface::{Refusal, SearchResult};
 use slog::Logger;
 
-use super::{pending::PendingRequests, request_error::RequestError};
+use super::{body_memory::BodyMemory, pending::PendingRequests, request_error::RequestError};
 use crate::{
     clock::Clock,
     message::{FrontConfig, FrontToControl, FrontToEngine, StoreUnreachable},
@@ -26,6 +26,8 @@
     pub(super) engine: SharedSender<FrontToEngine>,
     /// Sends messages to the control thread.
     pub(super) control: SharedSender<FrontToControl>,
+    /// Memory for the bodies of requests.
+    pub(super) body_memory: BodyMemory,
     /// Searches that wait for the engine's result.
     pub(super) searches: PendingRequests<Result<SearchResult, Refusal>>,
     /// Actions that wait for their outcome.
@@ -53,6 +55,7 @@
     ) -> SharedState {
         SharedState {
             clock,
+            body_memory: BodyMemory::new(clock, settings.body_memory),
             settings: Arc::new(settings),
             engine,
             control,
@@ -75,6 +78,7 @@
 
     /// Activates a configuration.
     pub(super) fn set_config(&self, config: Arc<FrontConfig>) {
+        self.body_memory.set_largest_body(config.limits.body_bytes as usize);
         *self.config.write().unwrap_or_else(PoisonError::into_inner) = Some(config);
     }
 
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -54,6 +54,8 @@
     pub head_timeout: Duration,
     /// Time allowed for receiving a request body.
     pub body_timeout: Duration,
+    /// Memory in bytes for the bodies of all requests.
+    pub body_memory: usize,
     /// Upper limit of request timeouts. A request that asks for more is rejected; a longer default
     /// timeout of a service is reduced to this limit.
     pub longest_timeout: Duration,
--- a/crates/daemon/src/settings/parse.rs
+++ b/crates/daemon/src/settings/parse.rs
@@ -103,6 +103,7 @@
         head_bytes: section.number("head_bytes", 16_384, (8_192, 1 << 20)),
         head_timeout: read_duration_ms(&mut section, "head_timeout_ms", 5_000),
         body_timeout: read_duration_ms(&mut section, "body_timeout_ms", 5_000),
+        body_memory: (section.number("body_memory_mb", 64, (1, 1 << 20)) as usize) << 20,
         longest_timeout: read_duration_ms(&mut section, "longest_timeout_ms", 60_000),
         actions: section.number("actions", 512, (1, 100_000)),
     };
--- a/crates/daemon/tests/common/front.rs
+++ b/crates/daemon/tests/common/front.rs
@@ -60,6 +60,7 @@
                 head_bytes: 8_192,
                 head_timeout: HEAD_TIMEOUT,
                 body_timeout: Duration::from_millis(300),
+                body_memory: 1 << 20,
                 longest_timeout: Duration::from_secs(60),
                 actions: 4,
             },
