Count the heads of requests in the memory for bodies

Callers saw: many HTTP/2 streams with heads of legal size whose bodies never come took the memory of the process; the default limits permit 2 GB of such heads. Cause: only bodies were counted, and the head of each stream is kept until its request is complete.

--- a/crates/daemon/src/front/body.rs
+++ b/crates/daemon/src/front/body.rs
@@ -15,10 +15,15 @@
 /// response.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
+/// Memory that a request head occupies, as a multiple of its fields. Decoded fields share buffers that are
+/// larger than they are.
+const HEAD_COPIES: usize = 4;
+
 /// Time after which a caller may retry when the memory for bodies was used up.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Reads a body of at most `limit` bytes until `deadline`, and counts its memory in `buffer`.
+/// Reads a body of at most `limit` bytes until `deadline`, and counts its memory and that of the
+/// head in `buffer`.
 pub(super) async fn read(
     headers: &HeaderMap,
     mut body: Body,
@@ -38,6 +43,9 @@
     if !buffer.admits(content_length.min(limit)) {
         return Err(memory_used_up());
     }
+    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    let head_memory = fields.sum::<usize>() * HEAD_COPIES;
+    buffer.set_received(head_memory);
     let reading = async {
         let mut bytes = BytesMut::new();
         let mut discarded = 0;
@@ -48,7 +56,7 @@
                 discarded += data.len();
             } else {
                 bytes.extend_from_slice(&data);
-                buffer.set_received(bytes.capacity());
+                buffer.set_received(head_memory + bytes.capacity());
             }
             if discarded > MAX_DISCARDED_BYTES {
                 break;
@@ -63,7 +71,7 @@
         }
     };
     match timeout_at(deadline, reading).await {
-        Ok(Some(Ok((bytes, false)))) if buffer.try_begin(bytes.len()) => Ok(bytes),
+        Ok(Some(Ok((bytes, false)))) if buffer.try_begin(head_memory, bytes.len()) => Ok(bytes),
         Ok(Some(Ok((_, false))) | None) => Err(memory_used_up()),
         Ok(Some(Ok((_, true)))) => Err(too_large()),
         Ok(Some(Err(message))) => Err(RequestError::new(ErrorKind::MalformedBody, message)),
--- a/crates/daemon/src/front/body_memory.rs
+++ b/crates/daemon/src/front/body_memory.rs
@@ -10,6 +10,9 @@
 /// form, and a margin for the allocator.
 const REQUEST_COPIES: usize = 4;
 
+/// Memory of a head that leaves room for a body of any size.
+const MAX_HEAD_MEMORY: usize = 1 << 20;
+
 /// Memory for the bodies of all requests. Clones share it.
 #[derive(Clone)]
 pub(super) struct BodyMemory {
@@ -41,7 +44,8 @@
 
     /// Raises the limit if a single body of `body_bytes` would not be admitted otherwise.
     pub(super) fn set_largest_body(&self, body_bytes: usize) {
-        let needed = body_bytes.saturating_mul(REQUEST_COPIES * MIN_LARGEST_BODIES);
+        let largest = body_bytes.saturating_mul(REQUEST_COPIES).saturating_add(MAX_HEAD_MEMORY);
+        let needed = largest.saturating_mul(MIN_LARGEST_BODIES);
         self.lock().budget.set_limit(self.limit.max(needed));
     }
 
@@ -79,11 +83,11 @@
         }
     }
 
-    /// Starts the request, whose body was received whole, if the memory permits.
-    pub(super) fn try_begin(&self, len: usize) -> bool {
+    /// Starts the request, whose body of `len` bytes was received whole, if the memory permits.
+    pub(super) fn try_begin(&self, head_memory: usize, len: usize) -> bool {
         let now = self.memory.clock.now();
         let mut inner = self.memory.lock();
-        let memory = len.saturating_mul(REQUEST_COPIES);
+        let memory = len.saturating_mul(REQUEST_COPIES).saturating_add(head_memory);
         let is_admitted = inner.releases.contains_key(self.key) && inner.budget.admits(memory);
         if is_admitted {
             inner.budget.update(self.key, now, BufferUse::InProgress, memory);
