Treat a reply whose number is no status as broken

Callers saw: a replica in trouble that answers with a number from 600 to 999 in place of a status had it passed on, with its stamp and body, as the answer to a read or an order. 000 was not passed on: it counted as an interim response, so that the attempt waited for a final one until its time was over if the reply had no body, and broke at the body otherwise. Cause: the grammar permits any three digits, and ResponseHead::parse took them all. Why it works: outside 100 to 599 the head is invalid, so the connection closes and the attempt counts as broken, as with other bytes that are no answer: a read goes to another replica, an order ends as unknown, a search lacks the part. Related paths: the store client and the feed use the same parser. The product's own form calls upstreams over HTTP/2 and answers with statuses of its own; its client library rejects numbers below 100.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -371,6 +371,28 @@
     assert!(peak_kb < 65_000, "{peak_kb} kB");
 }
 
+/// Guards against a number that is no status and reaches the client as the status of an answer.
+#[test]
+fn a_reply_without_a_valid_status_is_no_answer() {
+    for status in [0, 1, 99, 600, 999] {
+        let cluster = Cluster::new();
+        let instance = cluster.start_ready_instance();
+        cluster.replica("orders-1").set_behaviour(Behaviour::Status(status));
+        // The other replica answers.
+        assert_relayed(&call(&instance, "GET", "/read/x", "read-1"), "read-1");
+        cluster.set_behaviour("orders", Behaviour::Status(status));
+        cluster.set_behaviour("s4", Behaviour::Status(status));
+        let answer = call(&instance, "GET", "/read/x", "read-2");
+        assert!([502, 504].contains(&answer.status()), "{status:03}: {answer:?}");
+        let answer = call(&instance, "POST", "/order/x", "order-1");
+        assert!([502, 504].contains(&answer.status()), "{status:03}: {answer:?}");
+        assert_eq!(cluster.runs("order-1").len(), 1, "{status:03}");
+        let answer = call(&instance, "GET", "/search/x", "search-1");
+        assert_eq!(answer.status(), 200, "{status:03}: {answer:?}");
+        assert_eq!(answer.field("x-rosemarybank-missing-parts"), Some("1"));
+    }
+}
+
 /// Guards against requests that are never read: more than the buffer for pipelined requests had arrived
 /// while an earlier one was in progress, and no event reported the rest.
 #[test]
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -12,6 +12,9 @@
 /// Maximum number of bytes received before a response head is complete.
 const MAX_HEAD_LEN: usize = 32 << 10;
 
+/// Numbers that are a status, from interim responses to server errors.
+const VALID_STATUS: std::ops::Range<u16> = 100..600;
+
 /// Longest `Retry-After` that is taken as stated; a longer one counts as this long.
 pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(600);
 
@@ -63,6 +66,10 @@
         let (Some(status), Some(version)) = (reply.code, reply.version) else {
             return Err(MessageError::MalformedHead);
         };
+        // The grammar permits any three digits.
+        if !VALID_STATUS.contains(&status) {
+            return Err(MessageError::MalformedHead);
+        }
         Ok(Some((read_head(status, version, reply.headers, names)?, len)))
     }
 
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -51,6 +51,20 @@
     assert_eq!(String::from_utf8(head.forwarded_fields).unwrap(), "X-Id: 7\r\nX-Stamp: s\r\n");
 }
 
+/// Guards against a number below 100 that counts as an interim response, whose final one never comes, and one
+/// above 599 that is passed on as the status of an answer.
+#[test]
+fn numbers_that_are_no_status_are_rejected() {
+    for status in ["000", "001", "099", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(response(&text).unwrap_err(), MessageError::MalformedHead, "{status}");
+    }
+    for status in ["100", "200", "599"] {
+        let text = format!("HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n");
+        assert!(response(&text).unwrap().is_some(), "{status}");
+    }
+}
+
 #[test]
 fn requests_with_ambiguous_framing_are_rejected() {
     let cases = [
--- a/crates/standins/src/platform_mode/message.rs
+++ b/crates/standins/src/platform_mode/message.rs
@@ -145,7 +145,7 @@
     fields: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut out = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n", body.len());
+    let mut out = format!("HTTP/1.1 {status:03} Status\r\ncontent-length: {}\r\n", body.len());
     for (name, value) in fields {
         out.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -42,6 +42,8 @@
     Break,
     /// Runs them and answers 500 with its server stamp.
     Fail,
+    /// Runs them and answers with this number in place of a status, its server stamp and the records.
+    Status(u16),
     /// Runs them and does not answer; closes the connection when the behaviour changes.
     Hang,
     /// Sends half of the response and closes the connection.
@@ -527,6 +529,7 @@
                 write_reply(stream, 200, &fields, &body)?;
             }
             Behaviour::Fail => write_reply(stream, 500, &fields, b"failed")?,
+            Behaviour::Status(status) => write_reply(stream, status, &fields, &body)?,
             Behaviour::Break => return Ok(false),
             Behaviour::Hang => {
                 while !self.is_stopped()
