--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -146,10 +146,11 @@
         })
     }
 
-    /// Id of the request in progress; empty if there is none.
+    /// Id of the request that is read or in progress; empty if there is none.
     pub(super) fn request_id(&self) -> &str {
         match &self.state {
             ClientState::AwaitingAnswer(_, pending) => &pending.head.request_id,
+            ClientState::ReadingBody(head, _) => &head.request_id,
             _ => "",
         }
     }
@@ -423,19 +424,22 @@
             self.reject(index, MessageError::BodyTooLarge);
             return false;
         }
-        if let Framing::Length(len) = head.framing
-            && !self.buffers.admits(head.capacity() + usize::try_from(len).unwrap_or(usize::MAX))
+        let framing = head.framing;
+        let expects_continue = head.expects_continue && client.buf.is_empty();
+        let head_len = head.capacity();
+        let reader = BodyReader::new(framing, limits.body_bytes);
+        client.state = ClientState::ReadingBody(Box::new(head), reader);
+        if let Framing::Length(len @ 1..) = framing
+            && !self.buffers.admits(head_len + usize::try_from(len).unwrap_or(usize::MAX))
         {
             self.refuse_upload(index);
             return false;
         }
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return false };
-        if head.expects_continue && client.buf.is_empty() && head.framing != Framing::Length(0) {
+        if expects_continue && framing != Framing::Length(0) {
             client.socket.write_buf().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             client.socket.flush();
         }
-        let reader = BodyReader::new(head.framing, limits.body_bytes);
-        client.state = ClientState::ReadingBody(Box::new(head), reader);
         // A request without a body is complete without further input.
         if let ClientState::ReadingBody(head, _) = &client.state
             && head.framing == Framing::Length(0)
@@ -548,15 +552,15 @@
         reason: &str,
         retry_after: Option<Duration>,
     ) {
-        if let Some(Conn::Client(client)) = self.conns.get_mut(index) {
-            client.close_after_answer = true;
-            client.is_head_request |= client.buf.starts_with(b"HEAD ");
-        }
+        let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
+        client.close_after_answer = true;
+        client.is_head_request |= client.buf.starts_with(b"HEAD ");
+        let request = client.request_id();
         self.journal.log(
             self.now,
             LineKind::Failure,
             "rejected",
-            format_args!(r#""status":{status},"reason":"{reason}""#),
+            format_args!(r#""request":{request:?},"status":{status},"reason":"{reason}""#),
         );
         let fields = error_fields(retry_after);
         self.write_answer(index, status, fields.as_bytes(), &error_body(kind, reason));
--- a/crates/daemon/tests/common/process.rs
+++ b/crates/daemon/tests/common/process.rs
@@ -21,11 +21,19 @@
     _settings: tempfile::NamedTempFile,
 }
 
+/// Prints the exit status and the log of the process when a test fails.
 impl Drop for DaemonProcess {
     fn drop(&mut self) {
+        let before = self.child.try_wait();
         // The process has usually exited already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            let mut log = String::new();
+            let stderr = self.child.stderr.take();
+            let read = stderr.map(|mut it| it.read_to_string(&mut log));
+            eprintln!("exit status at the failure: {before:?}; log {read:?}:\n{log}");
+        }
     }
 }
 
