Keep the retry budget valid when its window changes

A shorter window dropped the counts of the last one. Cause: slices are numbered by their length, a fortieth of the window. After a change the kept slices had numbers of the old length; with a longer window they lay in the future, and the subtraction in allows wrapped. Why it works: the tracker knows the length of its slices and renumbers them when it changes. A count is placed at the end of its old slice, so that an extra attempt is not forgotten early. Related: the memory of the settings was shifted, so that a huge value became 0; it saturates now (from the code).

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -55,7 +55,7 @@
 /// Number of bytes that the buffers of clients may occupy on a machine. There is room for a single request
 /// of any permitted size, unless that takes a large part of the memory.
 pub(super) fn client_memory(memory_mb: u64, limits: &ClientLimits) -> usize {
-    let memory = usize::try_from(memory_mb << 20).unwrap_or(usize::MAX);
+    let memory = usize::try_from(memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX);
     let largest = limits.head_bytes.saturating_add(limits.body_bytes);
     let needed = largest.saturating_mul(MIN_LARGEST_BODIES);
     needed.clamp(memory / CLIENT_MEMORY_DIVISOR, memory / MAX_CLIENT_MEMORY_DIVISOR)
--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -41,8 +41,9 @@
     }
 
     fn parse_step(&mut self, index: usize, end: ReadOutcome) -> ParseStep {
-        let max_body_len =
-            ((self.settings.memory_mb << 20) / MAX_BODY_MEMORY_DIVISOR).min(MAX_BODY_LEN) as usize;
+        let max_body_len = (self.settings.memory_mb.saturating_mul(1 << 20)
+            / MAX_BODY_MEMORY_DIVISOR)
+            .min(MAX_BODY_LEN) as usize;
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return ParseStep::Wait };
         let UpstreamState::Busy(exchange) = &mut conn.state else { return ParseStep::Wait };
         if exchange.head.is_none() {
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -393,6 +393,63 @@
     }
 }
 
+/// Guards against settings that end a running process when they change.
+#[test]
+fn changed_settings_leave_a_process_alive() {
+    let cluster = Cluster::new();
+    let mut instance = cluster.start_ready_instance();
+    // Failures use the retry budget.
+    cluster.set_behaviour("orders", Behaviour::Break);
+    let path = instance.settings_path();
+    let first: Value = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+    let keys = [
+        ("bounds", "budget_window_s"),
+        ("bounds", "retry_budget_ratio"),
+        ("bounds", "retry_budget_slack"),
+        ("bounds", "grace_s"),
+        ("bounds", "drain_ms"),
+        ("bounds", "config_apply_ms"),
+        ("limits", "memory_mb"),
+        ("limits", "fd_limit"),
+        ("limits", "cpu_share"),
+        ("limits", "cores"),
+    ];
+    let values = [
+        json!(20),
+        json!(1.8e19),
+        json!(u64::MAX),
+        json!(1_u64 << 44),
+        json!(0),
+        json!(0.001),
+        json!(3_600),
+        json!(-1),
+        json!("x"),
+        Value::Null,
+    ];
+    let mut number = 0;
+    for (section, key) in keys {
+        for value in &values {
+            let mut settings = first.clone();
+            settings[section][key] = value.clone();
+            std::fs::write(&path, settings.to_string()).unwrap();
+            instance.signal("-HUP");
+            for _ in 0..3 {
+                number += 1;
+                let answer = call(&instance, "GET", "/read/x", &format!("read-{number}"));
+                assert!(
+                    [200, 502, 503, 504].contains(&answer.status()),
+                    "{key} {value}: {answer:?}"
+                );
+            }
+        }
+    }
+    std::fs::write(&path, first.to_string()).unwrap();
+    cluster.set_behaviour("orders", Behaviour::Normal);
+    instance.signal("-TERM");
+    let status = instance.wait_exit(WAIT).unwrap();
+    assert_eq!(status.code(), Some(0));
+}
+
 /// Guards against requests that are never read: more than the buffer for pipelined requests had arrived
 /// while an earlier one was in progress, and no event reported the rest.
 #[test]
--- a/crates/query/src/forward/retry_budget.rs
+++ b/crates/query/src/forward/retry_budget.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BudgetTracker {
     slices: VecDeque<Slice>,
+    /// Length of the slices, by which they are numbered.
+    slice_len: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -119,8 +121,11 @@
 
     /// Drops expired slices and returns the index of the current one.
     fn expire_slices(&mut self, now: Time, budget: &RetryBudget) -> u64 {
-        let length = (budget.window / SLICES_PER_WINDOW as u32).max(Duration::from_millis(1));
-        let index = (now.as_nanos() / length.as_nanos()) as u64;
+        let len = (budget.window / SLICES_PER_WINDOW as u32).max(Duration::from_millis(1));
+        if len != self.slice_len {
+            self.renumber_slices(now, len);
+        }
+        let index = slice_index(now, len);
         while let Some(first) = self.slices.front()
             && first.index + (KEPT_SLICES as u64) <= index
         {
@@ -128,4 +133,26 @@
         }
         index
     }
+
+    /// Numbers the slices by a new length. What one of them counted may have happened up to its end.
+    fn renumber_slices(&mut self, now: Time, len: Duration) {
+        let old_len = std::mem::replace(&mut self.slice_len, len);
+        for old in std::mem::take(&mut self.slices) {
+            let end = old_len.as_nanos().saturating_mul(u128::from(old.index) + 1);
+            let latest = end.saturating_sub(1).min(now.as_nanos());
+            let index = (latest / len.as_nanos()) as u64;
+            match self.slices.back_mut().filter(|it| it.index == index) {
+                Some(last) => {
+                    last.requests += old.requests;
+                    last.extras += old.extras;
+                }
+                None => self.slices.push_back(Slice { index, ..old }),
+            }
+        }
+    }
+}
+
+/// Number of the slice at a time.
+fn slice_index(now: Time, len: Duration) -> u64 {
+    (now.as_nanos() / len.as_nanos()) as u64
 }
--- a/crates/query/tests/forward_retry_budget.rs
+++ b/crates/query/tests/forward_retry_budget.rs
@@ -138,3 +138,48 @@
     assert!(allowed(1.0) <= 50);
     assert_eq!(allowed(0.0), 0);
 }
+
+/// Guards against a window that changes with the settings: slices that were numbered by the old one lie in
+/// the future or are forgotten.
+#[test]
+fn a_new_window_keeps_what_was_used() {
+    for window in [1, 5, 9, 11, 20, 100, 3_600].map(Duration::from_secs) {
+        let mut tracker = BudgetTracker::default();
+        let mut now = Duration::from_secs(1_000);
+        let allowed = |tracker: &mut BudgetTracker, now: Time, budget: &RetryBudget| {
+            let mut count = 0;
+            while tracker.allows_retry(now, budget, 1.0) {
+                tracker.add_extra_attempt(now, budget);
+                count += 1;
+            }
+            count
+        };
+        assert!(allowed(&mut tracker, now, &BUDGET) > 0);
+        now += Duration::from_millis(10);
+        let changed = RetryBudget { window, ..BUDGET };
+        assert_eq!(allowed(&mut tracker, now, &changed), 0, "{window:?}");
+        assert_eq!(allowed(&mut tracker, now, &BUDGET), 0, "{window:?}");
+        now += 3 * window.max(BUDGET.window);
+        assert!(allowed(&mut tracker, now, &changed) > 0, "{window:?}");
+    }
+}
+
+proptest! {
+    /// No sequence of settings, requests and pauses ends in a panic.
+    #[test]
+    fn any_sequence_of_windows_is_survived(
+        steps in prop::collection::vec((0_u64..20_000, 0_u64..200_000, any::<bool>()), 1..60),
+    ) {
+        let mut tracker = BudgetTracker::default();
+        let mut now = Time::ZERO;
+        for (pause, window, is_request) in steps {
+            now += Duration::from_millis(pause);
+            let budget = RetryBudget { window: Duration::from_millis(window), ..BUDGET };
+            if is_request {
+                tracker.add_request(now, &budget);
+            } else if tracker.allows_hedge(now, &budget, 0.5) {
+                tracker.add_extra_attempt(now, &budget);
+            }
+        }
+    }
+}
