Take an end after a failed write for a reset

Cause: the kernel reports the reset of a connection once. The failed write took the error and was ignored, because the replica may have replied before; the next read then saw an orderly end, which completes a body without a length. Why it works: the socket remembers that a write failed, and an end that follows is a broken connection. A reply that is complete by its length or chunks is still taken. All sockets share it: replicas (also the parts of searches), the store and other instances.

--- a/crates/daemon/src/platform/socket.rs
+++ b/crates/daemon/src/platform/socket.rs
@@ -52,6 +52,9 @@
     stream: TcpStream,
     /// Whether the peer has closed its sending side; bytes sent before may still be unread.
     is_read_closed: bool,
+    /// Whether a write failed. The kernel reports the error of a connection once, so that the following
+    /// read sees an orderly end.
+    is_write_broken: bool,
     write_buf: Vec<u8>,
     /// Number of bytes of `write_buf` that the kernel has accepted.
     written: usize,
@@ -71,6 +74,7 @@
         Ok(Socket {
             stream,
             is_read_closed: false,
+            is_write_broken: false,
             write_buf: Vec::new(),
             written: 0,
             shared_body: Bytes::new(),
@@ -135,14 +139,16 @@
             let unsent =
                 if is_in_buf { &self.write_buf[self.written..] } else { &self.shared_body };
             match self.stream.write(unsent) {
-                Ok(0) => return WriteOutcome::Broken(self.written == 0),
-                Ok(len) if is_in_buf => self.written += len,
-                Ok(len) => self.shared_body.advance(len),
+                Ok(len) if len > 0 && is_in_buf => self.written += len,
+                Ok(len) if len > 0 => self.shared_body.advance(len),
                 Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
                     return WriteOutcome::Blocked;
                 }
-                Err(_) => return WriteOutcome::Broken(self.written == 0),
+                Ok(_) | Err(_) => {
+                    self.is_write_broken = true;
+                    return WriteOutcome::Broken(self.written == 0);
+                }
             }
         }
         // An empty `Bytes` may still own its memory.
@@ -170,6 +176,7 @@
     ) -> ReadOutcome {
         while buf.len() < limit {
             match self.stream.read(scratch) {
+                Ok(0) if self.is_write_broken => return ReadOutcome::Broken,
                 Ok(0) => return ReadOutcome::Closed,
                 Ok(len) => {
                     buf.extend_from_slice(&scratch[..len]);
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -5,6 +5,8 @@
 
 use std::{
     io::{Read as _, Write as _},
+    net::TcpListener,
+    sync::mpsc::RecvTimeoutError,
     time::{Duration, Instant},
 };
 
@@ -393,6 +395,55 @@
     }
 }
 
+/// Guards against half of a reply without a length that counts as whole: its connection is reset while the
+/// request is still being written, and the failed write takes the error that a read would report.
+#[test]
+fn a_reply_that_is_reset_while_the_request_is_sent_is_no_success() {
+    const BODY_LEN: usize = 12 << 20;
+    let cluster = Cluster::new();
+    let mut spec =
+        config::spec(2, &["s1"], "orders", vec![config::route("early", "idempotent", "early")]);
+    spec["limits"]["max_body_bytes"] = json!(BODY_LEN);
+    let service = json!({ "name": "early", "max_connections": 40, "health_check_path": "/health" });
+    spec["services"].as_array_mut().unwrap().push(service);
+    cluster.store.put("config", "main", spec);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = json!({
+        "service": "early", "address": listener.local_addr().unwrap().to_string(), "zone": "a",
+        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "born": 1,
+    });
+    cluster.store.register("early-1", entry, Duration::from_secs(60));
+    let (tx, stopped) = std::sync::mpsc::channel::<()>();
+    let replica = std::thread::spawn(move || {
+        listener.set_nonblocking(true).unwrap();
+        while stopped.recv_timeout(Duration::from_millis(10)) == Err(RecvTimeoutError::Timeout) {
+            let Ok((mut stream, _)) = listener.accept() else { continue };
+            stream.set_nonblocking(false).unwrap();
+            let mut head = [0; 1 << 10];
+            if stream.read(&mut head).unwrap_or(0) > 0 {
+                let half = "HTTP/1.1 200 OK\r\nx-rosemarybank-request-id: early\r\n\
+                            x-rosemarybank-server-stamp: early-1.early\r\n\r\nhalf of the body";
+                stream.write_all(half.as_bytes()).unwrap();
+            }
+            // The instance has filled the buffers of the connection by then. Closing it with unread input
+            // resets it.
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    });
+    let instance = cluster.start_ready_instance();
+    let mut caller = Caller::connect(instance.client_addr()).unwrap();
+    let head = format!(
+        "POST /early/x HTTP/1.1\r\nhost: h.example\r\nx-rosemarybank-request-id: early\r\n\
+         x-rosemarybank-deadline-ms: 9000\r\ncontent-length: {BODY_LEN}\r\n\r\n"
+    );
+    caller.send_raw(head.as_bytes()).unwrap();
+    caller.send_raw(&vec![b'b'; BODY_LEN]).unwrap();
+    let answer = caller.receive().unwrap();
+    drop(tx);
+    replica.join().unwrap();
+    assert!([502, 504].contains(&answer.status()), "{:?}", answer.start_line);
+}
+
 /// Guards against settings that end a running process when they change.
 #[test]
 fn changed_settings_leave_a_process_alive() {
