Keep the connection of a request until its answer is sent

Cause: a request that is refused at once frees its slot in the forwarder before its answer is performed. The next request of the same iteration got the slot with a newer version, and a secondary map, which has one entry a slot, replaced that of the first one; its answer found no connection. Why it works: the connections of requests are in a map with one entry a key, whatever its slot. The attempts of the same kind of map changed with it; no case is known there, because each is removed before its slot is free. The pools of replicas stay: a removal is always performed before a send to the next replica in the slot (from the code).

--- a/crates/daemon/src/platform/answers.rs
+++ b/crates/daemon/src/platform/answers.rs
@@ -15,7 +15,7 @@
 impl EventLoop {
     /// Answers a request that was submitted to the forwarder.
     pub(super) fn answer_request(&mut self, request: RequestKey, answer: Answer) {
-        let Some(index) = self.request_conns.remove(request) else { return };
+        let Some(index) = self.request_conns.remove(&request) else { return };
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
         let ClientState::AwaitingAnswer(_, pending) =
             std::mem::replace(&mut client.state, ClientState::ReadingHead)
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -393,7 +393,7 @@
             && let ClientState::AwaitingAnswer(key, _) = &client.state
         {
             let key = *key;
-            self.request_conns.remove(key);
+            self.request_conns.remove(&key);
             self.metrics.clients_gone += 1;
             self.forwarder.handle(self.now, Event::ClientDisconnected(key), &mut self.actions);
         }
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::BinaryHeap,
+    collections::{BinaryHeap, HashMap},
     io,
     sync::Arc,
     time::{Duration, Instant},
@@ -23,7 +23,7 @@
     },
 };
 use slab::Slab;
-use slotmap::{SecondaryMap, SparseSecondaryMap};
+use slotmap::SecondaryMap;
 
 use crate::platform::{
     client::{ClientConn, client_memory},
@@ -125,10 +125,11 @@
     /// Connections of other instances with a feed request that is held until there are changes.
     pub(super) held_feed_requests: Vec<usize>,
     pub(super) pools: SecondaryMap<ReplicaKey, Pool>,
-    /// Connection of each request in progress.
-    pub(super) request_conns: SparseSecondaryMap<RequestKey, usize>,
-    /// Connection of each attempt in flight.
-    pub(super) attempt_conns: SparseSecondaryMap<AttemptKey, usize>,
+    /// Connection of each request whose answer has not been sent. The forwarder may use the slot of a key again
+    /// before that, and a secondary map would then replace the entry.
+    pub(super) request_conns: HashMap<RequestKey, usize>,
+    /// Connection of each attempt in flight; a map for the same reason.
+    pub(super) attempt_conns: HashMap<AttemptKey, usize>,
     pub(super) pollers: Vec<StorePoller>,
     /// Actions of the forwarder that are not yet performed.
     pub(super) actions: Vec<Action>,
@@ -204,8 +205,8 @@
             feed_client: FeedClient::default(),
             held_feed_requests: Vec::new(),
             pools: SecondaryMap::new(),
-            request_conns: SparseSecondaryMap::new(),
-            attempt_conns: SparseSecondaryMap::new(),
+            request_conns: HashMap::new(),
+            attempt_conns: HashMap::new(),
             actions: Vec::new(),
             unprocessed_clients: Vec::new(),
             unread_conns: Vec::new(),
@@ -376,7 +377,7 @@
 
     /// Reports a failed attempt to the forwarder, and logs the reason.
     pub(super) fn fail_attempt(&mut self, attempt: AttemptKey, failure: Failure, reason: &str) {
-        self.attempt_conns.remove(attempt);
+        self.attempt_conns.remove(&attempt);
         self.metrics.attempt_failures[failure as usize] += 1;
         if failure != Failure::Abandoned {
             self.log_attempt(attempt, "attempt_failed", reason);
@@ -408,7 +409,7 @@
     /// Logs what happened to an attempt in flight.
     pub(super) fn log_attempt(&mut self, attempt: AttemptKey, event: &str, reason: &str) {
         let Some(info) = self.forwarder.attempt_info(attempt) else { return };
-        let client = self.request_conns.get(info.request).and_then(|it| self.conns.get(*it));
+        let client = self.request_conns.get(&info.request).and_then(|it| self.conns.get(*it));
         let request = match client {
             Some(Conn::Client(client)) => client.request_id(),
             _ => "",
--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -143,7 +143,7 @@
         if head.is_encoded {
             return self.fail_attempt(attempt, Failure::Broken, "the reply is encoded");
         }
-        self.attempt_conns.remove(attempt);
+        self.attempt_conns.remove(&attempt);
         let reply = Reply {
             status: head.status,
             stamp: head.stamp,
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -138,7 +138,7 @@
             return;
         };
         let now = self.now;
-        let client = self.request_conns.get(request).and_then(|it| self.conns.get_mut(*it));
+        let client = self.request_conns.get(&request).and_then(|it| self.conns.get_mut(*it));
         let Some(Conn::Client(client)) = client else {
             return self.fail_attempt(attempt, Failure::NotSent, "the client has left");
         };
@@ -189,7 +189,7 @@
     /// Performs [`Action::Abandon`]: gives up an attempt. A connection on which the request was sent
     /// stays open until `close_at`, because it can be reused if the reply arrives by then.
     pub(super) fn abandon(&mut self, attempt: AttemptKey, close_at: Time) {
-        let Some(index) = self.attempt_conns.get(attempt).copied() else { return };
+        let Some(index) = self.attempt_conns.get(&attempt).copied() else { return };
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return };
         match &mut conn.state {
             UpstreamState::Busy(exchange) => exchange.close_at = Some(close_at),
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -444,6 +444,32 @@
     assert!([502, 504].contains(&answer.status()), "{:?}", answer.start_line);
 }
 
+/// Guards against an answer that is dropped because the next request takes the place of the first one before the
+/// answer is sent.
+#[test]
+fn requests_that_arrive_together_are_all_answered() {
+    const CALLERS: usize = 30;
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    for replica in ["orders-1", "orders-2"] {
+        cluster.replica(replica).crash();
+    }
+    // The instance finds out that the replicas are down, so that it refuses requests at once.
+    let is_refused = || call(&instance, "GET", "/read/x", "probe").status() == 503;
+    assert!(wait_until(WAIT, is_refused));
+    instance.signal("-STOP");
+    let mut callers: Vec<Caller> =
+        (0..CALLERS).map(|_| Caller::connect(instance.client_addr()).unwrap()).collect();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send("GET", "/read/x", &format!("together-{number}"), 60_000).unwrap();
+    }
+    instance.signal("-CONT");
+    for (number, caller) in callers.iter_mut().enumerate() {
+        let answer = caller.receive().unwrap_or_else(|err| panic!("request {number}: {err}"));
+        assert!([502, 503, 504].contains(&answer.status()), "request {number}: {answer:?}");
+    }
+}
+
 /// Guards against settings that end a running process when they change.
 #[test]
 fn changed_settings_leave_a_process_alive() {
