Take an entry of a replica only with all its fields

Cause: version and sequence were not decoded, and cold_remaining_ms counted as 0 where it was missing. Samples of other tests that lacked the fields have them now.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -410,7 +410,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let entry = json!({
         "service": "early", "address": listener.local_addr().unwrap().to_string(), "zone": "a",
-        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "born": 1,
+        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+        "born": 1,
     });
     cluster.store.register("early-1", entry, Duration::from_secs(60));
     let (tx, stopped) = std::sync::mpsc::channel::<()>();
@@ -470,6 +471,39 @@
     }
 }
 
+/// Guards against an entry of another writer, with fields missing, that names a replica of another service.
+#[test]
+fn an_incomplete_entry_names_no_replica() {
+    let mut cluster = Cluster::new();
+    cluster.add_replica("other-1", "other", "a");
+    let instance = cluster.start_ready_instance();
+    // The entry would name the only replica of the service.
+    cluster.replica("orders-1").leave();
+    cluster.replica("orders-2").leave();
+    let addr = cluster.replica("other-1").addr();
+    let entry = format!(
+        r#"{{"service":"orders","address":"{addr}","zone":"a","slots":8,"state":"ready"}}"#
+    );
+    // The replica writes its own entry again with each heartbeat.
+    let end = Instant::now() + Duration::from_secs(3);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while Instant::now() < end {
+                cluster.store.put_raw("servers", "other-1", entry.as_bytes());
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        });
+        let mut number = 0;
+        while Instant::now() < end {
+            number += 1;
+            let id = format!("read-{number}");
+            assert_ne!(call(&instance, "GET", "/read/x", &id).status(), 200);
+        }
+    });
+    let runs = cluster.runs.lock().unwrap();
+    assert!(runs.iter().all(|it| it.replica != "other-1"), "a replica of another service ran one");
+}
+
 /// Guards against settings that end a running process when they change.
 #[test]
 fn changed_settings_leave_a_process_alive() {
--- a/crates/daemon/tests/poller.rs
+++ b/crates/daemon/tests/poller.rs
@@ -30,8 +30,7 @@
     poller.next_call(now).expect("a call is due").call.target.to_string()
 }
 
-const REPLICA: &str =
-    r#"{"service":"s","address":"10.0.0.9:80","zone":"a","slots":2,"state":"ready"}"#;
+const REPLICA: &str = r#"{"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"sequence":1}"#;
 
 const CONFIG_CHANGE: &str = r#"{"events":[{"object":{"meta":{"name":"main"},"spec":{"version":8,
     "routes":[],"services":[],"limits":{"max_header_bytes":1024,"max_body_bytes":1000,
@@ -68,7 +67,8 @@
     let store = Store::start().unwrap();
     let register = |name: &str, state: &str| {
         let spec = json!({
-            "service": "s", "address": "10.0.0.9:80", "zone": "a", "slots": 2, "state": state,
+            "service": "s", "address": "10.0.0.9:80", "zone": "a", "version": "v1", "slots": 2,
+            "state": state, "cold_remaining_ms": 0, "sequence": 1,
         });
         store.put("servers", name, spec);
     };
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -347,6 +347,7 @@
             "slots": SLOTS,
             "state": state,
             "cold_remaining_ms": 0,
+            "sequence": 1,
             "born": shared.incarnation.load(Ordering::Relaxed),
         });
         shared.store.register(&self.id(), entry, HEARTBEAT_INTERVAL);
