Part the limits for clients from the connections and the event loop

Pure moves, but for one counter: requests that are refused for lack of memory before they are complete count in requests_rejected_total, as docs/OPERATIONS.md says.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -12,8 +12,8 @@
 };
 use rosemarybank_protocol::prelude::*;
 use rosemarybank_query::{
-    buffer_budget::{BufferKey, BufferUse, MIN_LARGEST_BODIES},
-    forward::{Answer, ClientLimits, Event, RequestKey, Submission},
+    buffer_budget::{BufferKey, BufferUse},
+    forward::{ClientLimits, Event, RequestKey, Submission},
 };
 
 use crate::platform::{
@@ -39,28 +39,9 @@
 /// chunks takes long, and probes, timers and replies wait for the end of the iteration.
 const MAX_TURN_INPUT: usize = 256 << 10;
 
-/// Part of the memory of the machine that the buffers of clients may occupy. The rest is for replies of
-/// replicas, the configuration and lists, and for what the allocator cannot use.
-const CLIENT_MEMORY_DIVISOR: usize = 8;
-
-/// The same, if the configuration permits requests that would not fit into that part.
-const MAX_CLIENT_MEMORY_DIVISOR: usize = 2;
-
-/// Time after which a client that was refused for lack of memory may come back at the earliest.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Maximum number of bytes of pipelined requests buffered while a request is in progress.
 const MAX_PIPELINED_LEN: usize = 64 << 10;
 
-/// Number of bytes that the buffers of clients may occupy on a machine. There is room for a single request
-/// of any permitted size, unless that takes a large part of the memory.
-pub(super) fn client_memory(memory_mb: u64, limits: &ClientLimits) -> usize {
-    let memory = usize::try_from(memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX);
-    let largest = limits.head_bytes.saturating_add(limits.body_bytes);
-    let needed = largest.saturating_mul(MIN_LARGEST_BODIES);
-    needed.clamp(memory / CLIENT_MEMORY_DIVISOR, memory / MAX_CLIENT_MEMORY_DIVISOR)
-}
-
 /// An accepted connection.
 #[derive(Debug)]
 pub(super) struct ClientConn {
@@ -170,6 +151,15 @@
         matches!(self.state, ClientState::ReadingHead) && self.buf.is_empty()
     }
 
+    /// Whether part of a request has arrived.
+    pub(super) fn is_receiving(&self) -> bool {
+        match self.state {
+            ClientState::ReadingBody(..) => true,
+            ClientState::ReadingHead => !self.buf.is_empty(),
+            _ => false,
+        }
+    }
+
     /// Consumes bytes of the input.
     fn consume(&mut self, len: usize) {
         self.buf.advance(len);
@@ -185,7 +175,7 @@
     }
 
     /// Use of the memory of this connection, and its length.
-    fn buffer_use(&self) -> (BufferUse, usize) {
+    pub(super) fn buffer_use(&self) -> (BufferUse, usize) {
         let (usage, len) = match &self.state {
             ClientState::ReadingBody(_, reader) => (BufferUse::AwaitsClient, reader.capacity()),
             ClientState::AwaitingStart(it) | ClientState::AwaitingAnswer(_, it) => {
@@ -523,7 +513,6 @@
 
     /// Rejects an invalid message and closes the connection after the answer.
     fn reject(&mut self, index: usize, err: MessageError) {
-        self.metrics.rejected += 1;
         let (status, kind) = match err {
             MessageError::HeadTooLarge => (431, ErrorKind::InvalidArgument),
             MessageError::BodyTooLarge => (413, ErrorKind::BodyTooLarge),
@@ -535,16 +524,8 @@
         self.reject_with(index, status, kind, &err.to_string(), None);
     }
 
-    /// Refuses a request that is not complete because the memory for clients is used up. It has not run.
-    fn refuse_upload(&mut self, index: usize) {
-        let kind = ErrorKind::Overloaded;
-        let retry_after = self.next_memory_return();
-        let reason = "the memory for requests is used up";
-        self.reject_with(index, kind.spec().status, kind, reason, Some(retry_after));
-    }
-
     /// Answers a request that was not read whole, and closes the connection after the answer.
-    fn reject_with(
+    pub(super) fn reject_with(
         &mut self,
         index: usize,
         status: u16,
@@ -553,6 +534,7 @@
         retry_after: Option<Duration>,
     ) {
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
+        self.metrics.rejected += 1;
         client.close_after_answer = true;
         client.is_head_request |= client.buf.starts_with(b"HEAD ");
         let request = client.request_id();
@@ -565,59 +547,4 @@
         let fields = error_fields(retry_after);
         self.write_answer(index, status, fields.as_bytes(), &error_body(kind, reason));
     }
-
-    /// Time after which the next client that was refused for lack of memory may come back.
-    fn next_memory_return(&mut self) -> Duration {
-        self.memory_returns.next_delay(self.now, 0, self.now + MEMORY_RETRY_AFTER)
-    }
-
-    fn memory_refusal(&mut self) -> Answer {
-        let retry_after = Some(self.next_memory_return());
-        Answer::Refused { kind: ErrorKind::Overloaded, retry_after }
-    }
-
-    /// Sets the memory for clients by the settings and the configuration.
-    pub(super) fn set_client_memory(&mut self) {
-        self.buffers.set_limit(client_memory(self.settings.memory_mb, &self.limits()));
-    }
-
-    /// Records the memory that a connection occupies.
-    pub(super) fn record_buffer(&mut self, index: usize) {
-        if let Some(Conn::Client(client)) = self.conns.get(index) {
-            let (usage, len) = client.buffer_use();
-            self.buffers.update(client.buffer, self.now, usage, len);
-        }
-    }
-
-    /// Releases the memory of clients while their budget is exceeded.
-    pub(super) fn release_buffers(&mut self) {
-        while let Some(key) = self.buffers.next_release() {
-            let Some(index) = self.buffer_conns.get(key).copied() else {
-                self.buffers.remove(key);
-                continue;
-            };
-            let Some(Conn::Client(client)) = self.conns.get(index) else { return };
-            self.metrics.buffers_released += 1;
-            let is_reading = match client.state {
-                ClientState::ReadingBody(..) => true,
-                ClientState::ReadingHead => !client.buf.is_empty(),
-                _ => false,
-            };
-            if is_reading && client.socket.is_flushed() {
-                self.refuse_upload(index);
-                self.record_buffer(index);
-            } else {
-                // The client does not read its answer, or the connection is of no use any more.
-                let reason = if client.socket.is_flushed() { "idle" } else { "answer not read" };
-                let unsent = client.socket.unsent_len();
-                self.journal.log(
-                    self.now,
-                    LineKind::Failure,
-                    "closed_for_memory",
-                    format_args!(r#""reason":"{reason}","unsent":{unsent}"#),
-                );
-                self.close_client(index);
-            }
-        }
-    }
 }
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -8,10 +8,7 @@
     time::{Duration, Instant},
 };
 
-use mio::{
-    Events, Interest, Poll, Token,
-    net::{TcpListener, TcpStream},
-};
+use mio::{Events, Interest, Poll, Token, net::TcpListener};
 use rosemarybank_adapter::NodeSettings;
 use rosemarybank_coordination::source::{Member, SourceSelector, Start};
 use rosemarybank_protocol::prelude::*;
@@ -26,7 +23,8 @@
 use slotmap::SecondaryMap;
 
 use crate::platform::{
-    client::{ClientConn, client_memory},
+    client::ClientConn,
+    client_memory::client_memory,
     config_text::ConfigText,
     feed::FeedClient,
     journal::{Journal, LineKind},
@@ -54,10 +52,6 @@
 /// within which a change must take effect. The rest is for the read and its retries.
 const MAX_STATE_AGE_FRACTION: f64 = 0.5;
 
-/// Part of the sockets that connections of clients may take. The others are for replicas, the store, other
-/// instances and probes.
-const CLIENT_SOCKETS_DIVISOR: usize = 2;
-
 /// Maximum number of bytes per read; larger than nearly all messages.
 const READ_BUF_LEN: usize = 32 << 10;
 
@@ -107,12 +101,12 @@
     /// Content of the settings file as last applied, to detect changes.
     pub(super) settings_text: Vec<u8>,
     pub(super) poll: Poll,
-    listeners: Vec<(Token, ListenerKind, TcpListener)>,
+    pub(super) listeners: Vec<(Token, ListenerKind, TcpListener)>,
     /// Listeners that may have further connections after an accept failed.
-    unaccepted: Vec<Token>,
+    pub(super) unaccepted: Vec<Token>,
     pub(super) conns: Slab<Conn>,
     /// Number of connections of clients.
-    client_conns: usize,
+    pub(super) client_conns: usize,
     pub(super) forwarder: Forwarder,
     pub(super) directory: Directory,
     pub(super) has_replica_list: bool,
@@ -448,85 +442,6 @@
         Ok(())
     }
 
-    fn accept(&mut self, token: Token) {
-        loop {
-            let Some((_, kind, listener)) = self.listeners.iter().find(|it| it.0 == token) else {
-                return;
-            };
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let kind = *kind;
-                    self.add_client(stream, kind);
-                }
-                Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
-                Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
-                Err(err) => {
-                    self.journal.log(
-                        self.now,
-                        LineKind::Lifecycle,
-                        "accept_failed",
-                        format_args!(r#""error":"{err}""#),
-                    );
-                    self.unaccepted.push(token);
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Tries again to accept connections after a failure, which no further event reports.
-    pub(super) fn retry_accept(&mut self) {
-        for token in std::mem::take(&mut self.unaccepted) {
-            self.accept(token);
-        }
-    }
-
-    /// Whether a further connection of a client is within the limit. If not, one without a request in
-    /// progress is closed to make room.
-    fn admit_client(&mut self) -> bool {
-        let max = self.settings.max_sockets / CLIENT_SOCKETS_DIVISOR;
-        if self.client_conns < max.max(1) {
-            return true;
-        }
-        self.metrics.clients_crowded_out += 1;
-        let is_room = self.close_oldest_client();
-        self.journal.log(
-            self.now,
-            LineKind::Failure,
-            "connection_limit",
-            format_args!(r#""limit":{max},"closed":"{}""#, if is_room { "oldest" } else { "new" }),
-        );
-        is_room
-    }
-
-    fn add_client(&mut self, stream: TcpStream, listener: ListenerKind) {
-        // Without a descriptor left, no replica, store or other instance could be called.
-        if listener == ListenerKind::Client && !self.admit_client() {
-            return;
-        }
-        let entry = self.conns.vacant_entry();
-        let index = entry.key();
-        let buffer = self.buffers.insert(self.now);
-        match ClientConn::new(stream, listener, self.now, self.poll.registry(), index, buffer) {
-            Ok(client) => {
-                entry.insert(Conn::Client(client));
-                self.buffer_conns.insert(buffer, index);
-                self.client_conns += usize::from(listener == ListenerKind::Client);
-                // The first request has often arrived by the time the connection is accepted.
-                self.client_event(index);
-            }
-            Err(err) => {
-                self.buffers.remove(buffer);
-                self.journal.log(
-                    self.now,
-                    LineKind::Lifecycle,
-                    "accept_failed",
-                    format_args!(r#""error":"{err}""#),
-                );
-            }
-        }
-    }
-
     fn conn_event(&mut self, index: usize, is_writable: bool) {
         match self.conns.get(index) {
             Some(Conn::Client(_)) => self.client_event(index),
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -11,8 +11,10 @@
 pub mod journal;
 pub mod poller;
 
+mod accept;
 mod answers;
 mod client;
+mod client_memory;
 mod feed;
 mod metrics;
 mod event_loop;
