Retry a failed accept once for each listener

Callers saw: nothing; found when the change was read. While accepts fail for lack of descriptors, each further event of the listener added one more retry for every 50 ms, without a limit. Cause: the list of listeners to try again took a listener that it already had. Evidence: from the code; no test exhausts the descriptors of the process. Why it works: a listener is in the list once.

--- a/crates/daemon/src/platform/accept.rs
+++ b/crates/daemon/src/platform/accept.rs
@@ -35,7 +35,9 @@
                         "accept_failed",
                         format_args!(r#""error":"{err}""#),
                     );
-                    self.unaccepted.push(token);
+                    if !self.unaccepted.contains(&token) {
+                        self.unaccepted.push(token);
+                    }
                     return;
                 }
             }
