Show with crowds of replies that a process exceeds its memory

Other operators report a replica that sent bytes without end; the machine that had called it ran out of memory, and all requests on it were lost. Here each reply has a limit of its own (1/256 of the memory), and nothing limits their sum.

The bounds are the memory of the machine and the answer to an ordinary client. The stand-in states a length of a terabyte, chunks or neither; bytes_without_end_are_bounded plays all three.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -344,7 +344,9 @@
     let instance = cluster.start_ready_instance();
     let behaviours = [
         Behaviour::EndlessHead,
-        Behaviour::EndlessBody,
+        Behaviour::EndlessBody(BodyCoding::UntilClose),
+        Behaviour::EndlessBody(BodyCoding::Chunked),
+        Behaviour::EndlessBody(BodyCoding::Length),
         Behaviour::EndlessInterim,
         Behaviour::EndlessReplies,
     ];
--- a/crates/daemon/tests/platform_crowds.rs
+++ b/crates/daemon/tests/platform_crowds.rs
@@ -1,6 +1,6 @@
-//! Crowds of clients that keep buffers or connections of `rosemarybankd --platform` occupied. Each test
-//! lowers the limits of the machine in the settings, and checks that the process stays within them and
-//! answers an ordinary client.
+//! Crowds of clients, and of replies of faulty replicas, that keep buffers or connections of
+//! `rosemarybankd --platform` occupied. Each test lowers the limits of the machine in the settings, and
+//! checks that the process stays within them and answers an ordinary client.
 
 #[path = "common/cluster.rs"]
 mod cluster;
@@ -9,7 +9,7 @@
 
 use cluster::{Cluster, WAIT, assert_relayed};
 use rosemarybank_standins::platform_mode::{
-    Behaviour, Caller, Crowd, Instance, config,
+    Behaviour, BodyCoding, Caller, Crowd, Instance, config,
     instance::{wait_memory_steady, wait_until},
 };
 use serde_json::json;
@@ -30,6 +30,12 @@
 const FD_LIMIT: u64 = 300;
 const RESERVED_FDS: usize = 200;
 
+/// Connections that each replica accepts.
+const REPLICA_CONNECTIONS: usize = 200;
+
+/// Largest body of a reply in bytes that is legal on this machine.
+const MAX_REPLY_LEN: usize = 128 << 10;
+
 /// Timeout of all requests, so that none is given up because the machine is slow.
 const TIMEOUT_MS: u64 = 60_000;
 
@@ -90,6 +96,9 @@
         for route in spec["routes"].as_array_mut().unwrap() {
             route["timeout_ms"] = json!(TIMEOUT_MS);
         }
+        for service in spec["services"].as_array_mut().unwrap() {
+            service["max_connections"] = json!(REPLICA_CONNECTIONS);
+        }
         cluster.store.put("config", "main", spec);
         let mut instance = cluster.start_instance("m1", "a");
         instance.kill();
@@ -287,3 +296,82 @@
     assert!(served, "{:?}", crowd.received());
     env.check("/order/y");
 }
+
+/// Codings of a body, each with its own way to go on without end.
+const CODINGS: [BodyCoding; 3] = [BodyCoding::Length, BodyCoding::Chunked, BodyCoding::UntilClose];
+
+/// Sends a crowd of small requests that replicas answer with large replies.
+fn send_small(env: &Env, path: &str) -> Crowd {
+    Crowd::send(env.instance.client_addr(), 2 * CROWD, usize::MAX, |number| {
+        order(path, &format!("crowd-{number}"), 10, Coding::Length)
+    })
+}
+
+/// Guards against replies that stop just short of a legal length: each is within its own limit, and their
+/// number grows with the crowd.
+#[test]
+fn unfinished_replies_stay_within_the_memory() {
+    for coding in CODINGS {
+        let env = Env::start(4_100);
+        for service in ["s1", "s2", "s3", "s4"] {
+            let behaviour = Behaviour::UnfinishedBody(coding, MAX_REPLY_LEN - 1);
+            env.cluster.set_behaviour(service, behaviour);
+        }
+        let crowd = send_small(&env, "/search/x");
+        env.check("/order/y");
+        env.check_refusals(crowd);
+    }
+}
+
+/// Guards against replies without end. The sound replica of the same service answers an ordinary client.
+#[test]
+fn endless_replies_stay_within_the_memory() {
+    for coding in CODINGS {
+        let env = Env::start(4_100);
+        for service in ["s1", "s2", "s3", "s4"] {
+            env.cluster.set_behaviour(service, Behaviour::EndlessBody(coding));
+        }
+        env.cluster.replica("s1-2").set_behaviour(Behaviour::Normal);
+        let crowd = send_small(&env, "/search/x");
+        env.check("/order/y");
+        env.check("/other/y");
+        env.check_refusals(crowd);
+    }
+}
+
+/// Guards against an order that has run and is answered as not run, because its reply did not fit into the
+/// memory.
+#[test]
+fn orders_without_room_for_their_replies_have_an_unknown_outcome() {
+    for coding in CODINGS {
+        let env = Env::start(4_100);
+        let behaviour = Behaviour::UnfinishedBody(coding, MAX_REPLY_LEN - 1);
+        env.cluster.set_behaviour("orders", behaviour);
+        let mut crowd = send_small(&env, "/order/x");
+        env.check("/other/y");
+        let is_unknown = |it: &String| it.starts_with("HTTP/1.1 504 ");
+        assert!(crowd.received().iter().any(is_unknown), "{coding:?}: no reply was given up");
+        env.check_refusals(crowd);
+    }
+}
+
+/// Guards against a limit that the replies of sound replicas meet in calm.
+#[test]
+fn replies_of_every_legal_size_are_served() {
+    const RECORD_LEN: usize = 16;
+    let env = Env::start(4_100);
+    for len in [RECORD_LEN * 2, 64 << 10, MAX_REPLY_LEN] {
+        for coding in CODINGS {
+            for replica in &env.cluster.replicas {
+                replica.set_min_records((len / RECORD_LEN) as u64);
+                replica.set_behaviour(Behaviour::Cut(coding, usize::MAX));
+            }
+            for path in ["/order/x", "/read/x"] {
+                let mut caller = Caller::connect(env.instance.client_addr()).unwrap();
+                let id = format!("legal-{len}-{coding:?}-{path}");
+                let answer = caller.call("POST", path, &id, TIMEOUT_MS).unwrap();
+                assert_eq!((answer.status(), answer.body.len()), (200, len), "{id}");
+            }
+        }
+    }
+}
--- a/crates/standins/src/platform_mode/replica.rs
+++ b/crates/standins/src/platform_mode/replica.rs
@@ -63,8 +63,10 @@
     LateRefusal,
     /// Sends a head without end, until the peer closes the connection.
     EndlessHead,
-    /// Sends a body without end, until the peer closes the connection.
-    EndlessBody,
+    /// Sends a body without end, until the peer closes the connection. A stated length is a terabyte.
+    EndlessBody(BodyCoding),
+    /// Sends this many bytes of a longer body, and keeps the connection open until the peer closes it.
+    UnfinishedBody(BodyCoding, usize),
     /// Sends interim responses without end, until the peer closes the connection.
     EndlessInterim,
     /// Sends replies to other requests without end, until the peer closes the connection.
@@ -97,6 +99,18 @@
             BodyCoding::UntilClose => (String::new(), body.to_vec()),
         }
     }
+
+    /// Header line of the coding, and a piece of a body of `len` bytes that goes on after it.
+    fn begin(self, len: usize, piece: &[u8]) -> (String, Vec<u8>) {
+        match self {
+            BodyCoding::Length => (format!("content-length: {len}\r\n"), piece.to_vec()),
+            BodyCoding::Chunked => {
+                let size = format!("{:x}\r\n", piece.len()).into_bytes();
+                ("transfer-encoding: chunked\r\n".to_owned(), [&size[..], piece, b"\r\n"].concat())
+            }
+            BodyCoding::UntilClose => self.encode(piece),
+        }
+    }
 }
 
 /// Text in the targets of requests that crash a replica with [`Behaviour::CrashOnPoison`].
@@ -467,6 +481,14 @@
         Err(end)
     }
 
+    /// Waits until the behaviour changes or the peer closes the connection.
+    fn wait_while(&self, behaviour: Behaviour, stream: &TcpStream) {
+        while !self.is_stopped() && *lock(&self.shared.behaviour) == behaviour && !is_closed(stream)
+        {
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn acquire_slot(&self) {
         let mut free_slots = lock(&self.shared.free_slots);
         while *free_slots == 0 {
@@ -533,12 +555,7 @@
             Behaviour::Status(status) => write_reply(stream, status, &fields, &body)?,
             Behaviour::Break => return Ok(false),
             Behaviour::Hang => {
-                while !self.is_stopped()
-                    && *lock(&self.shared.behaviour) == Behaviour::Hang
-                    && !is_closed(stream)
-                {
-                    thread::sleep(Duration::from_millis(20));
-                }
+                self.wait_while(behaviour, stream);
                 return Ok(false);
             }
             Behaviour::Truncate => {
@@ -584,13 +601,25 @@
                 stream.write_all(b"HTTP/1.1 200 OK\r\n")?;
                 self.write_endlessly(stream, b"x-filler: 0123456789\r\n")?;
             }
-            Behaviour::EndlessBody => {
+            Behaviour::EndlessBody(coding) => {
+                let (field, piece) = coding.begin(1 << 40, &body);
                 let head = format!(
-                    "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {stamp}\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {stamp}\r\n{field}\r\n",
                     fields[0].0, fields[1].0
                 );
                 stream.write_all(head.as_bytes())?;
-                self.write_endlessly(stream, &body)?;
+                self.write_endlessly(stream, &piece)?;
+            }
+            Behaviour::UnfinishedBody(coding, len) => {
+                let (field, part) = coding.begin(len + 1, &vec![b'b'; len]);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {stamp}\r\n{field}\r\n",
+                    fields[0].0, fields[1].0
+                );
+                stream.write_all(head.as_bytes())?;
+                stream.write_all(&part)?;
+                self.wait_while(behaviour, stream);
+                return Ok(false);
             }
             Behaviour::EndlessInterim => {
                 self.write_endlessly(stream, b"HTTP/1.1 100 \r\n\r\n")?;
