Keep the buffers of the memory budget in the order of their release

Callers saw: nothing yet. Each release read all buffers, so that a crowd took quadratic time in the event loop. Small crowds cost more than before. Why it works: an ordered set follows each change; the_kept_order_is_that_of_a_search compares it with a search for any sequence of changes. The uses of a buffer are named for what the budget does with it, since replies will use it too.

--- a/crates/daemon/src/front/body_memory.rs
+++ b/crates/daemon/src/front/body_memory.rs
@@ -74,7 +74,7 @@
     pub(super) fn set_received(&self, capacity: usize) {
         let now = self.memory.clock.now();
         let mut inner = self.memory.lock();
-        inner.budget.update(self.key, now, BufferUse::AwaitsClient, capacity);
+        inner.budget.update(self.key, now, BufferUse::Releasable, capacity);
         while let Some(key) = inner.budget.next_release() {
             inner.budget.remove(key);
             if let Some(release) = inner.releases.remove(key) {
@@ -90,7 +90,7 @@
         let memory = len.saturating_mul(REQUEST_COPIES).saturating_add(head_memory);
         let is_admitted = inner.releases.contains_key(self.key) && inner.budget.admits(memory);
         if is_admitted {
-            inner.budget.update(self.key, now, BufferUse::InProgress, memory);
+            inner.budget.update(self.key, now, BufferUse::Held, memory);
         }
         is_admitted
     }
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -177,12 +177,12 @@
     /// Use of the memory of this connection, and its length.
     pub(super) fn buffer_use(&self) -> (BufferUse, usize) {
         let (usage, len) = match &self.state {
-            ClientState::ReadingBody(_, reader) => (BufferUse::AwaitsClient, reader.capacity()),
+            ClientState::ReadingBody(_, reader) => (BufferUse::Releasable, reader.capacity()),
             ClientState::AwaitingStart(it) | ClientState::AwaitingAnswer(_, it) => {
-                (BufferUse::InProgress, it.len())
+                (BufferUse::Held, it.len())
             }
-            ClientState::AwaitingFeed(_) => (BufferUse::InProgress, 0),
-            ClientState::ReadingHead | ClientState::Lingering => (BufferUse::AwaitsClient, 0),
+            ClientState::AwaitingFeed(_) => (BufferUse::Held, 0),
+            ClientState::ReadingHead | ClientState::Lingering => (BufferUse::Releasable, 0),
         };
         (usage, len + self.buf.capacity() + self.consumed + self.socket.write_capacity())
     }
--- a/crates/query/src/buffer_budget.rs
+++ b/crates/query/src/buffer_budget.rs
@@ -6,6 +6,8 @@
 //! because they may have run. Instead, a request may use at most half of what those in progress leave free:
 //! large requests are refused first, and small ones are served until the budget is nearly used up.
 
+use std::{cmp::Reverse, collections::BTreeSet};
+
 use rosemarybank_protocol::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
@@ -21,10 +23,11 @@
 /// Why a buffer is occupied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BufferUse {
-    /// The client sends a request or reads its answer. The buffer can be released at any time.
-    AwaitsClient,
-    /// The request is in progress.
-    InProgress,
+    /// It waits for its peer, as a request that a client sends or an answer that it reads does. It can be
+    /// released at any time.
+    Releasable,
+    /// It is needed until its owner is done, as a request in progress is.
+    Held,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -47,9 +50,9 @@
 /// let now = Duration::ZERO;
 /// let mut budget = BufferBudget::new(1_000);
 /// let small = budget.insert(now);
-/// budget.update(small, now, BufferUse::AwaitsClient, 10);
+/// budget.update(small, now, BufferUse::Releasable, 10);
 /// let large = budget.insert(now);
-/// budget.update(large, now, BufferUse::AwaitsClient, 995);
+/// budget.update(large, now, BufferUse::Releasable, 995);
 /// assert_eq!(budget.next_release(), Some(large));
 /// budget.remove(large);
 /// assert_eq!(budget.next_release(), None);
@@ -61,16 +64,28 @@
     limit: usize,
     /// Sum of all buffers.
     used: usize,
-    /// Sum of the buffers of requests in progress.
-    in_progress: usize,
+    /// Sum of the buffers that are held.
+    held: usize,
     buffers: SlotMap<BufferKey, Buffer>,
+    /// The buffers that can be released, in that order.
+    release_order: BTreeSet<ReleaseOrder>,
 }
 
+/// Place of a buffer in the order of releases: the largest one first, and among equal ones the one that has
+/// not changed for longest.
+type ReleaseOrder = (Reverse<usize>, Time, BufferKey);
+
 impl BufferBudget {
     /// Creates a budget of `limit` bytes.
     #[must_use]
     pub fn new(limit: usize) -> BufferBudget {
-        BufferBudget { limit, used: 0, in_progress: 0, buffers: SlotMap::with_key() }
+        BufferBudget {
+            limit,
+            used: 0,
+            held: 0,
+            buffers: SlotMap::with_key(),
+            release_order: BTreeSet::new(),
+        }
     }
 
     /// Changes the limit. Buffers beyond a lower one are released by [`Self::next_release`].
@@ -86,7 +101,7 @@
 
     /// Adds an empty buffer.
     pub fn insert(&mut self, now: Time) -> BufferKey {
-        let usage = BufferUse::AwaitsClient;
+        let usage = BufferUse::Releasable;
         self.buffers.insert(Buffer { len: 0, usage, changed_at: now })
     }
 
@@ -96,43 +111,53 @@
         if (buffer.usage, buffer.len) == (usage, len) {
             return;
         }
-        let old = std::mem::replace(buffer, Buffer { len, usage, changed_at: now });
-        self.subtract(old);
+        let new = Buffer { len, usage, changed_at: now };
+        let old = std::mem::replace(buffer, new);
+        self.subtract(key, old);
         self.used += len;
-        if usage == BufferUse::InProgress {
-            self.in_progress += len;
+        if usage == BufferUse::Held {
+            self.held += len;
         }
+        self.release_order.extend(new.release_order(key));
     }
 
     /// Removes a buffer.
     pub fn remove(&mut self, key: BufferKey) {
         if let Some(buffer) = self.buffers.remove(key) {
-            self.subtract(buffer);
+            self.subtract(key, buffer);
         }
     }
 
     /// Whether a request of `len` bytes may start.
     #[must_use]
     pub fn admits(&self, len: usize) -> bool {
-        len <= self.limit.saturating_sub(self.in_progress) / MIN_LARGEST_BODIES
+        len <= self.limit.saturating_sub(self.held) / MIN_LARGEST_BODIES
     }
 
-    /// Returns the buffer to release next: while the limit is exceeded, the largest one that waits for its
-    /// client; among equal ones the one that has not changed for longest.
+    /// Returns the buffer to release next, while the limit is exceeded and there is one.
     #[must_use]
     pub fn next_release(&self) -> Option<BufferKey> {
         if self.used <= self.limit {
             return None;
         }
-        let releasable =
-            self.buffers.iter().filter(|it| it.1.usage == BufferUse::AwaitsClient && it.1.len > 0);
-        releasable.min_by_key(|it| (std::cmp::Reverse(it.1.len), it.1.changed_at)).map(|it| it.0)
+        self.release_order.first().map(|it| it.2)
     }
 
-    fn subtract(&mut self, buffer: Buffer) {
+    fn subtract(&mut self, key: BufferKey, buffer: Buffer) {
         self.used -= buffer.len;
-        if buffer.usage == BufferUse::InProgress {
-            self.in_progress -= buffer.len;
+        if buffer.usage == BufferUse::Held {
+            self.held -= buffer.len;
+        }
+        if let Some(it) = buffer.release_order(key) {
+            self.release_order.remove(&it);
         }
     }
 }
+
+impl Buffer {
+    /// Place in the order of releases; `None` if it cannot be released or is empty.
+    fn release_order(&self, key: BufferKey) -> Option<ReleaseOrder> {
+        let is_releasable = self.usage == BufferUse::Releasable && self.len > 0;
+        is_releasable.then_some((Reverse(self.len), self.changed_at, key))
+    }
+}
--- a/crates/query/tests/buffer_budget.rs
+++ b/crates/query/tests/buffer_budget.rs
@@ -1,6 +1,6 @@
 //! Properties of the budget for the buffers of clients, for any sequence of uploads, requests and answers.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use proptest::prelude::*;
 use rosemarybank_query::buffer_budget::{BufferBudget, BufferKey, BufferUse};
@@ -47,18 +47,18 @@
             let now = Duration::from_millis(number as u64);
             match step {
                 Step::Open => {
-                    let usage = BufferUse::AwaitsClient;
+                    let usage = BufferUse::Releasable;
                     clients.push(Client { key: budget.insert(now), usage, len: 0 });
                 }
                 Step::Receive { client, len } if client < clients.len() => {
                     let it = &mut clients[client];
-                    (it.usage, it.len) = (BufferUse::AwaitsClient, len);
+                    (it.usage, it.len) = (BufferUse::Releasable, len);
                     budget.update(it.key, now, it.usage, it.len);
                 }
                 Step::Start { client } if client < clients.len() => {
                     let it = &mut clients[client];
-                    if it.usage == BufferUse::AwaitsClient && budget.admits(it.len) {
-                        it.usage = BufferUse::InProgress;
+                    if it.usage == BufferUse::Releasable && budget.admits(it.len) {
+                        it.usage = BufferUse::Held;
                         budget.update(it.key, now, it.usage, it.len);
                     }
                 }
@@ -70,8 +70,8 @@
             while let Some(key) = budget.next_release() {
                 let at = clients.iter().position(|it| it.key == key).unwrap();
                 let released = clients.swap_remove(at);
-                prop_assert_eq!(released.usage, BufferUse::AwaitsClient);
-                let others = clients.iter().filter(|it| it.usage == BufferUse::AwaitsClient);
+                prop_assert_eq!(released.usage, BufferUse::Releasable);
+                let others = clients.iter().filter(|it| it.usage == BufferUse::Releasable);
                 prop_assert!(others.map(|it| it.len).max().unwrap_or(0) <= released.len);
                 budget.remove(key);
             }
@@ -80,6 +80,28 @@
         }
     }
 
+    /// The order that is kept up to date is that of a search through all buffers.
+    #[test]
+    fn the_kept_order_is_that_of_a_search(
+        changes in prop::collection::vec((0..12_usize, 0..6_usize, any::<bool>()), 0..200),
+    ) {
+        let mut budget = BufferBudget::new(0);
+        let keys: Vec<BufferKey> = (0..12).map(|_| budget.insert(Duration::ZERO)).collect();
+        let mut buffers = vec![(BufferUse::Releasable, 0, Duration::ZERO); keys.len()];
+        for (number, (at, len, is_held)) in changes.into_iter().enumerate() {
+            let now = Duration::from_millis(number as u64);
+            let usage = if is_held { BufferUse::Held } else { BufferUse::Releasable };
+            budget.update(keys[at], now, usage, len);
+            if (buffers[at].0, buffers[at].1) != (usage, len) {
+                buffers[at] = (usage, len, now);
+            }
+            let releasable =
+                (0..keys.len()).filter(|it| buffers[*it].0 == BufferUse::Releasable && buffers[*it].1 > 0);
+            let first = releasable.min_by_key(|it| (Reverse(buffers[*it].1), buffers[*it].2, keys[*it]));
+            prop_assert_eq!(budget.next_release(), first.map(|it| keys[it]));
+        }
+    }
+
     /// However many large requests are in progress, a small one may start.
     #[test]
     fn small_requests_start_beside_large_ones(lens in prop::collection::vec(1_000..100_000_usize, 0..500)) {
@@ -87,7 +109,7 @@
         for len in lens {
             if budget.admits(len) {
                 let key = budget.insert(Duration::ZERO);
-                budget.update(key, Duration::ZERO, BufferUse::InProgress, len);
+                budget.update(key, Duration::ZERO, BufferUse::Held, len);
             }
             prop_assert!(budget.admits(400));
         }
@@ -101,12 +123,12 @@
     let mut budget = BufferBudget::new(100);
     let at = Duration::from_millis;
     let stalled = budget.insert(at(0));
-    budget.update(stalled, at(1), BufferUse::AwaitsClient, 60);
+    budget.update(stalled, at(1), BufferUse::Releasable, 60);
     let sending = budget.insert(at(0));
     for len in [20, 40, 60] {
-        budget.update(sending, at(len as u64), BufferUse::AwaitsClient, len);
+        budget.update(sending, at(len as u64), BufferUse::Releasable, len);
     }
     // An update without a change is no progress.
-    budget.update(stalled, at(90), BufferUse::AwaitsClient, 60);
+    budget.update(stalled, at(90), BufferUse::Releasable, 60);
     assert_eq!(budget.next_release(), Some(stalled));
 }
