Limit the memory that replies in progress may occupy

Callers saw: replicas that send without end, or stop just short of a legal length, in a number that grows with the callers: the process exceeds the memory of its machine, and all requests on it are lost. Cause: a reply was limited to 1/256 of the memory, their sum was not. Connections also kept the memory of the input that they had read. Why it works: the budget of the clients' buffers, in a second instance. A stated length is reserved at the head of the reply or refused; beyond the limit the largest reply without a stated length is given up. Both are failures of their own, because they show no crash of the replica: an order ends as unknown, other kinds are retried.

--- a/crates/daemon/src/platform/client_memory.rs
+++ b/crates/daemon/src/platform/client_memory.rs
@@ -11,6 +11,7 @@
 use crate::platform::{
     event_loop::{Conn, EventLoop},
     journal::LineKind,
+    reply_memory::reply_memory,
 };
 
 /// Part of the memory of the machine that the buffers of clients may occupy. The rest is for replies of
@@ -52,9 +53,10 @@
         Answer::Refused { kind: ErrorKind::Overloaded, retry_after }
     }
 
-    /// Sets the memory for clients by the settings and the configuration.
-    pub(super) fn set_client_memory(&mut self) {
+    /// Sets the memory for clients and for replies by the settings and the configuration.
+    pub(super) fn set_memory_limits(&mut self) {
         self.buffers.set_limit(client_memory(self.settings.memory_mb, &self.limits()));
+        self.replies.set_limit(reply_memory(self.settings.memory_mb));
     }
 
     /// Records the memory that a connection occupies.
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -30,6 +30,7 @@
     journal::{Journal, LineKind},
     metrics::Metrics,
     poller::{Poller, Resource},
+    reply_memory::reply_memory,
     shutdown::Shutdown,
     socket::Socket,
     store::{CallConn, StorePoller},
@@ -142,6 +143,10 @@
     pub(super) buffers: BufferBudget,
     /// Connection of each buffer.
     pub(super) buffer_conns: SecondaryMap<BufferKey, usize>,
+    /// Memory that the replies in progress occupy.
+    pub(super) replies: BufferBudget,
+    /// Connection of each reply buffer.
+    pub(super) reply_conns: SecondaryMap<BufferKey, usize>,
     /// Returns of clients that were refused for lack of memory.
     pub(super) memory_returns: RetryAfterSchedule,
     /// Number of bytes of clients that were read in this iteration.
@@ -182,6 +187,8 @@
             pollers: resources.into_iter().map(poller).collect(),
             buffers: BufferBudget::new(client_memory(settings.memory_mb, &ClientLimits::default())),
             buffer_conns: SecondaryMap::new(),
+            replies: BufferBudget::new(reply_memory(settings.memory_mb)),
+            reply_conns: SecondaryMap::new(),
             memory_returns: RetryAfterSchedule::default(),
             settings,
             settings_text,
@@ -335,10 +342,17 @@
     pub(super) fn close_conn(&mut self, index: usize) {
         let Some(mut conn) = self.conns.try_remove(index) else { return };
         conn.socket_mut().deregister(self.poll.registry());
-        if let Conn::Client(client) = conn {
-            self.buffers.remove(client.buffer);
-            self.buffer_conns.remove(client.buffer);
-            self.client_conns -= usize::from(client.listener == ListenerKind::Client);
+        match conn {
+            Conn::Client(client) => {
+                self.buffers.remove(client.buffer);
+                self.buffer_conns.remove(client.buffer);
+                self.client_conns -= usize::from(client.listener == ListenerKind::Client);
+            }
+            Conn::Upstream(conn) => {
+                self.replies.remove(conn.buffer);
+                self.reply_conns.remove(conn.buffer);
+            }
+            Conn::Call(_) => {}
         }
     }
 
--- a/crates/daemon/src/platform/feed.rs
+++ b/crates/daemon/src/platform/feed.rs
@@ -336,7 +336,7 @@
             ),
         );
         self.forwarder.handle(self.now, Event::Configure(table), &mut self.actions);
-        self.set_client_memory();
+        self.set_memory_limits();
     }
 
     fn drop_feed_source(&mut self, index: usize, member: &Member, reason: &str) {
--- a/crates/daemon/src/platform/metrics.rs
+++ b/crates/daemon/src/platform/metrics.rs
@@ -26,7 +26,7 @@
     /// Attempts sent, by [`AttemptKind`](rosemarybank_query::forward::AttemptKind).
     pub(super) sends: [u64; 3],
     /// Attempts without a usable reply, by [`Failure`](rosemarybank_query::forward::Failure).
-    pub(super) attempt_failures: [u64; 6],
+    pub(super) attempt_failures: [u64; 8],
     pub(super) failed_replies: u64,
     pub(super) foreign_replies: u64,
     pub(super) replicas_leaving: u64,
@@ -80,12 +80,21 @@
         put("clients_crowded_out_total", metrics.clients_crowded_out);
         put("client_input_turn_max_bytes", metrics.client_input_turn_max as u64);
         put("client_memory_bytes", self.buffers.used() as u64);
+        put("reply_memory_bytes", self.replies.used() as u64);
         put("client_buffers_released_total", metrics.buffers_released);
         for (kind, count) in ["first", "retry", "hedge"].iter().zip(metrics.sends) {
             put(&format!("sends_total{{kind=\"{kind}\"}}"), count);
         }
-        let failures =
-            ["not_sent", "unreachable", "not_accepted", "other_replica", "broken", "abandoned"];
+        let failures = [
+            "not_sent",
+            "unreachable",
+            "not_accepted",
+            "other_replica",
+            "broken",
+            "abandoned",
+            "overlong",
+            "no_memory",
+        ];
         for (failure, count) in failures.iter().zip(metrics.attempt_failures) {
             put(&format!("attempt_failures_total{{failure=\"{failure}\"}}"), count);
         }
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod event_loop;
 mod replies;
+mod reply_memory;
 mod run;
 mod socket;
 mod shutdown;
--- a/crates/daemon/src/platform/replies.rs
+++ b/crates/daemon/src/platform/replies.rs
@@ -6,28 +6,25 @@
 //! discarded, and an invalid reply ends the connection. A connection that carried a reply to another
 //! request or bytes after the reply is not reused.
 
-use bytes::Buf as _;
+use bytes::{Buf as _, BytesMut};
 use rosemarybank_adapter::HEADERS;
-use rosemarybank_http1::{BodyReader, Progress, ResponseHead};
+use rosemarybank_http1::{BodyReader, Framing, MessageError, Progress, ResponseHead};
 use rosemarybank_query::forward::{AttemptKey, Event, Failure, Reply};
 
 use crate::platform::{
     event_loop::{Conn, EventLoop},
+    reply_memory::max_reply_body,
     socket::ReadOutcome,
     upstream::{Exchange, UpstreamState},
 };
 
-/// Maximum size of a reply body in bytes.
-const MAX_BODY_LEN: u64 = 8 << 20;
-
-/// Maximum size of a reply body as a fraction of the memory of the process: replicas of many shards
-/// may send bytes without end at the same time.
-const MAX_BODY_MEMORY_DIVISOR: u64 = 256;
-
 /// Maximum number of interim responses and replies to other requests that are discarded before the
 /// reply to a request.
 const MAX_DISCARDED_REPLIES: u32 = 16;
 
+/// Reason for giving up a reply whose body exceeds its limit.
+const BODY_TOO_LONG: &str = "the body of the reply is too long";
+
 impl EventLoop {
     /// Parses the received bytes of a connection.
     pub(super) fn parse_replies(&mut self, index: usize, end: ReadOutcome) {
@@ -35,22 +32,25 @@
             match self.parse_step(index, end) {
                 ParseStep::Continue => {}
                 ParseStep::Wait => return,
-                ParseStep::Broken(reason) => return self.fail_exchange(index, reason),
+                ParseStep::Failed(failure, reason) => {
+                    return self.fail_exchange(index, failure, reason);
+                }
             }
         }
     }
 
     fn parse_step(&mut self, index: usize, end: ReadOutcome) -> ParseStep {
-        let max_body_len = (self.settings.memory_mb.saturating_mul(1 << 20)
-            / MAX_BODY_MEMORY_DIVISOR)
-            .min(MAX_BODY_LEN) as usize;
+        let max_body_len = max_reply_body(self.settings.memory_mb);
         let Some(Conn::Upstream(conn)) = self.conns.get_mut(index) else { return ParseStep::Wait };
         let UpstreamState::Busy(exchange) = &mut conn.state else { return ParseStep::Wait };
         if exchange.head.is_none() {
             return match ResponseHead::parse(&conn.buf, &HEADERS) {
                 Ok(None) if !end.is_end() => ParseStep::Wait,
-                Ok(None) => ParseStep::Broken("the connection closed before a whole reply head"),
-                Err(_) => ParseStep::Broken("the head of the reply is invalid or too long"),
+                Ok(None) => ParseStep::broken("the connection closed before a whole reply head"),
+                Err(MessageError::HeadTooLarge) => {
+                    ParseStep::Failed(Failure::Overlong, "the head of the reply is too long")
+                }
+                Err(_) => ParseStep::broken("the head of the reply is invalid"),
                 Ok(Some((head, len))) => {
                     conn.buf.advance(len);
                     if head.status < 200 {
@@ -59,6 +59,16 @@
                     exchange.is_foreign_reply = is_foreign(&head, &exchange.request_id);
                     conn.is_tainted |= exchange.is_foreign_reply;
                     let framing = head.framing.filter(|_| !exchange.is_head_request);
+                    if let Some(Framing::Length(len)) = framing {
+                        let len = usize::try_from(len).unwrap_or(usize::MAX);
+                        if len > max_body_len {
+                            return ParseStep::Failed(Failure::Overlong, BODY_TOO_LONG);
+                        }
+                        if !self.replies.admits(len) {
+                            let reason = "the memory for replies has no room for its length";
+                            return ParseStep::Failed(Failure::NoMemory, reason);
+                        }
+                    }
                     exchange.body = framing.map(|it| BodyReader::new(it, max_body_len));
                     exchange.head = Some(head);
                     ParseStep::Continue
@@ -75,17 +85,19 @@
                 self.finish_reply(index, end)
             }
             Ok(Progress::NeedsMore) => {
-                conn.buf.clear();
+                // A cleared buffer would keep its memory.
+                conn.buf = BytesMut::new();
                 let ends = exchange.body.as_ref().is_some_and(BodyReader::ends_with_connection);
                 match end {
                     ReadOutcome::Drained | ReadOutcome::LimitReached => ParseStep::Wait,
                     ReadOutcome::Closed if ends => self.finish_reply(index, end),
                     ReadOutcome::Closed | ReadOutcome::Broken => {
-                        ParseStep::Broken("the connection closed within the reply")
+                        ParseStep::broken("the connection closed within the reply")
                     }
                 }
             }
-            Err(_) => ParseStep::Broken("the body of the reply is invalid or too long"),
+            Err(MessageError::BodyTooLarge) => ParseStep::Failed(Failure::Overlong, BODY_TOO_LONG),
+            Err(_) => ParseStep::broken("the body of the reply is invalid"),
         }
     }
 
@@ -94,7 +106,7 @@
         let UpstreamState::Busy(exchange) = &mut conn.state else { return ParseStep::Wait };
         let body = exchange.body.take().map(BodyReader::into_bytes).unwrap_or_default();
         let Some(head) = exchange.head.take() else {
-            return ParseStep::Broken("the reply has no head");
+            return ParseStep::broken("the reply has no head");
         };
         let attempt = exchange.attempt;
         if exchange.is_foreign_reply {
@@ -103,7 +115,7 @@
             self.log_attempt(attempt, "reply_discarded", "it belongs to another request");
             return match head.closes_connection {
                 true => {
-                    ParseStep::Broken("the connection closed after the reply to another request")
+                    ParseStep::broken("the connection closed after the reply to another request")
                 }
                 false => next,
             };
@@ -112,7 +124,7 @@
         let is_reused = conn.requests > 1;
         if is_reused && !is_identified {
             self.metrics.foreign_replies += 1;
-            return ParseStep::Broken("an error reply without an id on a reused connection");
+            return ParseStep::broken("an error reply without an id on a reused connection");
         }
         conn.idle_timeout = head.idle_timeout.or(conn.idle_timeout);
         let is_reusable = !head.closes_connection
@@ -122,6 +134,7 @@
             && conn.socket.is_flushed()
             && self.pools.get(conn.replica).is_some_and(|it| !it.is_retired);
         if is_reusable {
+            conn.buf = BytesMut::new();
             conn.state = UpstreamState::Idle;
             conn.state_since = self.now;
             if let Some(pool) = self.pools.get_mut(conn.replica) {
@@ -160,12 +173,12 @@
     }
 
     /// Closes a connection and fails its exchange.
-    pub(super) fn fail_exchange(&mut self, index: usize, reason: &str) {
+    pub(super) fn fail_exchange(&mut self, index: usize, failure: Failure, reason: &str) {
         let Some(Conn::Upstream(conn)) = self.conns.get(index) else { return };
         let UpstreamState::Busy(exchange) = &conn.state else { return };
         let attempt = exchange.attempt;
         self.close_conn(index);
-        self.fail_attempt(attempt, Failure::Broken, reason);
+        self.fail_attempt(attempt, failure, reason);
     }
 }
 
@@ -175,7 +188,10 @@
         self.discarded_replies += 1;
         match self.discarded_replies <= MAX_DISCARDED_REPLIES {
             true => ParseStep::Continue,
-            false => ParseStep::Broken("too many interim responses or replies to other requests"),
+            false => {
+                let reason = "too many interim responses or replies to other requests";
+                ParseStep::Failed(Failure::Overlong, reason)
+            }
         }
     }
 }
@@ -185,7 +201,14 @@
     Continue,
     Wait,
     /// The exchange fails for the given reason.
-    Broken(&'static str),
+    Failed(Failure, &'static str),
+}
+
+impl ParseStep {
+    /// The connection broke, or the reply is invalid.
+    fn broken(reason: &'static str) -> ParseStep {
+        ParseStep::Failed(Failure::Broken, reason)
+    }
 }
 
 /// Whether a reply belongs to another request. A replica repeats the request id in its reply, so a
--- a/crates/daemon/src/platform/run.rs
+++ b/crates/daemon/src/platform/run.rs
@@ -133,7 +133,7 @@
         Ok((settings, text)) => {
             event_loop.forwarder.set_budget(settings.budget);
             event_loop.settings = settings;
-            event_loop.set_client_memory();
+            event_loop.set_memory_limits();
             event_loop.settings_text = text;
             event_loop.journal.log(
                 now,
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -7,8 +7,9 @@
 use rosemarybank_adapter::HEADERS;
 use rosemarybank_http1::{BodyReader, ResponseHead};
 use rosemarybank_protocol::prelude::*;
-use rosemarybank_query::forward::{
-    Action, AttemptKey, AttemptKind, Event, Failure, ReplicaKey, Resend,
+use rosemarybank_query::{
+    buffer_budget::BufferKey,
+    forward::{Action, AttemptKey, AttemptKind, Event, Failure, ReplicaKey, Resend},
 };
 
 use crate::platform::{
@@ -73,6 +74,8 @@
     /// Number of requests sent on the connection.
     pub(super) requests: u32,
     pub(super) buf: BytesMut,
+    /// Memory of its reply in the budget.
+    pub(super) buffer: BufferKey,
 }
 
 /// The request and reply of an attempt.
@@ -254,7 +257,10 @@
                 self.idle_closed(index);
             }
             UpstreamState::Idle => {}
-            _ => self.parse_replies(index, end),
+            _ => {
+                self.parse_replies(index, end);
+                self.record_reply(index);
+            }
         }
     }
 
@@ -436,6 +442,8 @@
         let index = entry.key();
         let mut socket = Socket::connect(addr, self.poll.registry(), index)?;
         socket.push_message(&message.head, &message.body);
+        let buffer = self.replies.insert(self.now);
+        self.reply_conns.insert(buffer, index);
         entry.insert(Conn::Upstream(UpstreamConn {
             socket,
             replica,
@@ -446,6 +454,7 @@
             connect_time: Duration::ZERO,
             requests: 0,
             buf: BytesMut::new(),
+            buffer,
         }));
         Ok(index)
     }
@@ -463,7 +472,8 @@
             }
             WriteOutcome::Broken(false) => {
                 self.forwarder.handle(self.now, Event::Sent(attempt), &mut self.actions);
-                self.fail_exchange(index, "the connection closed while the request was sent");
+                let reason = "the connection closed while the request was sent";
+                self.fail_exchange(index, Failure::Broken, reason);
             }
             WriteOutcome::Done | WriteOutcome::Blocked => {
                 self.forwarder.handle(self.now, Event::Sent(attempt), &mut self.actions);
--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -154,11 +154,11 @@
         &mut self,
         now: Time,
         key: RequestKey,
-        part: usize,
+        index: usize,
         kind: AttemptKind,
     ) -> Selection {
         let Some(request) = self.requests.get(key) else { return Selection::NoCandidate };
-        let (objective, part) = (request.route.latency_objective, &request.parts[part]);
+        let (objective, part) = (request.route.latency_objective, &request.parts[index]);
         let Some(service) = self.services.get(&part.service) else { return Selection::NoCandidate };
         let Some(latency) = self.route_latencies.get(&request.route.name) else {
             return Selection::NoCandidate;
@@ -172,12 +172,31 @@
             latency,
             replica: |it| self.replicas.get(it),
         };
-        match kind {
+        let probe = selector.select_for_probe(&part.tried);
+        let selection = match kind {
             AttemptKind::Hedge => selector.select_for_hedge(&part.tried),
             AttemptKind::First | AttemptKind::Retry => selector.select(&part.tried),
+        };
+        match probe {
+            // The request is still served if the probe fails: by the selected replica, as a retry.
+            Some(it)
+                if kind == AttemptKind::First
+                    && matches!(selection, Selection::Replica(_))
+                    && request.route.is_idempotent
+                    && request.route.max_attempts > 1
+                    && self.allows_retry(now, &self.requests[key].parts[index].service.clone()) =>
+            {
+                Selection::Replica(it)
+            }
+            _ => selection,
         }
     }
 
+    fn allows_retry(&mut self, now: Time, name: &ServiceId) -> bool {
+        let (budget, share) = (self.settings.budget, self.membership.share(now));
+        self.service_mut(name).budget_tracker.allows_retry(now, &budget, share)
+    }
+
     pub(super) fn send(
         &mut self,
         now: Time,
@@ -336,7 +355,9 @@
         let Some((attempt, is_wanted)) = self.remove_attempt(key) else { return };
         if let Some(replica) = self.replicas.get_mut(attempt.replica) {
             match failure {
-                Failure::NotSent => {}
+                // Neither says anything about the replica.
+                Failure::NotSent | Failure::NoMemory => {}
+                Failure::Overlong => replica.record_overlong(now),
                 Failure::NotAccepted => replica.record_not_accepted(now),
                 Failure::Unreachable | Failure::WrongReplica => replica.record_unreachable(now),
                 Failure::Broken => replica.record_failure(now),
@@ -483,8 +504,7 @@
             return false;
         }
         let (was_sent, name) = (part.arrivals > 0, part.service.clone());
-        let (budget, share) = (self.settings.budget, self.membership.share(now));
-        !was_sent || self.service_mut(&name).budget_tracker.allows_retry(now, &budget, share)
+        !was_sent || self.allows_retry(now, &name)
     }
 
     /// Abandons all attempts and queue entries of a request.
--- a/crates/query/src/forward/interface.rs
+++ b/crates/query/src/forward/interface.rs
@@ -109,6 +109,12 @@
     Broken,
     /// The attempt was abandoned and its connection closed.
     Abandoned,
+    /// The reply was given up because it is longer than any legal one, or as the largest one without a stated
+    /// length while the memory for replies was used up. The request may have been executed.
+    Overlong,
+    /// The reply was given up at its head because the memory for replies had no room for its length. The
+    /// request may have been executed.
+    NoMemory,
 }
 
 /// A command to the driver.
--- a/crates/query/src/forward/replicas.rs
+++ b/crates/query/src/forward/replicas.rs
@@ -41,6 +41,10 @@
 /// connections within a second, so one may become free at any moment.
 const NOT_ACCEPTED_BACKOFF: Duration = Duration::from_millis(10);
 
+/// Number of overlong replies in a row after which a replica is in backoff. A sound replica has successes in
+/// between, also if a large reply is given up because the memory for replies is used up.
+const MAX_OVERLONG_REPLIES: u32 = 3;
+
 /// What a replica has asked for in its replies.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct WithdrawalState {
@@ -66,6 +70,8 @@
     pub(crate) withdrawal: WithdrawalState,
     /// Length of the next backoff.
     backoff: Duration,
+    /// Number of overlong replies since its last success.
+    overlong_replies: u32,
     /// Latency estimate as of `sampled_at`; 0 before the first sample.
     latency_us: f32,
     failure_rate: f32,
@@ -92,6 +98,7 @@
             down_until: Time::ZERO,
             withdrawal: WithdrawalState::default(),
             backoff: INITIAL_BACKOFF,
+            overlong_replies: 0,
             latency_us: 0.0,
             failure_rate: 0.0,
             late_events: 0,
@@ -116,6 +123,11 @@
         now < self.down_until
     }
 
+    /// Whether it sends replies without end. It gets requests only as probes, or if there is no other replica.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.overlong_replies >= MAX_OVERLONG_REPLIES
+    }
+
     /// Whether it is in backoff because its queue or its connections were full.
     pub(crate) fn is_full(&self, now: Time) -> bool {
         now < self.full_until
@@ -168,6 +180,7 @@
         self.warm_until = now + WARM_DURATION;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT / 2.0;
         self.backoff = INITIAL_BACKOFF;
+        self.overlong_replies = 0;
         self.down_until = Time::ZERO;
     }
 
@@ -192,6 +205,17 @@
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
+    /// Records that a reply was given up for its length. A replica that does this again and again without a
+    /// success is in backoff like an unreachable one: each further request would take memory until it is given
+    /// up too.
+    pub(crate) fn record_overlong(&mut self, now: Time) {
+        self.overlong_replies = self.overlong_replies.saturating_add(1);
+        match self.is_suspect() && !self.is_down(now) {
+            true => self.record_unreachable(now),
+            false => self.record_failure(now),
+        }
+    }
+
     /// Records the latency of a late reply, or the age of a late attempt without a reply. A replica
     /// that is late once has often paused and is as fast as before afterwards, so only further late
     /// events without a reply in time change the estimate.
--- a/crates/query/src/forward/selection.rs
+++ b/crates/query/src/forward/selection.rs
@@ -68,24 +68,43 @@
 impl<'a, R: Fn(ReplicaKey) -> Option<&'a Replica>> ReplicaSelector<'a, R> {
     /// Selects the untried candidate with the lowest cost.
     pub(crate) fn select(&mut self, tried: &[ReplicaKey]) -> Selection {
-        self.select_below(tried, f32::MAX)
+        match self.select_below(tried, f32::MAX, false) {
+            Selection::NoCandidate => self.select_below(tried, f32::MAX, true),
+            selection => selection,
+        }
     }
 
     /// Selects the untried candidate with the lowest cost for a hedge, leaving out those that cost
     /// as much as a paused replica.
     pub(crate) fn select_for_hedge(&mut self, tried: &[ReplicaKey]) -> Selection {
-        self.select_below(tried, STALL_COST_US)
+        self.select_below(tried, STALL_COST_US, false)
+    }
+
+    /// Selects the suspect replica that is due for a probe.
+    pub(crate) fn select_for_probe(&self, tried: &[ReplicaKey]) -> Option<ReplicaKey> {
+        let is_due = |key: &&ReplicaKey| {
+            (self.replica)(**key)
+                .is_some_and(|it| it.is_suspect() && it.in_flight.is_empty() && self.is_usable(it))
+                && !tried.contains(key)
+        };
+        self.service.replicas.iter().find(is_due).copied()
+    }
+
+    fn is_usable(&self, replica: &Replica) -> bool {
+        replica.accepts_requests() && !replica.is_down(self.now) && !replica.is_withdrawn(self.now)
     }
 
-    fn select_below(&mut self, tried: &[ReplicaKey], max_cost_us: f32) -> Selection {
+    fn select_below(
+        &mut self,
+        tried: &[ReplicaKey],
+        max_cost_us: f32,
+        is_suspect: bool,
+    ) -> Selection {
         let mut best: Option<(ReplicaKey, f32)> = None;
         let mut is_busy = false;
         for key in &self.service.replicas {
             let Some(replica) = (self.replica)(*key) else { continue };
-            if !replica.accepts_requests()
-                || replica.is_down(self.now)
-                || replica.is_withdrawn(self.now)
-                || tried.contains(key)
+            if replica.is_suspect() != is_suspect || !self.is_usable(replica) || tried.contains(key)
             {
                 continue;
             }
