Let a route permit any number of attempts

Callers saw: on a route with attempts near 2^32, no retry (from the code); a build with overflow checks ended. Cause: the limit on tried replicas is the attempts of the route plus two, which wrapped. Why it works: the sum saturates.

--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -491,7 +491,7 @@
         let part = &request.parts[index];
         let attempts = request.route.max_attempts.max(1);
         let has_attempts_left = self.possible_runs(part) < attempts
-            && (part.tried.len() as u32) < attempts + MAX_REJECTED_ATTEMPTS;
+            && (part.tried.len() as u32) < attempts.saturating_add(MAX_REJECTED_ATTEMPTS);
         let is_safe = request.route.is_idempotent || part.runs == 0;
         let is_quarantined =
             self.crash_detector.quarantined_until(now, request.fingerprint).is_some();
@@ -553,8 +553,9 @@
         let request = &self.requests[key];
         let attempts = request.route.max_attempts;
         let runs = self.possible_runs(&request.parts[index]);
-        let is_possible =
-            running.len() < 2 && runs < attempts && tried < attempts + MAX_REJECTED_ATTEMPTS;
+        let is_possible = running.len() < 2
+            && runs < attempts
+            && tried < attempts.saturating_add(MAX_REJECTED_ATTEMPTS);
         let is_quarantined =
             self.crash_detector.quarantined_until(now, request.fingerprint).is_some();
         if is_quarantined || !is_possible || request.time_left(now) < MIN_TIME_LEFT {
