Refuse requests on a route without shards

Callers saw: nothing yet; found while looking for what else leaves requests unanswered. A configuration with an empty list of shards is taken, and the first request on that route ends the process, with every other request on it; the next process that gets one ends as well. Cause: too few shards refuse a request, and the refusal names the first one that has no replica. Without shards there is none, and the index is out of bounds. Why it works: such a route has no services, as a split without parts has none; its requests are refused at once, as not run. The configuration itself stays valid, so that one bad route does not hold back the others.

--- a/crates/query/src/forward/forwarder.rs
+++ b/crates/query/src/forward/forwarder.rs
@@ -287,6 +287,7 @@
 
     pub(super) fn target_services(&mut self, route: &Route) -> Option<Vec<ServiceId>> {
         match &route.target {
+            Target::Gather { shards, .. } if shards.is_empty() => None,
             Target::Gather { shards, .. } => Some(shards.clone()),
             Target::Split(parts) if parts.len() == 1 => Some(vec![parts[0].0.clone()]),
             Target::Split(parts) => {
