Log and count answers that no connection waits for

Cause: an answer whose connection was not found was dropped without a word, and one for another request than the one that the connection waits for would have been sent there. Why it works: the answer is matched with the request that the connection waits for; answers_dropped_total and the line answer_dropped tell the hypotheses apart: a client that left, or a connection that waits for something else. Sought on related paths, from the code: the forwarder answers each request by a timer of its own and loses none; ids of the product's own form are never used again; pools, timers and buffers have keys with a version.

--- a/crates/daemon/src/platform/answers.rs
+++ b/crates/daemon/src/platform/answers.rs
@@ -15,14 +15,34 @@
 impl EventLoop {
     /// Answers a request that was submitted to the forwarder.
     pub(super) fn answer_request(&mut self, request: RequestKey, answer: Answer) {
-        let Some(index) = self.request_conns.remove(&request) else { return };
-        let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
-        let ClientState::AwaitingAnswer(_, pending) =
-            std::mem::replace(&mut client.state, ClientState::ReadingHead)
-        else {
-            return;
+        let index = self.request_conns.remove(&request);
+        let client = index.and_then(|it| match self.conns.get_mut(it) {
+            Some(Conn::Client(client)) => Some((it, client)),
+            _ => None,
+        });
+        let Some((index, client)) = client else {
+            return self.drop_answer("the client has left");
         };
-        self.send_answer(index, &pending, answer);
+        match std::mem::replace(&mut client.state, ClientState::ReadingHead) {
+            ClientState::AwaitingAnswer(key, pending) if key == request => {
+                self.send_answer(index, &pending, answer);
+            }
+            state => {
+                client.state = state;
+                self.drop_answer("its connection waits for no answer to it");
+            }
+        }
+    }
+
+    /// Counts and logs an answer that no connection waits for.
+    fn drop_answer(&mut self, reason: &str) {
+        self.metrics.answers_dropped += 1;
+        self.journal.log(
+            self.now,
+            LineKind::Failure,
+            "answer_dropped",
+            format_args!(r#""reason":{reason:?}"#),
+        );
     }
 
     /// Logs an answer and writes it to the client.
--- a/crates/daemon/src/platform/metrics.rs
+++ b/crates/daemon/src/platform/metrics.rs
@@ -27,6 +27,7 @@
     pub(super) sends: [u64; 3],
     /// Attempts without a usable reply, by [`Failure`](rosemarybank_query::forward::Failure).
     pub(super) attempt_failures: [u64; 8],
+    pub(super) answers_dropped: u64,
     pub(super) failed_replies: u64,
     pub(super) foreign_replies: u64,
     pub(super) replicas_leaving: u64,
@@ -107,6 +108,7 @@
         put("connect_timeouts_total", metrics.connect_timeouts);
         put("store_calls_total", metrics.store_calls);
         put("store_failures_total", metrics.store_failures);
+        put("answers_dropped_total", metrics.answers_dropped);
         put("answers_total{kind=\"relayed\"}", metrics.relayed);
         put("answers_total{kind=\"whole\"}", metrics.merged_complete);
         put("answers_total{kind=\"partial\"}", metrics.merged_partial);
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -473,6 +473,34 @@
     }
 }
 
+/// Guards against the same for requests that wait for the first configuration and are then refused together.
+#[test]
+fn requests_that_wait_for_the_start_are_all_answered() {
+    const CALLERS: usize = 30;
+    let cluster = Cluster::new();
+    for replica in ["orders-1", "orders-2"] {
+        cluster.replica(replica).leave();
+    }
+    let mut instance = cluster.start_instance("m1", "a");
+    // An instance loads its configuration about 300 ms after its start, and requests wait for 200 ms.
+    for delay in [120, 180, 240] {
+        instance.kill();
+        instance.start().unwrap();
+        std::thread::sleep(Duration::from_millis(delay));
+        let mut callers: Vec<Caller> =
+            (0..CALLERS).map(|_| Caller::connect(instance.client_addr()).unwrap()).collect();
+        for (number, caller) in callers.iter_mut().enumerate() {
+            caller.send("GET", "/read/x", &format!("start-{delay}-{number}"), 60_000).unwrap();
+        }
+        for (number, caller) in callers.iter_mut().enumerate() {
+            let answer = caller.receive().unwrap_or_else(|err| panic!("request {number}: {err}"));
+            assert_eq!(answer.status(), 503, "request {number}: {answer:?}");
+        }
+        let metrics = instance.metrics().unwrap();
+        assert!(metrics.contains("rosemarybank_answers_dropped_total 0\n"), "{metrics}");
+    }
+}
+
 /// Guards against an entry of another writer, with fields missing, that names a replica of another service.
 #[test]
 fn an_incomplete_entry_names_no_replica() {
