--- a/crates/daemon/src/daemon/instance.rs
+++ b/crates/daemon/src/daemon/instance.rs
@@ -14,6 +14,7 @@
     clock::Clock,
     in_flight::InFlightRequests,
     lifecycle::{Lifecycle, Readiness},
+    listener,
     settings::Settings,
 };
 
@@ -83,8 +84,5 @@
 
 /// Binds a port; `key` is the settings key of its address.
 fn bind(addr: SocketAddr, key: &str) -> Result<TcpListener> {
-    let listener =
-        TcpListener::bind(addr).wrap_err_with(|| format!("{key}: cannot bind to {addr}"))?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
+    listener::listen(addr).wrap_err_with(|| format!("{key}: cannot bind to {addr}"))
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http_server;
 pub mod in_flight;
 pub mod lifecycle;
+pub mod listener;
 pub mod logging;
 pub mod message;
 pub mod shared_sender;
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -22,19 +22,22 @@
 use slab::Slab;
 use slotmap::SecondaryMap;
 
-use crate::platform::{
-    client::ClientConn,
-    client_memory::client_memory,
-    config_text::ConfigText,
-    feed::FeedClient,
-    journal::{Journal, LineKind},
-    metrics::Metrics,
-    poller::{Poller, Resource},
-    reply_memory::reply_memory,
-    shutdown::Shutdown,
-    socket::Socket,
-    store::{CallConn, StorePoller},
-    upstream::{Pool, UpstreamConn},
+use crate::{
+    listener,
+    platform::{
+        client::ClientConn,
+        client_memory::client_memory,
+        config_text::ConfigText,
+        feed::FeedClient,
+        journal::{Journal, LineKind},
+        metrics::Metrics,
+        poller::{Poller, Resource},
+        reply_memory::reply_memory,
+        shutdown::Shutdown,
+        socket::Socket,
+        store::{CallConn, StorePoller},
+        upstream::{Pool, UpstreamConn},
+    },
 };
 
 /// Token of the listener for clients.
@@ -450,7 +453,7 @@
         kind: ListenerKind,
         addr: std::net::SocketAddr,
     ) -> io::Result<()> {
-        let mut listener = TcpListener::bind(addr)?;
+        let mut listener = TcpListener::from_std(listener::listen(addr)?);
         self.poll.registry().register(&mut listener, token, Interest::READABLE)?;
         self.listeners.push((token, kind, listener));
         Ok(())
