Keep only small error replies while their requests are retried

Callers saw: nothing yet. A replica that answers with large errors had the last one kept for each request in flight, up to 1/256 of the memory each, and also for each search, which never relays it; nothing limited their sum. Cause: the reply left the budget for replies when it was whole, and waited in the forwarder for the end of the retry. Evidence: a_large_error_reply_is_kept_no_longer_than_its_retry_begins failed before and passes now. Not shown with real processes: the retry budget of the tests permits too few retries to exceed 32 MB. Why it works: an error that cannot be retried is relayed at once, whole; one of over 4 KB is not kept for the retry, whose own failure is answered instead.

--- a/crates/query/src/forward/attempts.rs
+++ b/crates/query/src/forward/attempts.rs
@@ -45,6 +45,10 @@
 /// a replica busy.
 const ABANDONED_REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum size in bytes of the body of a failed reply that is kept while its request is retried. There are as
+/// many as requests in flight, and nothing else limits their sum.
+const MAX_KEPT_FAILURE_LEN: usize = 4 << 10;
+
 /// Minimum number of connections that an instance may open to a replica, regardless of the number
 /// of instances.
 const MIN_CONNECTIONS: u32 = 2;
@@ -338,10 +342,16 @@
             self.record_not_run(&attempt);
             self.retry_part(now, &attempt, out);
         } else {
-            if let Some(request) = self.requests.get_mut(attempt.request) {
+            // A search never relays the failure of a part.
+            if let Some(request) = self.requests.get_mut(attempt.request)
+                && !request.is_gather()
+            {
                 request.last_failure = Some(reply);
             }
             self.retry_part(now, &attempt, out);
+            if let Some(request) = self.requests.get_mut(attempt.request) {
+                request.last_failure.take_if(|it| it.body.len() > MAX_KEPT_FAILURE_LEN);
+            }
         }
     }
 
--- a/crates/query/tests/forward_requests.rs
+++ b/crates/query/tests/forward_requests.rs
@@ -230,6 +230,26 @@
     assert_eq!(*harness.only_answer(), Answer::Relay(reply(500, "p2", b"second")));
 }
 
+/// Guards against failed replies that fill the memory while their requests are retried: a large one is not
+/// kept for the case that the retry fails without a reply.
+#[test]
+fn a_large_error_reply_is_kept_no_longer_than_its_retry_begins() {
+    for (len, is_kept) in [(4 << 10, true), ((4 << 10) + 1, false)] {
+        let mut harness = Harness::new(vec![plain_route("p", "s")], two_replicas("s"));
+        harness.submit("p");
+        harness.reply_to(0, reply(500, "p1", &vec![1; len]));
+        harness.mark_sent(1);
+        harness.fail(1, Failure::Broken);
+        let is_relayed = matches!(harness.only_answer(), Answer::Relay(it) if it.body.len() == len);
+        assert_eq!(is_relayed, is_kept, "{len}");
+        // Without a retry, an error reply of any size is relayed.
+        let mut harness = Harness::new(vec![at_most_once_route("o", "s")], two_replicas("s"));
+        harness.submit("o");
+        harness.reply_to(0, reply(500, "p1", &vec![1; len]));
+        assert!(matches!(harness.only_answer(), Answer::Relay(it) if it.body.len() == len));
+    }
+}
+
 /// A success reply without a server stamp is not proven to come from the replica.
 #[test]
 fn a_success_without_a_stamp_is_not_relayed() {
