Show that replies over HTTP/2 exceed the memory of a process

The stand-in of an upstream has the fault unfinished_bytes; its replies may have a body without end.

--- a/crates/daemon/tests/crowds.rs
+++ b/crates/daemon/tests/crowds.rs
@@ -30,6 +30,9 @@
 /// Largest request body in bytes that the bundle allows.
 const MAX_BODY_LEN: usize = 1 << 20;
 
+/// Largest body of a reply in bytes.
+const MAX_REPLY_LEN: usize = 4 << 20;
+
 /// One caller in this many sends its whole request.
 const WHOLE_EVERY: usize = 10;
 
@@ -70,6 +73,11 @@
     /// Checks that an ordinary caller is answered and the process stays within the memory.
     fn check(&self) {
         wait_memory_steady(self.process.pid(), WAIT).unwrap();
+        self.check_action();
+        self.check_memory();
+    }
+
+    fn check_action(&self) {
         let key = new_key();
         let (status, body) = self.env.send_as_desk(
             Method::POST,
@@ -79,6 +87,9 @@
             r#"{"body":"reserve 12","timeout_ms":60000}"#,
         );
         assert_eq!((status, &body["outcome"]["state"]), (200, &"done".into()), "{body}");
+    }
+
+    fn check_memory(&self) {
         let peak_kb = peak_memory_kb(self.process.pid()).unwrap();
         assert!(peak_kb <= MEMORY_MB << 10, "{peak_kb} kB");
     }
@@ -180,6 +191,29 @@
     drop(crowd);
 }
 
+/// Guards against replies that stop just short of the largest size: each is within its own limit, and their
+/// number grows with the crowd.
+#[test]
+fn unfinished_replies_of_upstreams_stay_within_the_memory() {
+    let env = Env::start();
+    let faults = ReplicaFaults { unfinished_bytes: MAX_REPLY_LEN - 1, ..ReplicaFaults::default() };
+    env.env.set_upstream_faults(&["lots-1", "lots-2"], faults);
+    let crowd = Crowd::send(env.process.callers, 200, usize::MAX, |number| {
+        let body = format!(r#"{{"timeout_ms":60000,"body":"reserve {number}"}}"#);
+        format!(
+            "POST /v1/services/lots/actions HTTP/1.1\r\nhost: entry\r\n\
+             authorization: Bearer {TOKEN}\r\nidempotency-key: {}\r\ncontent-length: {}\r\n\r\n{body}",
+            new_key(),
+            body.len()
+        )
+        .into_bytes()
+    });
+    wait_memory_steady(env.process.pid(), WAIT).unwrap();
+    assert_eq!(env.process.run_search(&env.env).0, 200);
+    env.check_memory();
+    drop(crowd);
+}
+
 /// Guards against a limit that a single caller meets.
 #[test]
 fn a_single_body_of_the_largest_size_is_served() {
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -1,13 +1,50 @@
 //! Helpers for HTTP requests and replies, shared by the stand-ins.
 
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
 use bytes::Bytes;
 use http::{Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use serde::Serialize;
 
-/// Reply with its complete body.
-pub type Reply = Response<Full<Bytes>>;
+/// Reply of a stand-in.
+pub type Reply = Response<ReplyBody>;
+
+/// Body of a reply.
+#[derive(Clone, Debug, Default)]
+pub struct ReplyBody {
+    bytes: Full<Bytes>,
+    /// Whether the end of the body is never sent.
+    is_unfinished: bool,
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match Pin::new(&mut self.bytes).poll_frame(cx) {
+            Poll::Ready(None) if self.is_unfinished => Poll::Pending,
+            frame => frame,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        !self.is_unfinished && self.bytes.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        if self.is_unfinished { SizeHint::default() } else { self.bytes.size_hint() }
+    }
+}
 
 /// Result of a request that gets no reply: its connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +61,7 @@
 /// Builds a JSON reply.
 pub fn json(status: StatusCode, body: &impl Serialize) -> Reply {
     let body = serde_json::to_vec(body).expect("replies have no map with non-string keys");
-    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    let mut reply = Response::new(ReplyBody { bytes: Full::from(body), is_unfinished: false });
     *reply.status_mut() = status;
     reply
         .headers_mut()
@@ -35,11 +72,17 @@
 /// Builds a reply without a body.
 #[must_use]
 pub fn empty(status: StatusCode) -> Reply {
-    let mut reply = Response::new(Full::default());
+    let mut reply = Response::new(ReplyBody::default());
     *reply.status_mut() = status;
     reply
 }
 
+/// Builds a reply whose body goes no further after this many bytes, and does not end.
+#[must_use]
+pub fn unfinished(len: usize) -> Reply {
+    Response::new(ReplyBody { bytes: Full::from(vec![b' '; len]), is_unfinished: true })
+}
+
 /// Reads a request body of at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/standins/src/upstream/faults.rs
+++ b/crates/standins/src/upstream/faults.rs
@@ -33,6 +33,8 @@
     pub straggler: f64,
     /// Requests are accepted but never get a reply.
     pub silent: bool,
+    /// Searches and actions are executed, and their replies go no further after this many bytes; 0 for none.
+    pub unfinished_bytes: usize,
     /// Every search and action is shed.
     pub shed: bool,
     /// New connections are closed at once. Open connections are reset when this is set.
@@ -53,6 +55,7 @@
             delay_ms: 0,
             straggler: 1.0,
             silent: false,
+            unfinished_bytes: 0,
             shed: false,
             down: false,
             crash: None,
--- a/crates/standins/src/upstream/service.rs
+++ b/crates/standins/src/upstream/service.rs
@@ -16,7 +16,7 @@
     effects::Effect, faults::CrashPoint, network::Network, replica::Replica, search::search,
 };
 use crate::{
-    http::{NoReply, Reply, empty, json, read_body},
+    http::{NoReply, Reply, empty, json, read_body, unfinished},
     server::{ConnLimits, Handler},
 };
 
@@ -151,6 +151,7 @@
         let one_way_delay = self.one_way_delay(peer);
         sleep_if_nonzero(one_way_delay).await;
         let (head, body) = req.into_parts();
+        let is_execution = head.method == Method::POST;
         let result = match (head.method, head.uri.path()) {
             (Method::POST, "/search") => self.search(&head.headers, body).await,
             (Method::POST, "/actions") => self.execute_action(&head.headers, body).await,
@@ -160,6 +161,9 @@
         };
         sleep_if_nonzero(one_way_delay + Duration::from_millis(faults.delay_ms)).await;
         match result {
+            Ok(_) if is_execution && faults.unfinished_bytes > 0 => {
+                Ok(unfinished(faults.unfinished_bytes))
+            }
             Ok(reply) => Ok(reply),
             Err(RequestError::ErrorReply(error)) => {
                 let status = StatusCode::from_u16(error.error.status())
