Limit the memory that replies over HTTP/2 may occupy

Callers saw: as in, on the product's own interface: replies that go on without end, or stop just short of the largest size, end a process with all requests on it. Cause: a reply was limited to 4 MB, and nothing limited how many there are. The unit tests of the memory show that small replies are read beside a crowd of growing ones, and that one of the largest size always has room in calm. Why it works: the calls of a thread share a memory (new setting upstreams.reply_memory_mb, 64 by default). A stated length is reserved at the head; a reply may take half of what the others leave free, twice its length because its buffer doubles. Without room the call counts as failed, which says nothing about execution: searches are retried, an action is unknown, and the replica is ejected like others that fail. Not the budget of query::buffer_budget: nothing is released for others there, and transport depends on protocol alone.

--- a/crates/daemon/src/daemon/threads.rs
+++ b/crates/daemon/src/daemon/threads.rs
@@ -81,6 +81,8 @@
         let setup = UpstreamsSetup {
             clock: self.clock,
             connect_timeout: self.settings.upstreams.connect_timeout,
+            reply_memory: self.settings.upstreams.reply_memory
+                / self.settings.upstreams.threads.max(1) as usize,
             source: self.settings.source,
             recorder: self.recorder(),
             phase: self.lifecycle.watch(),
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -97,6 +97,8 @@
     pub threads: u32,
     /// Timeout of opening a connection.
     pub connect_timeout: Duration,
+    /// Memory in bytes for the replies in progress of all threads.
+    pub reply_memory: usize,
     /// Policy for routing searches to replicas.
     pub policy: QueryPolicy,
 }
--- a/crates/daemon/src/settings/parse.rs
+++ b/crates/daemon/src/settings/parse.rs
@@ -141,6 +141,7 @@
     let upstreams = UpstreamsSettings {
         threads: section.number("threads", 2, (1, 64)),
         connect_timeout: read_duration_ms(&mut section, "connect_timeout_ms", 500),
+        reply_memory: (section.number("reply_memory_mb", 64, (1, 1 << 20)) as usize) << 20,
         policy: section.optional("policy", QueryPolicy::Adaptive, "write adaptive or baseline"),
     };
     section.report_unknown_keys();
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -52,6 +52,8 @@
     pub clock: Clock,
     /// Timeout for opening a connection.
     pub connect_timeout: Duration,
+    /// Memory in bytes for the replies in progress of this thread.
+    pub reply_memory: usize,
     /// Local address to connect from; chosen by the operating system when absent.
     pub source: Option<IpAddr>,
     /// Sends records to telemetry.
@@ -62,10 +64,14 @@
 
 /// Sends attempts until the phase [`Phase::Exiting`]. Must run within a tokio `LocalSet`.
 pub async fn run(setup: UpstreamsSetup, mut rings: UpstreamsRings) {
-    let UpstreamsSetup { clock, connect_timeout, source, recorder, mut phase } = setup;
+    let UpstreamsSetup { clock, connect_timeout, reply_memory, source, recorder, mut phase } =
+        setup;
     let (notices_tx, mut notices) = mpsc::unbounded_channel();
-    let settings =
-        PoolSettings::builder().connect_timeout(connect_timeout).maybe_source(source).build();
+    let settings = PoolSettings::builder()
+        .connect_timeout(connect_timeout)
+        .reply_memory(reply_memory)
+        .maybe_source(source)
+        .build();
     let to_engine = SharedSender::new(rings.to_engine);
     spawn_local(to_engine.clone().pump());
     let upstreams = Upstreams {
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -23,6 +23,18 @@
     is_unfinished: bool,
 }
 
+impl From<Vec<u8>> for ReplyBody {
+    fn from(bytes: Vec<u8>) -> ReplyBody {
+        ReplyBody { bytes: Full::from(bytes), is_unfinished: false }
+    }
+}
+
+impl From<String> for ReplyBody {
+    fn from(text: String) -> ReplyBody {
+        ReplyBody::from(text.into_bytes())
+    }
+}
+
 impl Body for ReplyBody {
     type Data = Bytes;
     type Error = Infallible;
@@ -61,7 +73,7 @@
 /// Builds a JSON reply.
 pub fn json(status: StatusCode, body: &impl Serialize) -> Reply {
     let body = serde_json::to_vec(body).expect("replies have no map with non-string keys");
-    let mut reply = Response::new(ReplyBody { bytes: Full::from(body), is_unfinished: false });
+    let mut reply = Response::new(body.into());
     *reply.status_mut() = status;
     reply
         .headers_mut()
--- a/crates/transport/src/upstream/call.rs
+++ b/crates/transport/src/upstream/call.rs
@@ -1,11 +1,11 @@
 use bytes::{Bytes, BytesMut};
 use h2::{Reason, RecvStream};
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use rosemarybank_protocol::upstream::{DEADLINE_HEADER, UpstreamError, UpstreamErrorKind};
 use serde::de::DeserializeOwned;
 use tokio::time::{self, Instant};
 
-use super::{connection::Connection, replica::Replica};
+use super::{connection::Connection, replica::Replica, reply_memory::ReplyBuffer};
 use crate::traffic::{ByteCounter, header_bytes};
 
 /// Options of a request to a replica.
@@ -39,12 +39,12 @@
     path: &str,
     body: serde_json::Result<Vec<Bytes>>,
     options: &CallOptions,
-    max_reply_bytes: usize,
+    buffer: ReplyBuffer,
 ) -> CallOutcome<T> {
     match body {
         Ok(body) => {
             let request = (Method::POST, path, body);
-            exchange(replica, request, options, max_reply_bytes, None).await
+            exchange(replica, request, options, buffer, None).await
         }
         Err(_) => CallOutcome::NotSent,
     }
@@ -55,18 +55,18 @@
     replica: &Replica,
     path: &str,
     options: &CallOptions,
-    max_reply_bytes: usize,
+    buffer: ReplyBuffer,
     counter: &ByteCounter,
 ) -> CallOutcome<T> {
     let request = (Method::GET, path, Vec::new());
-    exchange(replica, request, options, max_reply_bytes, Some(counter)).await
+    exchange(replica, request, options, buffer, Some(counter)).await
 }
 
 async fn exchange<T: DeserializeOwned>(
     replica: &Replica,
     (method, path, body): (Method, &str, Vec<Bytes>),
     options: &CallOptions,
-    max_reply_bytes: usize,
+    mut buffer: ReplyBuffer,
     counter: Option<&ByteCounter>,
 ) -> CallOutcome<T> {
     let count = |bytes: usize| counter.iter().for_each(|it| it.add(bytes));
@@ -92,7 +92,7 @@
     }
     let reading = async {
         let (head, body) = response.await?.into_parts();
-        let body = read_body(body, max_reply_bytes).await?;
+        let body = read_body(body, stated_len(&head.headers), &mut buffer).await?;
         count(header_bytes(&head.headers) + body.as_ref().map_or(0, Bytes::len));
         Ok((head.status, body))
     };
@@ -130,12 +130,25 @@
     req.body(()).ok()
 }
 
-/// Reads a body; `None` when it exceeds the limit.
-async fn read_body(mut stream: RecvStream, limit: usize) -> Result<Option<Bytes>, h2::Error> {
+/// Length that a reply states for its body.
+fn stated_len(headers: &HeaderMap) -> usize {
+    let len = headers.get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse().ok());
+    len.unwrap_or(0)
+}
+
+/// Reads a body; `None` when it has no room in the memory for replies.
+async fn read_body(
+    mut stream: RecvStream,
+    stated_len: usize,
+    buffer: &mut ReplyBuffer,
+) -> Result<Option<Bytes>, h2::Error> {
     let mut body = BytesMut::new();
+    if !buffer.reserve(stated_len) {
+        return Ok(None);
+    }
     while let Some(chunk) = stream.data().await {
         let chunk = chunk?;
-        if body.len() + chunk.len() > limit {
+        if !buffer.reserve(body.len() + chunk.len()) {
             return Ok(None);
         }
         stream.flow_control().release_capacity(chunk.len())?;
@@ -144,7 +157,7 @@
     Ok(Some(body.freeze()))
 }
 
-/// Decodes a response. `body` is `None` when it exceeded the limit.
+/// Decodes a response. `body` is `None` when it had no room.
 fn decode<T: DeserializeOwned>(status: StatusCode, body: Option<&[u8]>) -> CallOutcome<T> {
     let malformed = || failed();
     let Some(body) = body else { return malformed() };
--- a/crates/transport/src/upstream/mod.rs
+++ b/crates/transport/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod frames;
 mod pool;
 mod replica;
+mod reply_memory;
 mod shard_call;
 
 pub use call::{CallOptions, CallOutcome};
--- a/crates/transport/src/upstream/pool.rs
+++ b/crates/transport/src/upstream/pool.rs
@@ -15,6 +15,7 @@
 use super::{
     call::{self, CallOptions, CallOutcome},
     replica::Replica,
+    reply_memory::ReplyMemory,
     shard_call::ShardCall,
 };
 use crate::traffic::ByteCounter;
@@ -30,6 +31,9 @@
     /// Largest reply body in bytes. A larger reply is reported as a failed request.
     #[builder(default = 4 << 20)]
     pub max_reply_bytes: usize,
+    /// Memory in bytes for all replies in progress. A reply that finds no room is reported as a failed request.
+    #[builder(default = 64 << 20)]
+    pub reply_memory: usize,
 }
 
 /// A replica to which the pool connects.
@@ -62,6 +66,7 @@
     settings: PoolSettings,
     goaway_tx: mpsc::UnboundedSender<GoingAway>,
     status_bytes: ByteCounter,
+    reply_memory: ReplyMemory,
     entries: Mutex<HashMap<ReplicaId, Entry>>,
 }
 
@@ -83,7 +88,9 @@
     #[must_use]
     pub fn new(settings: PoolSettings, goaway_tx: mpsc::UnboundedSender<GoingAway>) -> Pool {
         let (status_bytes, entries) = (ByteCounter::default(), Mutex::default());
-        Pool { inner: Arc::new(Inner { settings, goaway_tx, status_bytes, entries }) }
+        let reply_memory = ReplyMemory::new(settings.reply_memory, settings.max_reply_bytes);
+        let inner = Inner { settings, goaway_tx, status_bytes, reply_memory, entries };
+        Pool { inner: Arc::new(inner) }
     }
 
     /// Sets the replicas to which connections are kept open before they are needed.
@@ -112,8 +119,8 @@
         options: &CallOptions,
     ) -> CallOutcome<ShardReply> {
         let replica = self.replica(target);
-        let max_reply_bytes = self.inner.settings.max_reply_bytes;
-        call::post(&replica, "/search", req.encode(), options, max_reply_bytes).await
+        let buffer = self.inner.reply_memory.start();
+        call::post(&replica, "/search", req.encode(), options, buffer).await
     }
 
     /// Asks a replica to execute an action, which must not be executed twice.
@@ -128,7 +135,8 @@
     ) -> CallOutcome<UpstreamActionReply> {
         let replica = self.replica(target);
         let body = serde_json::to_vec(action).map(|it| vec![it.into()]);
-        call::post(&replica, "/actions", body, options, self.inner.settings.max_reply_bytes).await
+        let buffer = self.inner.reply_memory.start();
+        call::post(&replica, "/actions", body, options, buffer).await
     }
 
     /// Reads the status of a replica.
@@ -138,8 +146,8 @@
         options: &CallOptions,
     ) -> CallOutcome<ReplicaStatus> {
         let replica = self.replica(target);
-        let Inner { settings, status_bytes, .. } = &*self.inner;
-        call::get(&replica, "/status", options, settings.max_reply_bytes, status_bytes).await
+        let Inner { reply_memory, status_bytes, .. } = &*self.inner;
+        call::get(&replica, "/status", options, reply_memory.start(), status_bytes).await
     }
 
     /// Number of bytes of status requests and replies since the pool was created.
