Limit the connections to replicas to three eighths of the sockets

Callers saw: while replicas are silent, each caller opens further connections to them, and a process runs out of descriptors; it can then accept no client or probe and call neither the store nor a sound replica. Cause: each replica has a limit on connections, and nothing limited their sum. Only clients had a part of the sockets. Why it works: a connection beyond the limit closes an idle one, or its request waits like at a replica that accepts no further connection, and is refused as not run. The last third of the part is for first connections, so that an ordinary caller reaches a sound replica beside silent ones. A replacement for a broken connection that finds no room is not opened, and shows no crash.

--- a/crates/daemon/src/platform/connect.rs
+++ b/crates/daemon/src/platform/connect.rs
@@ -47,6 +47,30 @@
     }
 }
 
+/// Returns whether a connection to a replica may be opened, given the number of sockets that the process may
+/// have, of its connections to all replicas and of those to this one. Three eighths of the sockets are for
+/// replicas, and the last of these only for the first connection to a replica, so that replicas that hold many
+/// do not keep others from being called. Clients have half; the rest is for the store, other instances and probes.
+///
+/// # Examples
+///
+/// ```
+/// use rosemarybank_daemon::platform::connect::admits_connection;
+///
+/// assert!(admits_connection(800, 199, 50));
+/// assert!(!admits_connection(800, 200, 1));
+/// assert!(admits_connection(800, 200, 0));
+/// assert!(!admits_connection(800, 300, 0));
+/// ```
+#[must_use]
+pub fn admits_connection(max_sockets: usize, open: usize, open_to_replica: usize) -> bool {
+    let limit = match open_to_replica {
+        0 => max_sockets / 8 * 3,
+        _ => max_sockets / 4,
+    };
+    open < limit.max(1)
+}
+
 /// Returns the failure of an attempt whose connection could not be opened. A replica at its
 /// connection limit accepts a connection and resets it, so after a reset it is reachable and did not
 /// run the request. The reset can arrive before this instance sees the connection as open.
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -111,6 +111,8 @@
     pub(super) conns: Slab<Conn>,
     /// Number of connections of clients.
     pub(super) client_conns: usize,
+    /// Number of connections to replicas.
+    pub(super) upstream_conns: usize,
     pub(super) forwarder: Forwarder,
     pub(super) directory: Directory,
     pub(super) has_replica_list: bool,
@@ -200,6 +202,7 @@
             unaccepted: Vec::new(),
             conns: Slab::new(),
             client_conns: 0,
+            upstream_conns: 0,
             forwarder,
             directory: Directory::new(source_selector.max_source_age()),
             has_replica_list: false,
@@ -352,6 +355,10 @@
                 self.client_conns -= usize::from(client.listener == ListenerKind::Client);
             }
             Conn::Upstream(conn) => {
+                self.upstream_conns -= 1;
+                if let Some(pool) = self.pools.get_mut(conn.replica) {
+                    pool.open = pool.open.saturating_sub(1);
+                }
                 self.replies.remove(conn.buffer);
                 self.reply_conns.remove(conn.buffer);
             }
--- a/crates/daemon/src/platform/metrics.rs
+++ b/crates/daemon/src/platform/metrics.rs
@@ -35,6 +35,7 @@
     pub(super) connects: u64,
     pub(super) connect_timeouts: u64,
     pub(super) connects_refused: u64,
+    pub(super) connects_without_room: u64,
     pub(super) store_calls: u64,
     pub(super) store_failures: u64,
     pub(super) instances: u32,
@@ -105,6 +106,7 @@
         put("replicas_backing_off_total", metrics.replicas_backing_off);
         put("connects_total", metrics.connects);
         put("connects_refused_total", metrics.connects_refused);
+        put("connects_without_room_total", metrics.connects_without_room);
         put("connect_timeouts_total", metrics.connect_timeouts);
         put("store_calls_total", metrics.store_calls);
         put("store_failures_total", metrics.store_failures);
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -51,6 +51,8 @@
 pub(super) struct Pool {
     /// Idle connections; the most recently used one is last.
     pub(super) idle: Vec<usize>,
+    /// Number of open connections, busy ones included.
+    pub(super) open: usize,
     /// Whether this process of the replica has ended, so that no connection is reused.
     pub(super) is_retired: bool,
     /// Whether a replacement connection is being opened.
@@ -346,6 +348,10 @@
         if pool.is_retired || pool.is_reopening || !pool.idle.is_empty() {
             return;
         }
+        if !self.has_room_to_connect(replica) {
+            return;
+        }
+        let Some(pool) = self.pools.get_mut(replica) else { return };
         pool.is_reopening = true;
         if self.start_connect(replica, addr, UpstreamState::Reopening, &Message::default()).is_err()
         {
@@ -353,6 +359,27 @@
         }
     }
 
+    /// Whether a connection to a replica is within the limits on sockets. Idle connections to replicas are closed
+    /// to make room, those that are unused for longest first.
+    fn has_room_to_connect(&mut self, replica: ReplicaKey) -> bool {
+        loop {
+            let open_to_replica = self.pools.get(replica).map_or(0, |it| it.open);
+            let max = self.settings.max_sockets;
+            if connect::admits_connection(max, self.upstream_conns, open_to_replica) {
+                return true;
+            }
+            let idle = self.pools.values().filter_map(|it| it.idle.first().copied());
+            let idle_since = idle.filter_map(|it| match self.conns.get(it) {
+                Some(Conn::Upstream(conn)) => Some((conn.state_since, it)),
+                _ => None,
+            });
+            let Some((_, index)) = idle_since.min() else { break };
+            self.close_idle(index);
+        }
+        self.metrics.connects_without_room += 1;
+        false
+    }
+
     fn reopen_failed(&mut self, index: usize, replica: ReplicaKey) {
         self.close_conn(index);
         self.report_reopen_failure(replica);
@@ -419,6 +446,10 @@
         message: &Message,
     ) {
         let attempt = exchange.attempt;
+        if !self.has_room_to_connect(replica) {
+            let reason = "this instance has too many connections to replicas";
+            return self.fail_attempt(attempt, Failure::NotAccepted, reason);
+        }
         match self.start_connect(replica, addr, UpstreamState::Connecting(exchange), message) {
             Ok(index) => {
                 self.attempt_conns.insert(attempt, index);
@@ -442,6 +473,10 @@
         let index = entry.key();
         let mut socket = Socket::connect(addr, self.poll.registry(), index)?;
         socket.push_message(&message.head, &message.body);
+        self.upstream_conns += 1;
+        if let Some(pool) = self.pools.get_mut(replica) {
+            pool.open += 1;
+        }
         let buffer = self.replies.insert(self.now);
         self.reply_conns.insert(buffer, index);
         entry.insert(Conn::Upstream(UpstreamConn {
--- a/crates/daemon/tests/platform_crowds.rs
+++ b/crates/daemon/tests/platform_crowds.rs
@@ -246,6 +246,22 @@
     drop(crowd);
 }
 
+/// Guards against silent replicas that take all descriptors: each has its own limit on connections, and their
+/// sum leaves none for clients, the store and probes.
+#[test]
+fn connections_to_silent_replicas_leave_descriptors_free() {
+    let env = Env::start(FD_LIMIT);
+    for service in ["s1", "s2", "s3", "s4"] {
+        env.cluster.set_behaviour(service, Behaviour::Hang);
+    }
+    let crowd = send_small(&env, "/search/x");
+    let open = env.instance.open_sockets().unwrap();
+    assert!(open <= FD_LIMIT as usize - RESERVED_FDS, "{open} sockets");
+    env.check("/order/y");
+    assert!(env.instance.is_ready());
+    drop(crowd);
+}
+
 /// Guards against an iteration of the event loop in which probes, timers and other clients wait until the
 /// input of a whole crowd is parsed.
 #[test]
