--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -375,6 +375,23 @@
     assert!(peak_kb < 65_000, "{peak_kb} kB");
 }
 
+/// Guards against a store that sends bytes without end: a process reads it on several connections, and requests
+/// are served meanwhile.
+#[test]
+fn a_store_without_end_is_bounded() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    cluster.store.set_fault(StoreFault::Endless);
+    for number in 0..50 {
+        let id = format!("endless-{number}");
+        assert_relayed(&call(&instance, "GET", "/read/x", &id), &id);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    // The settings allow 260 MB.
+    let peak_kb = instance.peak_memory_kb().unwrap();
+    assert!(peak_kb < 65_000, "{peak_kb} kB");
+}
+
 /// Guards against a number that is no status and reaches the client as the status of an answer.
 #[test]
 fn a_reply_without_a_valid_status_is_no_answer() {
--- a/crates/standins/src/platform_mode/store.rs
+++ b/crates/standins/src/platform_mode/store.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    io,
+    io::{self, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
@@ -32,6 +32,8 @@
     LoseReplies,
     /// Answers after this delay.
     Slow(Duration),
+    /// Answers with a body without end, until the caller closes the connection.
+    Endless,
 }
 
 #[derive(Clone, Debug)]
@@ -276,6 +278,13 @@
                     self.handle(&call);
                     return Ok(());
                 }
+                StoreFault::Endless => {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n")?;
+                    let block = vec![b' '; 64 << 10];
+                    loop {
+                        stream.write_all(&block)?;
+                    }
+                }
             }
             let (status, body) = self.handle(&call);
             let body = self.insert_raw_specs(body.to_string().into_bytes());
