Search with hostile replicas whose number grows, and check the memory of each run

Each run of both modes compares the peak memory of the processes with that of their machine. The plans of other runs are as before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -50,6 +50,8 @@
     /// Graceful stops: the instance, the time of the signal, and whether the process exited in time
     /// with success.
     pub stops: Vec<(usize, Instant, bool)>,
+    /// Peak memory of processes: the instance, the peak in kB, and the memory of its machine in MB.
+    pub memory: Vec<(usize, u64, u64)>,
 }
 
 /// Runs all checks. Returns one line for each violation.
@@ -76,6 +78,11 @@
             violations.push(format!("m{instance} did not exit cleanly after SIGTERM"));
         }
     }
+    for (instance, peak_kb, memory_mb) in &observations.memory {
+        if *peak_kb > memory_mb << 10 {
+            violations.push(format!("m{instance} took {peak_kb} kB of {memory_mb} MB"));
+        }
+    }
     let recorded: HashSet<&str> = observations.records.iter().map(|it| it.id.as_str()).collect();
     // Requests that were still in flight at the end have no record.
     let open =
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Result, WrapErr};
 use rosemarybank_soak::{
-    plan::{RunSize, generate_plan},
+    plan::{Mode, RunSize, generate_plan},
     run::run,
 };
 
@@ -23,6 +23,8 @@
         optional --machines count: usize
         /// Binary of an instance (default: target/release/rosemarybankd).
         optional --binary path: PathBuf
+        /// Let replicas send replies without end to a crowd of clients, on instances with little memory.
+        optional --hostile
         /// Print the fault schedules without running them.
         optional --plan
     };
@@ -31,6 +33,7 @@
         instances: flags.machines.unwrap_or(3),
         replicas: REPLICAS,
         length: Duration::from_secs(flags.seconds.unwrap_or(12)),
+        mode: if flags.hostile { Mode::Hostile } else { Mode::Usual },
     };
     let first = flags.seed.unwrap_or(1);
     let mut is_clean = true;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use rosemarybank_standins::platform_mode::{Behaviour, StoreFault};
+use rosemarybank_standins::platform_mode::{Behaviour, BodyCoding, StoreFault};
 
-use crate::proxy::LinkFault;
+use crate::{proxy::LinkFault, site::HOSTILE_MEMORY_MB};
+
+/// Largest legal reply in bytes on an instance with the memory of hostile runs.
+const MAX_REPLY_LEN: usize = (HOSTILE_MEMORY_MB as usize) << 12;
 
 /// A fault to inject. Instances and replicas are identified by index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +52,16 @@
     pub fault: Fault,
 }
 
+/// What the replicas of a run do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// They fail in the usual ways.
+    #[default]
+    Usual,
+    /// More and more of them, and the store, also send replies without end to a crowd of clients.
+    Hostile,
+}
+
 /// Size and duration of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct RunSize {
@@ -58,6 +71,8 @@
     pub replicas: usize,
     /// Duration of the traffic.
     pub length: Duration,
+    /// What the replicas do.
+    pub mode: Mode,
 }
 
 /// Generates the fault schedule of a seed, sorted by time. Faults may repeat in short bursts and
@@ -68,9 +83,10 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use rosemarybank_soak::plan::{RunSize, generate_plan};
+/// use rosemarybank_soak::plan::{Mode, RunSize, generate_plan};
 ///
-/// let size = RunSize { instances: 3, replicas: 10, length: Duration::from_secs(8) };
+/// let length = Duration::from_secs(8);
+/// let size = RunSize { instances: 3, replicas: 10, length, mode: Mode::Usual };
 /// assert_eq!(generate_plan(7, size), generate_plan(7, size));
 /// ```
 #[must_use]
@@ -88,10 +104,46 @@
             faults.push(ScheduledFault { at: at + Duration::from_millis(400) * repeat, fault });
         }
     }
+    if size.mode == Mode::Hostile {
+        faults.extend(hostile_faults(&mut rng, size, last));
+    }
     faults.sort_by_key(|it| it.at);
     faults
 }
 
+/// Generates replies without end of the store, and of one replica, two, four and so on.
+fn hostile_faults(rng: &mut Rng, size: RunSize, last: u64) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    let mut add = |at, fault| faults.push(ScheduledFault { at: Duration::from_millis(at), fault });
+    let (mut at, mut count) = (rng.u64(300..1_000), 1);
+    while at < last {
+        let behaviour = random_endless_behaviour(rng);
+        let duration = Duration::from_millis(rng.u64(1_000..3_500));
+        for _ in 0..count {
+            add(at, Fault::Replica(rng.usize(..size.replicas), behaviour, duration));
+        }
+        if rng.u8(0..4) == 0 {
+            add(at, Fault::Store(StoreFault::Endless, duration));
+        }
+        at += rng.u64(300..1_500);
+        count = (count * 2).min(size.replicas);
+    }
+    faults
+}
+
+fn random_endless_behaviour(rng: &mut Rng) -> Behaviour {
+    let coding = [BodyCoding::Length, BodyCoding::Chunked, BodyCoding::UntilClose][rng.usize(..3)];
+    match rng.u8(0..6) {
+        // A body until the end of the connection would be complete when the fault ends.
+        0..=2 if coding != BodyCoding::UntilClose => {
+            Behaviour::UnfinishedBody(coding, rng.usize(MAX_REPLY_LEN / 2..MAX_REPLY_LEN))
+        }
+        0..=3 => Behaviour::EndlessBody(coding),
+        4 => Behaviour::EndlessHead,
+        _ => Behaviour::EndlessInterim,
+    }
+}
+
 fn random_fault(rng: &mut Rng, size: RunSize) -> Fault {
     let instance = rng.usize(..size.instances);
     let replica = rng.usize(..size.replicas);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,13 +14,14 @@
 use crate::{
     checks::{Observations, check},
     clients::Clients,
-    plan::{Fault, RunSize, ScheduledFault, generate_plan},
+    plan::{Fault, Mode, RunSize, ScheduledFault, generate_plan},
     proxy::LinkFault,
     site::{Backend, Site},
 };
 
-/// Number of clients for each instance.
+/// Number of clients for each instance, and in hostile runs.
 const CLIENTS_PER_INSTANCE: usize = 4;
+const HOSTILE_CLIENTS_PER_INSTANCE: usize = 80;
 
 /// Time within which an instance must exit after SIGTERM: the grace period of its settings.
 const STOP_GRACE: Duration = Duration::from_secs(6);
@@ -74,8 +75,12 @@
 ///
 /// Fails if a process cannot be started.
 pub fn run(seed: u64, size: RunSize, dir: &Path, binary: &Path) -> io::Result<Outcome> {
-    let site = Site::start(size.instances, dir, binary)?;
-    let clients = Clients::start(&site.front_addrs(), CLIENTS_PER_INSTANCE, seed);
+    let site = Site::start(size, dir, binary)?;
+    let clients_per_instance = match size.mode {
+        Mode::Usual => CLIENTS_PER_INSTANCE,
+        Mode::Hostile => HOSTILE_CLIENTS_PER_INSTANCE,
+    };
+    let clients = Clients::start(&site.front_addrs(), clients_per_instance, seed);
     let mut runner = Runner {
         is_down: vec![false; size.instances],
         observations: Observations::default(),
@@ -85,6 +90,7 @@
     let plan = generate_plan(seed, size);
     let injected = plan.len();
     runner.execute(plan, size.length, &clients)?;
+    (0..size.instances).for_each(|it| runner.observe_memory(it));
     let Runner { site, mut observations, .. } = runner;
     observations.records = clients.finish();
     observations.versions = site.versions.clone();
@@ -141,6 +147,7 @@
         match fault {
             Fault::Stop(it) if !self.is_down[it] => {
                 self.is_down[it] = true;
+                self.observe_memory(it);
                 self.site.instances[it].signal("-TERM");
                 self.schedule(now, Followup::AwaitExit(it, now));
             }
@@ -252,8 +259,17 @@
         same.map(|other| other.0).collect()
     }
 
+    /// Records the peak memory of an instance, before its process ends.
+    fn observe_memory(&mut self, it: usize) {
+        // A process that has just ended has none any more.
+        if let Ok(peak_kb) = self.site.instances[it].peak_memory_kb() {
+            self.observations.memory.push((it, peak_kb, self.site.memory_mb));
+        }
+    }
+
     fn kill(&mut self, it: usize, now: Instant) {
         self.is_down[it] = true;
+        self.observe_memory(it);
         self.site.instances[it].kill();
         self.observations.instance_faults.push((it, now, now + RESTART_DURATION));
         self.schedule(now + Duration::from_millis(300), Followup::Restart(it));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -10,7 +10,10 @@
 
 use rosemarybank_standins::platform_mode::{Execution, Instance, Replica, Store, config};
 
-use crate::proxy::Proxy;
+use crate::{
+    plan::{Mode, RunSize},
+    proxy::Proxy,
+};
 
 /// Services that act as the shards of a search.
 pub const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
@@ -31,6 +34,15 @@
 /// slack.
 pub const EXTRA_SEND_BUDGET: (f32, f32) = (0.2, 50.0);
 
+/// Memory in MB of an instance in [`Mode::Hostile`] runs.
+pub const HOSTILE_MEMORY_MB: u64 = 64;
+
+/// Memory in MB of an instance in other runs.
+pub const USUAL_MEMORY_MB: u64 = 260;
+
+/// Descriptors of an instance.
+const FD_LIMIT: u64 = 4_100;
+
 /// A replica and the proxy in front of it.
 #[derive(Debug)]
 pub struct Backend {
@@ -56,6 +68,10 @@
     /// Configuration versions and the times at which they were written to the store.
     pub versions: Vec<(u64, Instant)>,
     replicas_started: usize,
+    /// Memory of each instance in MB.
+    pub memory_mb: u64,
+    /// Connections that each replica accepts.
+    max_connections: u32,
 }
 
 impl Site {
@@ -64,8 +80,12 @@
     /// # Errors
     ///
     /// Fails if a process or stand-in does not start.
-    pub fn start(instances: usize, dir: &Path, binary: &Path) -> io::Result<Site> {
+    pub fn start(size: RunSize, dir: &Path, binary: &Path) -> io::Result<Site> {
         let store = Store::start()?;
+        let (memory_mb, max_connections) = match size.mode {
+            Mode::Usual => (USUAL_MEMORY_MB, 40),
+            Mode::Hostile => (HOSTILE_MEMORY_MB, 400),
+        };
         let mut site = Site {
             store,
             store_links: Vec::new(),
@@ -74,6 +94,8 @@
             runs: Arc::default(),
             versions: Vec::new(),
             replicas_started: 0,
+            memory_mb,
+            max_connections,
         };
         for service in SHARDS.into_iter().chain([ORDERS_SERVICE]) {
             for _ in 0..REPLICAS_PER_SERVICE {
@@ -82,11 +104,12 @@
             }
         }
         site.publish_next_config();
-        for number in 0..instances {
+        for number in 0..size.instances {
             let link = Proxy::start(site.store.addr())?;
             let name = format!("m{number}");
             let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
             let mut instance = Instance::new(&name, data_centre, dir, binary, link.addr())?;
+            instance.set_limits(site.memory_mb, FD_LIMIT)?;
             instance.start()?;
             site.store_links.push(link);
             site.instances.push(instance);
@@ -131,7 +154,10 @@
         let version_routes = (1..=version)
             .map(|it| config::route(&route_name(it), "idempotent", ORDERS_SERVICE))
             .collect();
-        let spec = config::spec(version, &SHARDS, ORDERS_SERVICE, version_routes);
+        let mut spec = config::spec(version, &SHARDS, ORDERS_SERVICE, version_routes);
+        for service in spec["services"].as_array_mut().into_iter().flatten() {
+            service["max_connections"] = self.max_connections.into();
+        }
         self.store.put("config", "main", spec);
         self.versions.push((version, Instant::now()));
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -15,7 +15,7 @@
 use rosemarybank_soak::{
     checks::{Observations, check},
     clients::{RequestKind, RequestRecord},
-    plan::RunSize,
+    plan::{Mode, RunSize},
     run::run,
 };
 use rosemarybank_standins::platform_mode::{Execution, Response};
@@ -29,7 +29,8 @@
 }
 
 fn run_seed(seed: u64) {
-    let size = RunSize { instances: 3, replicas: 15, length: Duration::from_secs(10) };
+    let length = Duration::from_secs(10);
+    let size = RunSize { instances: 3, replicas: 15, length, mode: Mode::Usual };
     let dir = tempfile::TempDir::new().unwrap();
     let outcome = run(seed, size, dir.path(), &binary()).unwrap();
     // The logs are kept if a check fails.
@@ -58,6 +59,20 @@
     run_seed(6);
 }
 
+/// Guards against replies without end that take the memory of an instance. Without a limit on their sum, a run
+/// of 12 s took 92 MB of 64.
+#[test]
+fn seed_2_of_hostile_replicas_violates_no_guarantee() {
+    let length = Duration::from_secs(10);
+    let size = RunSize { instances: 3, replicas: 15, length, mode: Mode::Hostile };
+    let dir = tempfile::TempDir::new().unwrap();
+    let outcome = run(2, size, dir.path(), &binary()).unwrap();
+    let logs = dir.keep();
+    assert!(outcome.requests > 300, "{outcome:?}, logs: {}", logs.display());
+    assert_eq!(outcome.violations, Vec::<String>::new(), "logs: {}", logs.display());
+    std::fs::remove_dir_all(logs).unwrap();
+}
+
 fn record(id: &str, kind: RequestKind, status: u16, at: Instant) -> RequestRecord {
     let answer = Response { start_line: format!("HTTP/1.1 {status} S"), ..Response::default() };
     RequestRecord {
