Cut the texts of clients in log lines

Callers saw: nothing yet; found while listing all buffers. Lines hold the path, the host and the id of a request as they came, up to 16 KB each and more when escaped. A crowd of them, while the reader of the log stalls, fills the queue of the writer with some 30 MB (computed: 7 s of 60 lines a second), and what is not lost costs as much to write. Cause: lines were limited in number, batches in number, neither in length. Why it works: texts of clients are cut at 256 bytes; any other line beyond 4 KB is replaced by its event and length.

--- a/crates/daemon/src/platform/answers.rs
+++ b/crates/daemon/src/platform/answers.rs
@@ -9,7 +9,7 @@
 use crate::platform::{
     client::{ClientState, PendingRequest},
     event_loop::{Conn, EventLoop, error_name},
-    journal::LineKind,
+    journal::{LineKind, excerpt},
 };
 
 impl EventLoop {
@@ -78,9 +78,9 @@
         let version = self.forwarder.table().map_or(0, |it| it.version);
         let common = format_args!(
             r#""request":{:?},"host":{:?},"path":{:?},"took_ms":{ms},"sends":{sends},"config":{version}"#,
-            id.as_str(),
-            pending.head.host.as_str(),
-            pending.head.path.as_str(),
+            excerpt(id),
+            excerpt(&pending.head.host),
+            excerpt(&pending.head.path),
         );
         let (kind, event, detail) = match answer {
             Answer::Relay(reply) if reply.status < 400 => {
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -20,7 +20,7 @@
     answers::{error_body, error_fields},
     event_loop::{Conn, EventLoop, ListenerKind},
     feed_codec::FeedRequest,
-    journal::LineKind,
+    journal::{LineKind, excerpt},
     socket::{ReadOutcome, Socket, WriteOutcome},
 };
 
@@ -537,7 +537,7 @@
         self.metrics.rejected += 1;
         client.close_after_answer = true;
         client.is_head_request |= client.buf.starts_with(b"HEAD ");
-        let request = client.request_id();
+        let request = excerpt(client.request_id());
         self.journal.log(
             self.now,
             LineKind::Failure,
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -29,7 +29,7 @@
         client_memory::client_memory,
         config_text::ConfigText,
         feed::FeedClient,
-        journal::{Journal, LineKind},
+        journal::{Journal, LineKind, excerpt},
         metrics::Metrics,
         poller::{Poller, Resource},
         reply_memory::reply_memory,
@@ -429,7 +429,7 @@
         let Some(info) = self.forwarder.attempt_info(attempt) else { return };
         let client = self.request_conns.get(&info.request).and_then(|it| self.conns.get(*it));
         let request = match client {
-            Some(Conn::Client(client)) => client.request_id(),
+            Some(Conn::Client(client)) => excerpt(client.request_id()),
             _ => "",
         };
         self.journal.log(
--- a/crates/daemon/src/platform/journal.rs
+++ b/crates/daemon/src/platform/journal.rs
@@ -26,6 +26,31 @@
 /// Window of the rate limits.
 const LIMIT_WINDOW: Duration = Duration::from_secs(1);
 
+/// Maximum length of a line in bytes.
+const MAX_LINE_LEN: usize = 4 << 10;
+
+/// Maximum length in bytes of a text of a client in a line; see [`excerpt`].
+const MAX_EXCERPT_LEN: usize = 256;
+
+/// Maximum number of bytes of lines that the writer has not taken: those of the time in which the queue fills up,
+/// and of one further window.
+pub(super) const MAX_LEN: usize = {
+    let batches = MAX_QUEUED_BATCHES as u128 + 2;
+    let windows = batches * FLUSH_INTERVAL.as_millis() / LIMIT_WINDOW.as_millis() + 2;
+    windows as usize * MAX_LINES * MAX_LINE_LEN
+};
+
+/// Maximum number of lines of all kinds in a [`LIMIT_WINDOW`].
+const MAX_LINES: usize = {
+    let (mut sum, mut index) = (0, 0);
+    while index < LineKind::ALL.len() {
+        // A further line reports how many were left out.
+        sum += LineKind::ALL[index].limit() as usize + 1;
+        index += 1;
+    }
+    sum
+};
+
 /// Kind of a log line. Each kind has its own rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LineKind {
@@ -143,9 +168,14 @@
     }
 
     fn append(&mut self, now: Time, event: &str, fields: fmt::Arguments<'_>) {
-        let ms = now.as_millis();
+        let (ms, start) = (now.as_millis(), self.batch.len());
         // Writing to a string cannot fail.
         let _ = writeln!(self.batch, r#"{{"up_ms":{ms},"event":"{event}",{fields}}}"#);
+        let len = self.batch.len() - start;
+        if len > MAX_LINE_LEN {
+            self.batch.truncate(start);
+            let _ = writeln!(self.batch, r#"{{"up_ms":{ms},"event":"{event}","left_out":{len}}}"#);
+        }
     }
 
     fn begin_window(&mut self, now: Time) {
@@ -183,6 +213,11 @@
     }
 }
 
+/// Returns the start of a text of a client, for a line.
+pub(super) fn excerpt(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_EXCERPT_LEN)]
+}
+
 fn write_all(rx: Receiver<Vec<u8>>) {
     let mut out = std::io::stdout();
     for batch in rx {
--- a/crates/daemon/src/platform/upstream.rs
+++ b/crates/daemon/src/platform/upstream.rs
@@ -16,7 +16,7 @@
     client::ClientState,
     connect,
     event_loop::{Conn, EventLoop},
-    journal::LineKind,
+    journal::{LineKind, excerpt},
     socket::{ReadOutcome, Socket, WriteOutcome},
 };
 
@@ -175,7 +175,7 @@
                 name,
                 format_args!(
                     r#""request":{:?},"service":{:?},"replica":{:?},"left_ms":{}"#,
-                    exchange.request_id.as_str(),
+                    excerpt(&exchange.request_id),
                     service.as_str(),
                     id.as_str(),
                     left.as_millis()
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -375,6 +375,22 @@
     assert!(peak_kb < 65_000, "{peak_kb} kB");
 }
 
+/// Guards against clients that fill the memory with lines that nobody reads: the texts of a request are cut in
+/// them, and the line is still found by its id.
+#[test]
+fn long_texts_of_clients_are_cut_in_the_log() {
+    let cluster = Cluster::new();
+    let instance = cluster.start_ready_instance();
+    for (id, filler) in [("long-1", "x"), ("long-2", "\"")] {
+        let answer = call(&instance, "GET", &format!("/nowhere/{}", filler.repeat(12_000)), id);
+        assert_eq!(answer.status(), 404, "{id}");
+    }
+    let read = || std::fs::read_to_string(instance.log_path()).unwrap();
+    let is_logged = |id: &str| read().contains(&format!(r#""request":"{id}","#));
+    assert!(wait_until(WAIT, || is_logged("long-1") && is_logged("long-2")), "{}", read());
+    assert!(read().lines().all(|it| it.len() < 4_096), "{}", read());
+}
+
 /// Guards against a store that sends bytes without end: a process reads it on several connections, and requests
 /// are served meanwhile.
 #[test]
