Compute the sum of all buffers that others can fill

A configuration that permits requests of over a sixteenth of the memory may exceed the sum. Not computed: the kernel's windows, and the product's own interface. The unlimited connections of instances, probes and readers of metrics are named.

--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -9,6 +9,7 @@
 pub mod connect;
 pub mod feed_codec;
 pub mod journal;
+pub mod memory_bounds;
 pub mod poller;
 
 mod accept;
--- a/crates/daemon/src/platform/store.rs
+++ b/crates/daemon/src/platform/store.rs
@@ -18,7 +18,10 @@
 };
 
 /// Maximum size of a reply body in bytes; a page of the store takes about a megabyte.
-const MAX_BODY_LEN: usize = 8 << 20;
+pub(super) const MAX_BODY_LEN: usize = 8 << 20;
+
+/// Maximum number of calls to the store in progress: one for each [`Resource`].
+pub(super) const MAX_CALLS: usize = 3;
 
 /// A poller and its connection to the store.
 #[derive(Debug)]
