Answer pipelined requests at a planned stop

Cause: the first answer after SIGTERM closes the connection, and input behind it is discarded. Evidence: pipelined_requests_are_answered_at_a_planned_stop, six requests: the connection closed after the first one before (1 run); all six are answered and the process exits with 0 now, with the other tests of stops (1 run). Why it works: while it stops, the instance closes a connection only behind the last input that has arrived. The limit on the grace time stays: what cannot be answered by then is refused as not run.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Whether a request, or part of one, may have arrived behind the one in progress.
+    fn has_further_input(&self) -> bool {
+        !self.buf.is_empty() || self.has_unread_input
+    }
+
     /// Consumes bytes of the input.
     fn consume(&mut self, len: usize) {
         self.buf.advance(len);
@@ -356,7 +361,8 @@
     pub(super) fn write_answer(&mut self, index: usize, status: u16, fields: &[u8], body: &[u8]) {
         let is_stopping = self.shutdown.has_begun();
         let Some(Conn::Client(client)) = self.conns.get_mut(index) else { return };
-        client.close_after_answer |= is_stopping && client.listener == ListenerKind::Client;
+        client.close_after_answer |=
+            is_stopping && client.listener == ListenerKind::Client && !client.has_further_input();
         let content = match std::mem::take(&mut client.is_head_request) {
             // A reply to a `HEAD` request has no content whose length could be stated.
             true => Content::Omitted((!body.is_empty()).then_some(body.len())),
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -375,6 +375,27 @@
     assert!(peak_kb < 65_000, "{peak_kb} kB");
 }
 
+/// Guards against requests that a client has sent behind the one in progress, and that a planned stop drops.
+#[test]
+fn pipelined_requests_are_answered_at_a_planned_stop() {
+    const REQUESTS: usize = 6;
+    let cluster = Cluster::new();
+    let mut instance = cluster.start_ready_instance();
+    cluster.set_service_time("orders", Duration::from_millis(200));
+    let mut caller = Caller::connect(instance.client_addr()).unwrap();
+    for number in 0..REQUESTS {
+        caller.send("GET", "/read/x", &format!("piped-{number}"), 5_000).unwrap();
+    }
+    assert!(wait_until(WAIT, || !cluster.runs("piped-0").is_empty()));
+    instance.signal("-TERM");
+    for number in 0..REQUESTS {
+        let answer = caller.receive().unwrap_or_else(|err| panic!("request {number}: {err}"));
+        assert_relayed(&answer, &format!("piped-{number}"));
+    }
+    let status = instance.wait_exit(WAIT).expect("the instance exits within its grace time");
+    assert!(status.success());
+}
+
 /// Guards against clients that fill the memory with lines that nobody reads: the texts of a request are cut in
 /// them, and the line is still found by its id.
 #[test]
