End the process although nobody reads its log

Cause: the end of the process joins the writer of the log, which blocks on its output. Why it works: the writer has 300 ms for the last lines; then they are given up with the process.

--- a/crates/daemon/src/platform/journal.rs
+++ b/crates/daemon/src/platform/journal.rs
@@ -9,7 +9,7 @@
     io::Write as _,
     sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rosemarybank_protocol::prelude::*;
@@ -23,6 +23,12 @@
 /// Maximum time for which lines are collected in a batch.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time that the writer has for the last lines when the process ends.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval of checking whether the writer is done with them.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Window of the rate limits.
 const LIMIT_WINDOW: Duration = Duration::from_secs(1);
 
@@ -157,11 +163,16 @@
         }
     }
 
-    /// Flushes all lines and stops the writer.
+    /// Flushes all lines and stops the writer. Gives up the lines that nobody has read after [`CLOSE_TIMEOUT`].
     pub fn close(mut self) {
         self.flush(self.flushed_at);
         self.tx = None;
-        if let Some(writer) = self.writer.take() {
+        let Some(writer) = self.writer.take() else { return };
+        let deadline = Instant::now() + CLOSE_TIMEOUT;
+        while !writer.is_finished() && Instant::now() < deadline {
+            thread::sleep(CLOSE_POLL_INTERVAL);
+        }
+        if writer.is_finished() {
             // A writer that panicked cannot write the remaining lines.
             let _ = writer.join();
         }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -396,6 +396,28 @@
     assert!(status.success());
 }
 
+/// Guards against a reader of the log that stalls and keeps the process from ending.
+#[test]
+fn a_log_that_nobody_reads_does_not_delay_a_stop() {
+    let cluster = Cluster::new();
+    let mut instance = cluster.start_ready_instance();
+    instance.kill();
+    let mut log = instance.start_with_piped_log().unwrap();
+    assert!(instance.wait_ready(WAIT));
+    // The pipe holds 64 KB; refused requests have a line each, up to the limit of lines a second.
+    let path = format!("/nowhere/{}", "x".repeat(300));
+    wait_until(Duration::from_secs(8), || {
+        (0..60).for_each(|it| drop(call(&instance, "GET", &path, &format!("unread-{it}"))));
+        false
+    });
+    instance.signal("-TERM");
+    let status = instance.wait_exit(WAIT).expect("the instance exits within its grace time");
+    assert!(status.success());
+    let mut text = String::new();
+    log.read_to_string(&mut text).unwrap();
+    assert!(!text.contains(r#""event":"stop""#), "the pipe was not full: {} bytes", text.len());
+}
+
 /// Guards against clients that fill the memory with lines that nobody reads: the texts of a request are cut in
 /// them, and the line is still found by its id.
 #[test]
--- a/crates/standins/src/platform_mode/instance.rs
+++ b/crates/standins/src/platform_mode/instance.rs
@@ -5,7 +5,7 @@
     io,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
 };
@@ -157,6 +157,22 @@
         Ok(())
     }
 
+    /// Starts the process with its log in a pipe, and returns the end to read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program can't be started.
+    pub fn start_with_piped_log(&mut self) -> io::Result<ChildStdout> {
+        let mut child = Command::new(&self.binary)
+            .args(["--platform", "--metrics-port", &self.ports().metrics.to_string()])
+            .env("ROSEMARYBANK_NODE_FILE", self.settings_path())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let log = child.stdout.take().ok_or_else(|| io::Error::other("the log is no pipe"))?;
+        self.child = Some(child);
+        Ok(log)
+    }
+
     /// Path of the log of the last started process.
     #[must_use]
     pub fn log_path(&self) -> PathBuf {
