Limit the connections of instances, probes and readers of metrics

Callers saw: nothing yet; found while listing what others can fill. Idle connections to the ports for other instances, probes and metrics have no limit, and take all descriptors. Cause: only the connections of clients were limited. Evidence: idle_connections_to_all_ports_leave_descriptors_free, 150 connections to each of the four ports, 100 sockets allowed: 506 before; passes now (1 run each), and the probe is answered. Why it works: these connections have three thirty-seconds of the sockets together, 363 of 3,900, so that one instance can be followed by the 294 others of the largest deployment; beyond that the one that has used up most of its timeout makes room, as with clients.

--- a/crates/daemon/src/platform/accept.rs
+++ b/crates/daemon/src/platform/accept.rs
@@ -51,15 +51,19 @@
         }
     }
 
-    /// Whether a further connection of a client is within the limit. If not, one without a request in
-    /// progress is closed to make room.
-    fn admit_client(&mut self) -> bool {
-        let max = self.settings.max_sockets / CLIENT_SOCKETS_DIVISOR;
-        if self.client_conns < max.max(1) {
+    /// Whether a further connection of a client, or one at the other listeners, is within its limit. If not, one
+    /// without a request in progress is closed to make room.
+    fn admit(&mut self, listener: ListenerKind) -> bool {
+        let sockets = self.settings.max_sockets;
+        let (open, max) = match listener {
+            ListenerKind::Client => (self.client_conns, sockets / CLIENT_SOCKETS_DIVISOR),
+            _ => (self.internal_conns, max_internal_conns(sockets)),
+        };
+        if open < max.max(1) {
             return true;
         }
         self.metrics.clients_crowded_out += 1;
-        let is_room = self.close_oldest_client();
+        let is_room = self.close_oldest_client(listener);
         self.journal.log(
             self.now,
             LineKind::Failure,
@@ -71,7 +75,7 @@
 
     fn add_client(&mut self, stream: TcpStream, listener: ListenerKind) {
         // Without a descriptor left, no replica, store or other instance could be called.
-        if listener == ListenerKind::Client && !self.admit_client() {
+        if !self.admit(listener) {
             return;
         }
         let entry = self.conns.vacant_entry();
@@ -81,7 +85,10 @@
             Ok(client) => {
                 entry.insert(Conn::Client(client));
                 self.buffer_conns.insert(buffer, index);
-                self.client_conns += usize::from(listener == ListenerKind::Client);
+                match listener {
+                    ListenerKind::Client => self.client_conns += 1,
+                    _ => self.internal_conns += 1,
+                }
                 // The first request has often arrived by the time the connection is accepted.
                 self.client_event(index);
             }
@@ -97,3 +104,9 @@
         }
     }
 }
+
+/// Number of sockets that the accepted connections of other instances, probes and readers of metrics may take
+/// together. An instance of the largest deployment may be followed by all others.
+fn max_internal_conns(max_sockets: usize) -> usize {
+    max_sockets / 32 * 3
+}
--- a/crates/daemon/src/platform/event_loop.rs
+++ b/crates/daemon/src/platform/event_loop.rs
@@ -111,6 +111,8 @@
     pub(super) conns: Slab<Conn>,
     /// Number of connections of clients.
     pub(super) client_conns: usize,
+    /// Number of connections of other instances, probes and readers of metrics.
+    pub(super) internal_conns: usize,
     /// Number of connections to replicas.
     pub(super) upstream_conns: usize,
     pub(super) forwarder: Forwarder,
@@ -202,6 +204,7 @@
             unaccepted: Vec::new(),
             conns: Slab::new(),
             client_conns: 0,
+            internal_conns: 0,
             upstream_conns: 0,
             forwarder,
             directory: Directory::new(source_selector.max_source_age()),
@@ -352,7 +355,10 @@
             Conn::Client(client) => {
                 self.buffers.remove(client.buffer);
                 self.buffer_conns.remove(client.buffer);
-                self.client_conns -= usize::from(client.listener == ListenerKind::Client);
+                match client.listener {
+                    ListenerKind::Client => self.client_conns -= 1,
+                    _ => self.internal_conns -= 1,
+                }
             }
             Conn::Upstream(conn) => {
                 self.upstream_conns -= 1;
--- a/crates/daemon/src/platform/sweep.rs
+++ b/crates/daemon/src/platform/sweep.rs
@@ -97,9 +97,11 @@
         })
     }
 
-    /// Closes a connection of a client to make room for another one: the one that has used up most of its
-    /// timeout. Returns whether there was one without a request in progress.
-    pub(super) fn close_oldest_client(&mut self) -> bool {
+    /// Closes an accepted connection to make room for another one at this listener, or at any that is not for
+    /// clients: the one that has used up most of its timeout. Returns whether there was one without a request
+    /// in progress.
+    pub(super) fn close_oldest_client(&mut self, listener: ListenerKind) -> bool {
+        let is_client = listener == ListenerKind::Client;
         let phase = self.phase();
         let elapsed = |client: &ClientConn| {
             let timeout = self.client_timeout(client, phase)?;
@@ -107,7 +109,9 @@
             Some(age.div_duration_f64(timeout.max(Duration::from_millis(1))))
         };
         let clients = self.conns.iter().filter_map(|(index, conn)| match conn {
-            Conn::Client(it) if it.listener == ListenerKind::Client => Some((index, elapsed(it)?)),
+            Conn::Client(it) if (it.listener == ListenerKind::Client) == is_client => {
+                Some((index, elapsed(it)?))
+            }
             _ => None,
         });
         let Some((index, _)) = clients.max_by(|a, b| a.1.total_cmp(&b.1)) else { return false };
--- a/crates/daemon/tests/platform_crowds.rs
+++ b/crates/daemon/tests/platform_crowds.rs
@@ -5,7 +5,10 @@
 #[path = "common/cluster.rs"]
 mod cluster;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
 
 use cluster::{Cluster, WAIT, assert_relayed};
 use rosemarybank_standins::platform_mode::{
@@ -246,6 +249,23 @@
     drop(crowd);
 }
 
+/// Guards against connections to the other ports that take all descriptors, and against a probe that finds no
+/// room beside them.
+#[test]
+fn idle_connections_to_all_ports_leave_descriptors_free() {
+    let env = Env::start(FD_LIMIT);
+    let ports = env.instance.ports();
+    let crowds: Vec<Crowd> = [ports.peer, ports.readiness, ports.metrics, ports.client]
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .map(|addr| Crowd::send(addr, CROWD, usize::MAX, |_| Vec::new()))
+        .into();
+    let open = env.instance.open_sockets().unwrap();
+    assert!(open <= FD_LIMIT as usize - RESERVED_FDS, "{open} sockets");
+    env.check("/order/y");
+    assert!(env.instance.is_ready());
+    drop(crowds);
+}
+
 /// Guards against silent replicas that take all descriptors: each has its own limit on connections, and their
 /// sum leaves none for clients, the store and probes.
 #[test]
